--- /dev/null
+++ b/src/lentilrun/config/__init__.py
@@ -0,0 +1,3 @@
+"""Settings of a daemon and the declarative files of operators."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/config/declaration.py
@@ -0,0 +1,211 @@
+"""Reading of an operators' file into a checked configuration."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from . import ini
+from .configuration import Configuration
+from .configuration import EMPTY
+from .configuration import Key
+from .configuration import Kind
+from .configuration import Model
+from .configuration import Move
+from .configuration import Policy
+from .configuration import Route
+from .configuration import Target
+from .configuration import Workspace
+from .findings import Collector
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from .ini import Section
+
+_T = TypeVar('_T')
+_NO_ADDRESS = ini.Address('0.0.0.0', 1)
+_DEFAULT_SHARE = 0.02
+_MAX_SHARE = 0.5
+_KINDS = ('workspace', 'key', 'model', 'service', 'target', 'route', 'move')
+
+
+def _read_workspace(section: Section) -> Workspace:
+    return Workspace(
+        section.name,
+        section.number('rate', low=0.001),
+        section.number('burst', low=1.0),
+        section.number('weight', 1.0, 0.001, 1000.0),
+    )
+
+
+def _read_key(section: Section) -> Key:
+    return Key(
+        section.name, section.text('workspace'), section.digest('digest')
+    )
+
+
+def _read_model(section: Section) -> Model:
+    return Model(
+        section.name,
+        Kind(section.kind),
+        section.text('version', 'v1'),
+        section.integer('block_bytes', 8192, 16, 2**24),
+        section.number('bytes_per_token', 4.0, 0.25, 64.0),
+        section.number('prefill', 20_000.0, 1.0),
+        section.integer('slots', 16, 1, 100_000),
+    )
+
+
+def _read_target(section: Section) -> Target:
+    events = section.address('events', '')
+    return Target(
+        section.name,
+        section.text('model'),
+        section.address('address') or _NO_ADDRESS,
+        events,
+        section.text('version', 'v1'),
+        section.flag('fencing', False),
+    )
+
+
+def _read_route(section: Section) -> Route:
+    path = section.text('path')
+    if path and not path.startswith('/'):
+        section.note('path', 'bad_path', 'a path starts with /')
+    return Route(
+        section.name,
+        path,
+        section.text('model'),
+        section.choice('access', ('open', 'keyed'), 'keyed') == 'open',
+        section.names('workspaces'),
+        section.flag('idempotent', False),
+        section.number('deadline', 30.0, 0.01, 86_400.0),
+        section.integer('priority', 1, 0, 9),
+        section.number('cost', 1.0, 0.0, 1e9),
+        section.integer('max_output', 1024, 1, 10**7),
+    )
+
+
+def _read_move(section: Section) -> Move:
+    return Move(
+        section.name,
+        section.text('model'),
+        section.text('version'),
+        section.instant('by'),
+        section.number('share', _DEFAULT_SHARE, 0.0, _MAX_SHARE),
+    )
+
+
+def _read_policy(section: Section) -> Policy:
+    return Policy(
+        section.number('wait_weight', 1.0, 0.0, 1000.0),
+        section.number('recompute_weight', 1.0, 0.0, 1000.0),
+    )
+
+
+class _Reading:
+    """The sections of one file while they are read and cross-checked."""
+
+    def __init__(self, text: str, file: str) -> None:
+        self.collector = Collector()
+        self._sections = ini.read(text, file, self.collector)
+        for section in self._sections:
+            if section.kind not in (*_KINDS, 'policy'):
+                section.note('', 'unknown_section', 'no such kind')
+
+    def of(self, *kinds: str) -> list[Section]:
+        return [s for s in self._sections if s.kind in kinds]
+
+    def read(
+        self, reader: Callable[[Section], _T], *kinds: str
+    ) -> list[tuple[Section, _T]]:
+        found = []
+        for section in self.of(*kinds):
+            found.append((section, reader(section)))
+            section.finish()
+        return found
+
+    def policy(self) -> Policy:
+        found = EMPTY.policy
+        for section in self.of('policy'):
+            found = _read_policy(section)
+            section.finish(named=False)
+        return found
+
+
+def _check_reference(
+    section: Section, key: str, wanted: str, known: Iterable[str]
+) -> None:
+    if wanted and wanted not in known:
+        section.note(key, 'unknown_name', f'{wanted!r} is not declared')
+
+
+def _read_keys(reading: _Reading, workspaces: Iterable[str]) -> dict[str, Key]:
+    keys: dict[str, Key] = {}
+    for section, key in reading.read(_read_key, 'key'):
+        _check_reference(section, 'workspace', key.workspace, workspaces)
+        if key.digest in keys:
+            section.note('digest', 'duplicate', 'digest stands twice')
+        keys[key.digest] = key
+    return keys
+
+
+def _read_routes(
+    reading: _Reading, models: Iterable[str], workspaces: Iterable[str]
+) -> list[Route]:
+    routes = []
+    seen = set()
+    for section, route in reading.read(_read_route, 'route'):
+        _check_reference(section, 'model', route.model, models)
+        for workspace in route.workspaces:
+            _check_reference(section, 'workspaces', workspace, workspaces)
+        if (route.path, route.model) in seen:
+            section.note('path', 'duplicate', 'path and model stand twice')
+        seen.add((route.path, route.model))
+        routes.append(route)
+    return routes
+
+
+def _read_moves(reading: _Reading, models: Iterable[str]) -> dict[str, Move]:
+    moves: dict[str, Move] = {}
+    moving: set[str] = set()
+    for section, move in reading.read(_read_move, 'move'):
+        _check_reference(section, 'model', move.model, models)
+        if move.model in moving:
+            section.note('model', 'duplicate', 'a model has one move')
+        moving.add(move.model)
+        moves[move.name] = move
+    return moves
+
+
+def parse(text: str, file: str) -> Configuration:
+    """Read an operators' file; raises ``InvalidFileError`` if wrong."""
+    reading = _Reading(text, file)
+    workspaces = {
+        w.name: w for _, w in reading.read(_read_workspace, 'workspace')
+    }
+    models: dict[str, Model] = {}
+    for section, model in reading.read(_read_model, 'model', 'service'):
+        if model.name in models:
+            section.note('', 'duplicate', 'name stands twice')
+        models[model.name] = model
+    targets = {}
+    for section, target in reading.read(_read_target, 'target'):
+        _check_reference(section, 'model', target.model, models)
+        targets[target.name] = target
+    configuration = Configuration(
+        workspaces,
+        _read_keys(reading, workspaces),
+        models,
+        targets,
+        tuple(_read_routes(reading, models, workspaces)),
+        _read_moves(reading, models),
+        reading.policy(),
+    )
+    reading.collector.check()
+    return configuration
+
+
+__all__ = ['parse']
--- /dev/null
+++ b/src/lentilrun/config/settings.py
@@ -0,0 +1,233 @@
+"""Settings of one daemon, read from an INI file."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import os
+import pathlib
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import zmq
+
+from . import ini
+from .findings import Collector
+from .findings import Place
+
+if TYPE_CHECKING:
+    from .ini import Address
+    from .ini import Section
+
+_MIB = 1024 * 1024
+_CURVE_KEY_LENGTH = 40
+
+
+class Secrets(NamedTuple):
+    """Secrets shared by the fleet; never logged or dumped."""
+
+    curve_public: bytes
+    curve_secret: bytes
+    stream_key: bytes
+    operator_token: str
+
+
+class Listen(NamedTuple):
+    """Addresses that the daemon listens on."""
+
+    callers: Address
+    operators: Address
+    peers: Address
+
+
+class PlatformAddresses(NamedTuple):
+    """Addresses of the platform's services."""
+
+    tables: Address
+    objects: Address
+    weights: Address
+    vms: Address
+
+
+class Certificate(NamedTuple):
+    """Paths of the certificate and key for TLS towards callers."""
+
+    chain: str
+    key: str
+
+
+class Limits(NamedTuple):
+    """Bounds on what one daemon takes in."""
+
+    max_body: int
+    max_running: int
+    remembered_prefixes: int
+
+
+class Settings(NamedTuple):
+    """All that a daemon is told about itself."""
+
+    name: str
+    data_centre: str
+    listen: Listen
+    peers: dict[str, Address]
+    platform: PlatformAddresses
+    secrets: Secrets
+    certificate: Certificate | None
+    limits: Limits
+
+
+def _resolve(section: Section, key: str, default: str | None = None) -> str:
+    reference = section.text(key, default)
+    kind, _, name = reference.partition(':')
+    if not reference:
+        return ''
+    if kind == 'env' and name in os.environ:
+        return os.environ[name].strip()
+    if kind == 'file':
+        try:
+            return pathlib.Path(name).read_text(encoding='utf-8').strip()
+        except (OSError, ValueError):
+            pass
+    message = 'no such secret; wanted env:NAME or file:PATH'
+    section.note(key, 'no_secret', message)
+    return ''
+
+
+def _read_secrets(section: Section) -> Secrets:
+    curve = _resolve(section, 'fleet')
+    token = _resolve(section, 'operators', '')
+    public = b''
+    if curve:
+        try:
+            public = zmq.curve_public(curve.encode('ascii'))
+        except (ValueError, zmq.ZMQError):
+            section.note('fleet', 'bad_secret', 'not a CURVE secret key')
+        if len(curve) != _CURVE_KEY_LENGTH:
+            section.note('fleet', 'bad_secret', 'a CURVE key has 40 signs')
+    stream_key = hmac.new(curve.encode(), b'streams', hashlib.sha256)
+    return Secrets(public, curve.encode(), stream_key.digest(), token)
+
+
+def _required(section: Section, key: str) -> Address:
+    found = section.address(key)
+    return found or ini.Address('0.0.0.0', 1)
+
+
+def _read_certificate(section: Section | None) -> Certificate | None:
+    if section is None:
+        return None
+    found = Certificate(section.text('certificate'), section.text('key'))
+    for key, path in zip(('certificate', 'key'), found, strict=True):
+        if path and not pathlib.Path(path).is_file():
+            section.note(key, 'no_file', 'no such file')
+    return found
+
+
+class _Sections:
+    """Finds the sections that settings are made of."""
+
+    def __init__(self, text: str, file: str) -> None:
+        self.collector = Collector()
+        self._file = file
+        found = ini.read(text, file, self.collector)
+        self._all = {s.header: s for s in found}
+
+    def get(self, header: str) -> Section:
+        section = self._all.get(header)
+        if section is not None:
+            return section
+        empty: dict[str, int] = {'': 1}
+        return ini.Section(header, {}, empty, self._file, self.collector)
+
+    def find(self, header: str) -> Section | None:
+        return self._all.get(header)
+
+    def finish(self, known: tuple[str, ...]) -> None:
+        for header, section in self._all.items():
+            if header in known:
+                section.finish(named=False)
+            else:
+                message = 'no such section in the settings'
+                section.note('', 'unknown_section', message)
+        self.collector.check()
+
+
+_SECTIONS = (
+    'vm',
+    'listen',
+    'peers',
+    'platform',
+    'secrets',
+    'tls',
+    'limits',
+)
+
+
+def _read_peers(section: Section | None) -> dict[str, Address]:
+    if section is None:
+        return {}
+    found = {}
+    for name, _ in section.items():
+        address = section.address(name)
+        if address is not None:
+            found[name] = address
+    return found
+
+
+def parse(text: str, file: str) -> Settings:
+    """Read settings; raises ``InvalidFileError`` with all findings."""
+    sections = _Sections(text, file)
+    vm = sections.get('vm')
+    listen = sections.get('listen')
+    platform = sections.get('platform')
+    limits = sections.get('limits')
+    settings = Settings(
+        vm.text('name').lower(),
+        vm.text('data_centre'),
+        Listen(
+            _required(listen, 'callers'),
+            _required(listen, 'operators'),
+            _required(listen, 'peers'),
+        ),
+        _read_peers(sections.find('peers')),
+        PlatformAddresses(
+            _required(platform, 'tables'),
+            _required(platform, 'objects'),
+            _required(platform, 'weights'),
+            _required(platform, 'vms'),
+        ),
+        _read_secrets(sections.get('secrets')),
+        _read_certificate(sections.find('tls')),
+        Limits(
+            limits.integer('max_body', 16 * _MIB, 1, 1024 * _MIB),
+            limits.integer('max_running', 2000, 1, 10**6),
+            limits.integer('remembered_prefixes', 100_000, 16, 10**7),
+        ),
+    )
+    sections.finish(_SECTIONS)
+    return settings
+
+
+def load(path: str) -> Settings:
+    """Read settings from a file, with all findings raised together."""
+    try:
+        text = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, ValueError) as error:
+        collector = Collector()
+        collector.add(Place(path, 1, '', ''), 'unreadable', str(error))
+        collector.check()
+        raise
+    return parse(text, path)
+
+
+__all__ = [
+    'Certificate',
+    'Limits',
+    'Listen',
+    'load',
+    'parse',
+    'PlatformAddresses',
+    'Secrets',
+    'Settings',
+]
--- /dev/null
+++ b/src/lentilrun/coordination/accord.py
@@ -0,0 +1,284 @@
+"""Agreed values that reach every member and never revert.
+
+A value of a topic has a generation, the version of its row in the
+table. A change is announced to a majority of the members, then written
+on condition of the generation before it, then told to all. Whoever hears
+a majority hears of every change that may have been committed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..errors import Code
+from ..errors import ConflictError
+from ..errors import LentilrunError
+from ..errors import PlatformError
+from .freshness import count_majority
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .clock import Clock
+    from .table import Row
+    from .table import Table
+
+ANNOUNCE_TIMEOUT = 2.0
+_READ_BACK_TRIES = 5
+_READ_BACK_DELAY = 0.2
+_DOUBT_LIMIT = 15.0
+_REMEMBERED_OPERATIONS = 32
+
+
+class Operation(NamedTuple):
+    """The id of a change and the generation that it made."""
+
+    name: str
+    generation: int
+
+
+class Value(NamedTuple):
+    """A topic's value with its recent operations, newest first."""
+
+    generation: int
+    body: bytes
+    operations: tuple[Operation, ...]
+
+
+class Announce(NamedTuple):
+    """Tells of a change that may be committed soon."""
+
+    topic: str
+    operation: str
+    value: Value
+
+
+class Acknowledge(NamedTuple):
+    """Says that a change was heard of, or why it is refused."""
+
+    topic: str
+    operation: str
+    refusal: str
+
+
+class Withdraw(NamedTuple):
+    """Says that an announced change was surely not committed."""
+
+    topic: str
+    operation: str
+
+
+class Commit(NamedTuple):
+    """Tells of a committed value, newly or on request."""
+
+    topic: str
+    value: Value
+
+
+class Fetch(NamedTuple):
+    """Asks for the newest committed and announced value of a topic."""
+
+    topic: str
+
+
+class MajorityMissingError(LentilrunError):
+    """Too few members could be told of a change; it was not made."""
+
+    code = Code.MAJORITY_MISSING
+
+
+class OutcomeUnknownError(LentilrunError):
+    """The table gave no answer; repeat with the same operation id."""
+
+    code = Code.PLATFORM_UNAVAILABLE
+
+
+class _Pending(NamedTuple):
+    announce: Announce
+    since: float
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(tuple[bytes, tuple[Operation, ...]])
+EMPTY = Value(0, b'', ())
+
+
+def _decode(row: Row) -> Value:
+    if not row.version:
+        return EMPTY
+    try:
+        body, operations = _decoder.decode(row.value)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f'{row.key} holds no value') from error
+    return Value(row.version, body, operations)
+
+
+class Topic:
+    """The newest value of one topic, and changes of it in doubt."""
+
+    def __init__(
+        self,
+        name: str,
+        table: Table,
+        clock: Clock,
+        adopt: Callable[[Value], None],
+    ) -> None:
+        """Keep topic ``name``; ``adopt`` is called with newer values."""
+        self.name = name
+        self._table = table
+        self._clock = clock
+        self._adopt = adopt
+        self._pending: dict[str, _Pending] = {}
+        self.value = EMPTY
+
+    async def _read(self) -> Value:
+        return _decode(await self._table.read(f'accord/{self.name}'))
+
+    async def refresh(self) -> None:
+        """Read the table and adopt what is newer there."""
+        started = self._clock.now()
+        value = await self._read()
+        self.adopt(value)
+        for operation, pending in list(self._pending.items()):
+            if started - pending.since > _DOUBT_LIMIT:
+                del self._pending[operation]
+
+    def adopt(self, value: Value) -> bool:
+        """Take in a committed value if it is newer; return if it was.
+
+        What ``adopt`` raises leaves the value before it in place.
+        """
+        if value.generation <= self.value.generation:
+            return False
+        self._adopt(value)
+        self.value = value
+        for operation, pending in list(self._pending.items()):
+            if pending.announce.value.generation <= value.generation:
+                del self._pending[operation]
+        return True
+
+    def note(self, announce: Announce) -> None:
+        """Remember a change that may be committed."""
+        if announce.value.generation > self.value.generation:
+            pending = _Pending(announce, self._clock.now())
+            self._pending[announce.operation] = pending
+
+    def withdraw(self, operation: str) -> None:
+        """Forget a change that was surely not committed."""
+        self._pending.pop(operation, None)
+
+    def find_pending(self) -> list[Announce]:
+        """Return the changes in doubt."""
+        return [p.announce for p in self._pending.values()]
+
+    def pending_generation(self) -> int:
+        """Return the newest generation in doubt, or 0."""
+        announced = [a.value.generation for a in self.find_pending()]
+        return max(announced, default=0)
+
+    async def commit(self, operation: str, value: Value) -> Value:
+        """Write a value on condition of the generation before it.
+
+        Raises ``ConflictError`` if another change came first, or
+        ``OutcomeUnknownError`` if the table does not say.
+        """
+        body = _encoder.encode((value.body, value.operations))
+        key = f'accord/{self.name}'
+        for _ in range(_READ_BACK_TRIES):
+            try:
+                await self._table.write(key, body, value.generation - 1)
+                return value
+            except (ConflictError, PlatformError):
+                found = await self._read_back()
+            made = self.find_operation(found, operation)
+            if made is not None and found is not None:
+                return found
+            if found is not None and found.generation >= value.generation:
+                raise ConflictError(f'generation {found.generation} was first')
+        raise OutcomeUnknownError('the table does not say; repeat it')
+
+    async def _read_back(self) -> Value | None:
+        try:
+            return await self._read()
+        except PlatformError:
+            await asyncio.sleep(_READ_BACK_DELAY)
+            return None
+
+    @staticmethod
+    def find_operation(
+        value: Value | None, operation: str
+    ) -> Operation | None:
+        """Return an operation that a value remembers."""
+        if value is None:
+            return None
+        found = [o for o in value.operations if o.name == operation]
+        return found[0] if found else None
+
+    def propose(self, operation: str, body: bytes) -> Announce:
+        """Return the announcement of the value after the present one."""
+        generation = self.value.generation + 1
+        made = Operation(operation, generation)
+        kept = (made, *self.value.operations)[:_REMEMBERED_OPERATIONS]
+        value = Value(generation, body, kept)
+        return Announce(self.name, operation, value)
+
+
+class Quorum:
+    """Waits until a majority of some members acknowledged a change."""
+
+    def __init__(self, operation: str, members: frozenset[str]) -> None:
+        self.operation = operation
+        self._members = members
+        self._agreed: set[str] = set()
+        self._refusals: dict[str, str] = {}
+        self._changed = asyncio.Event()
+
+    def take(self, member: str, answer: Acknowledge) -> None:
+        """Take in an answer."""
+        if member not in self._members:
+            return
+        if answer.operation != self.operation:
+            return
+        if answer.refusal:
+            self._refusals[member] = answer.refusal
+        else:
+            self._agreed.add(member)
+        self._changed.set()
+
+    def is_reached(self) -> bool:
+        """Return whether a majority agreed."""
+        needed = count_majority(len(self._members))
+        return not self._members or len(self._agreed) >= needed
+
+    async def wait(self, timeout: float = ANNOUNCE_TIMEOUT) -> None:
+        """Wait for the majority; raises ``MajorityMissingError``."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not self.is_reached():
+                    self._changed.clear()
+                    await self._changed.wait()
+        except TimeoutError as error:
+            missing = sorted(self._members - self._agreed)
+            text = f'no majority: {", ".join(missing)} did not agree'
+            raise MajorityMissingError(text) from error
+
+
+__all__ = [
+    'Acknowledge',
+    'Announce',
+    'ANNOUNCE_TIMEOUT',
+    'Commit',
+    'EMPTY',
+    'Fetch',
+    'MajorityMissingError',
+    'Operation',
+    'OutcomeUnknownError',
+    'Quorum',
+    'Topic',
+    'Value',
+    'Withdraw',
+]
--- /dev/null
+++ b/src/lentilrun/coordination/shares.py
@@ -0,0 +1,229 @@
+"""One token bucket held in parts by many members.
+
+A bucket is ``UNITS`` units; each accrues its part of the rate up to its
+part of the burst. A member spends only what its own units accrued or
+what peers lent it. Units are given out by surveys alone, so the units
+held never add up to more than ``UNITS``, and no window of T seconds
+sees more spent than rate x T + burst.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from .clock import Clock
+
+UNITS = 1_000_000
+LOAN_LIFE = 0.5
+_LOAN_SHADOW = 2 * LOAN_LIFE
+_DEMAND_HORIZON = 0.25
+_DEMAND_MEMORY = 1.0
+
+
+class Limit(NamedTuple):
+    """A bucket's rate in tokens a second and burst in tokens."""
+
+    rate: float
+    burst: float
+
+
+class Ask(NamedTuple):
+    """A wish to borrow ``amount`` tokens, with at least ``need``."""
+
+    number: int
+    bucket: str
+    amount: float
+    need: float
+
+
+class Loan(NamedTuple):
+    """Tokens lent, taken off before this was sent, and those left."""
+
+    number: int
+    bucket: str
+    amount: float
+    left: float
+
+
+class _Shadow(NamedTuple):
+    """A loan that the borrower may still hold unspent until ``until``."""
+
+    amount: float
+    until: float
+
+
+@dataclasses.dataclass
+class _Part:
+    limit: Limit
+    units: int = 0
+    level: float = 0.0
+    filled: float = 0.0
+    demand: float = 0.0
+    demanded: float = 0.0
+    shadows: collections.deque[_Shadow] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+
+class Shares:
+    """The parts of buckets that one member holds."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._parts: dict[str, _Part] = {}
+
+    def configure(self, limits: dict[str, Limit]) -> None:
+        """Set the limits; parts of buckets that are gone are dropped."""
+        for name in self._parts.keys() - limits.keys():
+            del self._parts[name]
+        for name, limit in limits.items():
+            part = self._parts.get(name)
+            if part is None:
+                now = self._clock.now()
+                self._parts[name] = _Part(limit, filled=now, demanded=now)
+            elif part.limit != limit:
+                self._fill(part)
+                part.limit = limit
+                self._fill(part)
+
+    def void(self) -> None:
+        """Give up all units: another member may have been given them."""
+        for part in self._parts.values():
+            part.units = 0
+            part.level = min(part.level, 0.0)
+
+    def count(self) -> dict[str, int]:
+        """Return the units held of each bucket."""
+        return {name: part.units for name, part in self._parts.items()}
+
+    def set_units(self, name: str, units: int, full: bool = False) -> None:
+        """Set the units held; added ones start full only if ``full``."""
+        part = self._parts.get(name)
+        if part is None:
+            return
+        self._fill(part)
+        added = max(0, units - part.units)
+        part.units = units
+        if full:
+            part.level += part.limit.burst * added / UNITS
+        self._fill(part)
+
+    def _cap(self, part: _Part) -> float:
+        now = self._clock.now()
+        while part.shadows and part.shadows[0].until <= now:
+            part.shadows.popleft()
+        lent = sum(shadow.amount for shadow in part.shadows)
+        return max(0.0, part.limit.burst * part.units / UNITS - lent)
+
+    def _fill(self, part: _Part) -> None:
+        now = self._clock.now()
+        elapsed = max(0.0, now - part.filled)
+        part.filled = now
+        cap = self._cap(part)
+        if part.level >= cap:
+            part.level = min(part.level, cap)
+            return
+        gained = part.limit.rate * part.units / UNITS * elapsed
+        part.level = min(cap, part.level + gained)
+
+    def _note_demand(self, part: _Part, amount: float) -> None:
+        now = self._clock.now()
+        kept = max(0.0, 1.0 - (now - part.demanded) / _DEMAND_MEMORY)
+        part.demand = part.demand * kept + amount
+        part.demanded = now
+
+    def _reserve(self, part: _Part) -> float:
+        idle = self._clock.now() - part.demanded
+        kept = max(0.0, 1.0 - idle / _DEMAND_MEMORY)
+        return part.demand * kept * _DEMAND_HORIZON / _DEMAND_MEMORY
+
+    def limit(self, name: str) -> Limit | None:
+        """Return the limit of a bucket, if it is known."""
+        part = self._parts.get(name)
+        return part.limit if part is not None else None
+
+    def level(self, name: str) -> float:
+        """Return the tokens that may be spent here now."""
+        part = self._parts.get(name)
+        if part is None:
+            return 0.0
+        self._fill(part)
+        return part.level
+
+    def spend(self, name: str, amount: float) -> bool:
+        """Take tokens if there are enough; return whether it did."""
+        part = self._parts.get(name)
+        if part is None:
+            return False
+        self._fill(part)
+        self._note_demand(part, amount)
+        if part.level < amount:
+            return False
+        part.level -= amount
+        return True
+
+    def refund(self, name: str, amount: float) -> None:
+        """Give back unused tokens; a negative amount is a debt."""
+        part = self._parts.get(name)
+        if part is None:
+            return
+        self._fill(part)
+        part.level += amount
+        self._fill(part)
+
+    def want(self, name: str, need: float) -> float:
+        """Return how much to borrow so that ``need`` can be spent."""
+        part = self._parts.get(name)
+        if part is None:
+            return 0.0
+        self._fill(part)
+        room = max(0.0, self._cap(part) - part.level)
+        wish = need - part.level + self._reserve(part)
+        return max(need - part.level, min(wish, room))
+
+    def lend(self, name: str, amount: float, need: float) -> float:
+        """Take off and return what can be lent of ``amount`` tokens.
+
+        What this member is about to use itself is lent only in half.
+        """
+        part = self._parts.get(name)
+        if part is None or amount <= 0.0:
+            return 0.0
+        self._fill(part)
+        spare = part.level - self._reserve(part)
+        lent = max(min(amount, spare), min(need, part.level / 2.0))
+        if lent <= 0.0:
+            return 0.0
+        part.level -= lent
+        until = self._clock.now() + _LOAN_SHADOW
+        part.shadows.append(_Shadow(lent, until))
+        return lent
+
+    def spend_with(self, name: str, amount: float, lent: float) -> float:
+        """Spend loans and own tokens together; return what stays lent.
+
+        Returns a negative number, with nothing spent, if the two are
+        not enough. What stays of the loans is kept up to the part's
+        cap; the rest is given up.
+        """
+        part = self._parts.get(name)
+        if part is None:
+            return -1.0
+        self._fill(part)
+        if part.level + lent < amount:
+            return -1.0
+        part.level += lent - amount
+        over = max(0.0, part.level - self._cap(part))
+        part.level -= over
+        return lent
+
+    def keep(self, name: str, lent: float) -> None:
+        """Keep a loan that came too late, up to the part's cap."""
+        self.refund(name, lent)
+
+
+__all__ = ['Ask', 'Limit', 'Loan', 'LOAN_LIFE', 'Shares', 'UNITS']
--- /dev/null
+++ b/src/lentilrun/daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The process that runs on every VM."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/daemon/hints.py
@@ -0,0 +1,85 @@
+"""What a starting daemon takes from its peers, so that it starts warm."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..peers.messages import HintsWanted
+from ..peers.messages import Placements
+from ..peers.messages import Suspicion
+from ..peers.messages import Verdict
+from ..routing.placements import Holder
+
+if TYPE_CHECKING:
+    from ..entry.suspects import Suspects
+    from ..moves.progress import Moves
+    from ..peers.codec import Sender
+    from ..peers.mesh import Mesh
+    from ..routing import placements
+
+_MOST = 50_000
+_CHUNK = 5_000
+_TRIES = 10
+_PAUSE = 0.2
+_WANTED_ANSWERS = 2
+
+
+class Hints:
+    """Gives and takes placements, suspects and verdicts."""
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        known: placements.Placements,
+        suspects: Suspects,
+        moves: Moves,
+    ) -> None:
+        self._mesh = mesh
+        self._known = known
+        self._suspects = suspects
+        self._moves = moves
+        self._answered: set[str] = set()
+        self._asked: set[str] = set()
+
+    async def run(self) -> None:
+        """Ask peers until two gave what they know, or none is there."""
+        for _ in range(_TRIES):
+            for name in self._mesh.names():
+                if len(self._asked) >= _WANTED_ANSWERS:
+                    break
+                wanted = HintsWanted(_MOST)
+                if name not in self._asked and self._mesh.send(name, wanted):
+                    self._asked.add(name)
+            if self._asked and self._answered >= self._asked:
+                return
+            await asyncio.sleep(_PAUSE)
+
+    def receive_wanted(self, message: HintsWanted, sender: Sender) -> None:
+        """Tell a starting peer what is known here."""
+        for fingerprint, crashes in self._suspects.export():
+            for target, incarnation in crashes:
+                suspicion = Suspicion(fingerprint, target, incarnation, 0)
+                self._mesh.send(sender.name, suspicion)
+        for (model, version), reason in self._moves.bans().items():
+            self._mesh.send(sender.name, Verdict(model, version, reason))
+        found = self._known.export(min(message.most, _MOST))
+        for start in range(0, max(1, len(found)), _CHUNK):
+            chunk = Placements(found[start : start + _CHUNK])
+            self._mesh.send(sender.name, chunk)
+
+    def receive_placements(self, message: Placements, sender: Sender) -> None:
+        """Take placements; they hold if the target is still the same."""
+        self._answered.add(sender.name)
+        for found in message.placements:
+            holder = Holder(found.incarnation, found.version)
+            if self._known.current(found.target) is None:
+                self._known.set_current(found.target, holder)
+            self._known.add(found.block, found.target, holder)
+
+    def receive_suspicion(self, message: Suspicion, sender: Sender) -> None:
+        """Note a request that a peer saw at a crash."""
+        self._suspects.note(message)
+
+
+__all__ = ['Hints']
--- /dev/null
+++ b/src/lentilrun/daemon/inbox.py
@@ -0,0 +1,131 @@
+"""Hands each message of a peer to the part that it is for."""
+
+from __future__ import annotations
+
+from functools import singledispatchmethod
+from typing import Any
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..coordination.accord import Acknowledge
+from ..coordination.accord import Announce
+from ..coordination.accord import Commit
+from ..coordination.accord import Fetch
+from ..coordination.accord import Withdraw
+from ..coordination.heartbeat import Beat
+from ..coordination.shares import Ask
+from ..coordination.shares import Loan
+from ..coordination.survey import Answer
+from ..coordination.survey import Issue
+from ..coordination.survey import Question
+from ..metrics.registry import Count
+from ..peers.messages import HintsWanted
+from ..peers.messages import Placements
+from ..peers.messages import Suspicion
+from ..peers.messages import Tallies
+from ..peers.messages import Verdict
+
+if TYPE_CHECKING:
+    from ..fleet.agreement import Agreement
+    from ..fleet.beats import Beats
+    from ..fleet.lending import Lending
+    from ..fleet.surveys import Surveys
+    from ..metrics.registry import Metrics
+    from ..moves.driver import Driver
+    from ..peers.codec import Envelope
+    from ..peers.codec import Sender
+    from .hints import Hints
+
+
+class Parts(NamedTuple):
+    """The parts that take messages."""
+
+    agreement: Agreement
+    beats: Beats
+    lending: Lending
+    surveys: Surveys
+    driver: Driver
+    hints: Hints
+    metrics: Metrics
+
+
+class Inbox:
+    """Dispatches on the type of the message."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take in one message."""
+        self._take(envelope.message, envelope.sender)
+
+    @singledispatchmethod
+    def _take(self, message: Any, sender: Sender) -> None:
+        self._parts.metrics.add(Count.BAD_MESSAGES)
+
+    @_take.register(Beat)
+    def _take_beat(self, message: Beat, sender: Sender) -> None:
+        self._parts.beats.receive(message, sender)
+
+    @_take.register(Announce)
+    def _take_announce(self, message: Announce, sender: Sender) -> None:
+        self._parts.agreement.receive_announce(message, sender)
+
+    @_take.register(Acknowledge)
+    def _take_acknowledge(self, message: Acknowledge, sender: Sender) -> None:
+        self._parts.agreement.receive_acknowledge(message, sender)
+
+    @_take.register(Withdraw)
+    def _take_withdraw(self, message: Withdraw, sender: Sender) -> None:
+        self._parts.agreement.receive_withdraw(message, sender)
+
+    @_take.register(Commit)
+    def _take_commit(self, message: Commit, sender: Sender) -> None:
+        self._parts.agreement.receive_commit(message, sender)
+
+    @_take.register(Fetch)
+    def _take_fetch(self, message: Fetch, sender: Sender) -> None:
+        self._parts.agreement.receive_fetch(message, sender)
+
+    @_take.register(Ask)
+    def _take_ask(self, message: Ask, sender: Sender) -> None:
+        self._parts.lending.receive_ask(message, sender)
+
+    @_take.register(Loan)
+    def _take_loan(self, message: Loan, sender: Sender) -> None:
+        self._parts.lending.receive_loan(message, sender)
+
+    @_take.register(Question)
+    def _take_question(self, message: Question, sender: Sender) -> None:
+        self._parts.surveys.receive_question(message, sender)
+
+    @_take.register(Answer)
+    def _take_answer(self, message: Answer, sender: Sender) -> None:
+        self._parts.surveys.receive_answer(message, sender)
+
+    @_take.register(Issue)
+    def _take_issue(self, message: Issue, sender: Sender) -> None:
+        self._parts.surveys.receive_issue(message, sender)
+
+    @_take.register(Tallies)
+    def _take_tallies(self, message: Tallies, sender: Sender) -> None:
+        self._parts.driver.receive_tallies(message, sender)
+
+    @_take.register(Verdict)
+    def _take_verdict(self, message: Verdict, sender: Sender) -> None:
+        self._parts.driver.receive_verdict(message, sender)
+
+    @_take.register(Suspicion)
+    def _take_suspicion(self, message: Suspicion, sender: Sender) -> None:
+        self._parts.hints.receive_suspicion(message, sender)
+
+    @_take.register(HintsWanted)
+    def _take_hints_wanted(self, message: HintsWanted, sender: Sender) -> None:
+        self._parts.hints.receive_wanted(message, sender)
+
+    @_take.register(Placements)
+    def _take_placements(self, message: Placements, sender: Sender) -> None:
+        self._parts.hints.receive_placements(message, sender)
+
+
+__all__ = ['Inbox', 'Parts']
--- /dev/null
+++ b/src/lentilrun/daemon/run.py
@@ -0,0 +1,113 @@
+"""Entry point of ``lentilrund``."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import ssl
+import sys
+from typing import TYPE_CHECKING
+
+from absl import logging
+import cyclopts
+from tornado.httpserver import HTTPServer
+import zmq
+
+from ..config.findings import InvalidFileError
+from ..config import settings as settings_file
+from ..entry import handlers
+from ..operator import handlers as operator_handlers
+from .node import Node
+
+if TYPE_CHECKING:
+    from ..config.settings import Certificate
+    from ..config.settings import Settings
+
+EXIT_INVALID = 2
+EXIT_IN_USE = 3
+_MAX_HEADER = 64 * 1024
+_IDLE_GRACE = 0.2
+_OPERATOR_MAX_BODY = 32 * 1024 * 1024
+
+app = cyclopts.App(name='lentilrund', help='Run the router on this VM.')
+
+
+def _make_tls(certificate: Certificate | None) -> ssl.SSLContext | None:
+    if certificate is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(certificate.chain, certificate.key)
+    return context
+
+
+def _listen(node: Node) -> list[HTTPServer]:
+    settings = node.settings
+    callers = HTTPServer(
+        handlers.make_application(node.service, node.resumption, node.state),
+        ssl_options=_make_tls(settings.certificate),
+        max_header_size=_MAX_HEADER,
+        max_body_size=settings.limits.max_body,
+        max_buffer_size=settings.limits.max_body + _MAX_HEADER,
+        idle_connection_timeout=600.0,
+        body_timeout=60.0,
+    )
+    operators = HTTPServer(
+        operator_handlers.make_application(node),
+        max_body_size=_OPERATOR_MAX_BODY,
+    )
+    address = settings.listen.callers
+    callers.listen(address.port, address.host, backlog=1024)
+    address = settings.listen.operators
+    operators.listen(address.port, address.host)
+    return [callers, operators]
+
+
+async def _serve(settings: Settings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    async with Node(settings) as node:
+        callers, operators = _listen(node)
+        logging.info('%s serves at %s', settings.name, settings.listen.callers)
+        await stopping.wait()
+        logging.info('%s is stopping', settings.name)
+        await node.drain()
+        callers.stop()
+        await node.finish()
+        await asyncio.sleep(_IDLE_GRACE)
+        await callers.close_all_connections()
+        operators.stop()
+        logging.info('%s stopped', settings.name)
+
+
+@app.default
+def run(settings_path: str) -> int:
+    """Run until SIGTERM or SIGINT.
+
+    Parameters
+    ----------
+    settings_path
+        The INI file with this daemon's settings.
+    """
+    logging.use_absl_handler()
+    logging.set_verbosity(logging.INFO)
+    try:
+        settings = settings_file.load(settings_path)
+    except InvalidFileError as error:
+        sys.stderr.write(f'{error}\n')
+        return EXIT_INVALID
+    try:
+        asyncio.run(_serve(settings))
+    except (OSError, zmq.ZMQError) as error:
+        sys.stderr.write(f'port_in_use: {error}\n')
+        return EXIT_IN_USE
+    return 0
+
+
+def main() -> None:
+    """Run the daemon and exit with its code."""
+    sys.exit(app(result_action='return_value'))
+
+
+__all__ = ['EXIT_IN_USE', 'EXIT_INVALID', 'main', 'run']
--- /dev/null
+++ b/src/lentilrun/entry/admission.py
@@ -0,0 +1,287 @@
+"""Whether a request is let in: route, key, freshness, rate."""
+
+from __future__ import annotations
+
+import math
+import secrets
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+
+from ..config.configuration import Kind
+from . import credentials
+from ..errors import CallError
+from ..errors import Code
+from ..metrics.registry import Timing
+from ..routing.prefix import ModelRequest
+from ..routing.prefix import parse_request
+from ..targets.requests import Outgoing
+from .call import Call
+from .call import make_fingerprint
+from .call import OPEN
+
+if TYPE_CHECKING:
+    from ..config.configuration import Configuration
+    from ..config.configuration import Key
+    from ..config.configuration import Route
+    from ..coordination.clock import Clock
+    from ..fleet.lending import Lending
+    from ..fleet.state import FleetState
+    from ..metrics.registry import Metrics
+
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_FORBIDDEN = 403
+_NOT_FOUND = 404
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_STALE_RETRY = 1.0
+_MAX_IDEMPOTENCY_KEY = 255
+
+
+class Incoming(NamedTuple):
+    """A request as it came from a caller."""
+
+    method: str
+    path: str
+    query: str
+    headers: HTTPHeaders
+    body: bytes
+
+
+class _Identity(NamedTuple):
+    workspace: str
+    digest: str
+    secret: str
+
+
+class Admission:
+    """Turns an incoming request into a call, or says why not."""
+
+    def __init__(
+        self, state: FleetState, lending: Lending, metrics: Metrics
+    ) -> None:
+        self._state = state
+        self._lending = lending
+        self._metrics = metrics
+
+    @property
+    def _clock(self) -> Clock:
+        return self._state.clock
+
+    def check_fresh(self) -> None:
+        """Raise unless this daemon may act on what it knows."""
+        if not self._state.generation():
+            raise CallError(
+                Code.NOT_CONFIGURED,
+                'no configuration was accepted yet',
+                _UNAVAILABLE,
+                retry_after=_STALE_RETRY,
+            )
+        if not self._state.is_fresh():
+            raise CallError(
+                Code.VM_STALE,
+                'this VM can not tell whether it knows the newest state',
+                _UNAVAILABLE,
+                retry_after=_STALE_RETRY,
+            )
+
+    def identify(self, incoming: Incoming) -> Call:
+        """Return the call that a request makes; raises ``CallError``."""
+        self.check_fresh()
+        arrived = self._clock.now()
+        configuration = self._state.configuration
+        routes = configuration.find_routes(incoming.path)
+        if not routes:
+            raise CallError(
+                Code.UNKNOWN_ROUTE, 'no route has this path', _NOT_FOUND
+            )
+        secret = credentials.find_secret(incoming.headers, incoming.query)
+        # The key comes before the body: a stranger learns nothing else.
+        identity = self._find_identity(configuration, secret)
+        if identity is None and not any(r.is_open for r in routes):
+            self._refuse_key(secret)
+        asked = self._read_body(configuration, routes, incoming)
+        route = self._pick(configuration, routes, asked)
+        workspace = self._authorize(route, identity, secret)
+        self._check_body(secret, incoming.body)
+        return self._build(
+            incoming, route, asked, workspace, identity, arrived
+        )
+
+    def _refuse_key(self, secret: str) -> None:
+        if not secret:
+            raise CallError(
+                Code.KEY_MISSING, 'a key is required', _UNAUTHORIZED
+            )
+        raise CallError(
+            Code.KEY_REFUSED, 'the key is not valid', _UNAUTHORIZED
+        )
+
+    def _find_identity(
+        self, configuration: Configuration, secret: str
+    ) -> _Identity | None:
+        if not secret:
+            return None
+        digest = credentials.digest_key(secret)
+        key = self.find_valid_key(configuration, digest)
+        if key is None:
+            return None
+        return _Identity(key.workspace, digest, secret)
+
+    def find_valid_key(
+        self, configuration: Configuration, digest: str
+    ) -> Key | None:
+        """Return a key that is valid in all states that may be in force."""
+        key = credentials.find_key(configuration, digest)
+        for doubt in self._state.find_doubts():
+            other = credentials.find_key(doubt.configuration, digest)
+            if key is None or other is None:
+                return None
+            if other.workspace != key.workspace:
+                return None
+        return key
+
+    def is_valid(self, digest: str) -> bool:
+        """Return whether a running call's key is still valid."""
+        configuration = self._state.configuration
+        return self.find_valid_key(configuration, digest) is not None
+
+    def _read_body(
+        self,
+        configuration: Configuration,
+        routes: list[Route],
+        incoming: Incoming,
+    ) -> ModelRequest:
+        kinds = {configuration.models[r.model].kind for r in routes}
+        if Kind.MODEL not in kinds:
+            return ModelRequest('', b'', False, None)
+        try:
+            return parse_request(incoming.body)
+        except ValueError as error:
+            raise CallError(
+                Code.BAD_REQUEST,
+                f'the body is no model request: {error}',
+                _BAD_REQUEST,
+            ) from error
+
+    def _pick(
+        self,
+        configuration: Configuration,
+        routes: list[Route],
+        asked: ModelRequest,
+    ) -> Route:
+        services = [
+            r
+            for r in routes
+            if configuration.models[r.model].kind is Kind.SERVICE
+        ]
+        if services:
+            return services[0]
+        for route in routes:
+            if route.model == asked.model:
+                return route
+        if not asked.model and len(routes) == 1:
+            return routes[0]
+        raise CallError(
+            Code.UNKNOWN_MODEL, 'no route has this model', _NOT_FOUND
+        )
+
+    def _authorize(
+        self, route: Route, identity: _Identity | None, secret: str
+    ) -> str:
+        if identity is None and route.is_open:
+            return OPEN
+        if identity is None:
+            self._refuse_key(secret)
+            return OPEN
+        allowed = route.workspaces
+        if allowed and identity.workspace not in allowed:
+            raise CallError(
+                Code.WORKSPACE_REFUSED,
+                'the route is for other workspaces',
+                _FORBIDDEN,
+            )
+        return identity.workspace
+
+    def _check_body(self, secret: str, body: bytes) -> None:
+        if secret and secret.encode() in body:
+            raise CallError(
+                Code.BAD_REQUEST,
+                'the body carries the key, which no target may see',
+                _BAD_REQUEST,
+            )
+
+    def _build(
+        self,
+        incoming: Incoming,
+        route: Route,
+        asked: ModelRequest,
+        workspace: str,
+        identity: _Identity | None,
+        arrived: float,
+    ) -> Call:
+        model = self._state.configuration.models[route.model]
+        secret = identity.secret if identity is not None else ''
+        stripped = credentials.strip(
+            incoming.path, incoming.query, incoming.headers, secret
+        )
+        tokens = math.ceil(len(asked.text) / model.bytes_per_token)
+        limit = min(asked.limit or route.max_output, route.max_output)
+        is_model = model.kind is Kind.MODEL
+        repeat_key = incoming.headers.get('Idempotency-Key', '')
+        if len(repeat_key) > _MAX_IDEMPOTENCY_KEY:
+            raise CallError(
+                Code.BAD_REQUEST, 'the idempotency key is long', _BAD_REQUEST
+            )
+        return Call(
+            secrets.token_hex(8),
+            route,
+            model,
+            workspace,
+            identity.digest if identity is not None else '',
+            Outgoing(
+                incoming.method,
+                stripped.path,
+                stripped.headers,
+                incoming.body,
+            ),
+            asked.text,
+            tokens,
+            limit,
+            asked.streams,
+            float(tokens + limit) if is_model else route.cost,
+            arrived,
+            arrived + route.deadline,
+            repeat_key,
+            make_fingerprint(workspace, incoming.path, incoming.body),
+        )
+
+    async def charge(self, call: Call) -> None:
+        """Take a call's tokens from its workspace; raises if it can't."""
+        if not call.is_charged():
+            return
+        started = self._clock.now()
+        taken = await self._lending.take(call.workspace, call.charge)
+        self._metrics.time(Timing.ADMISSION, self._clock.now() - started)
+        if not taken:
+            raise self._explain(call)
+
+    def _explain(self, call: Call) -> CallError:
+        limit = self._state.shares.limit(call.workspace)
+        if limit is None or call.charge > limit.burst:
+            text = 'the request needs more tokens than the burst'
+            return CallError(Code.RATE_EXCEEDED, text, _TOO_MANY)
+        lacking = call.charge - self._state.shares.level(call.workspace)
+        wait = max(0.05, lacking / limit.rate)
+        text = 'the workspace is above its rate'
+        return CallError(Code.RATE_EXCEEDED, text, _TOO_MANY, retry_after=wait)
+
+    def settle(self, call: Call, used: float) -> None:
+        """Give back what a call was charged beyond what it used."""
+        if call.is_charged():
+            self._state.shares.refund(call.workspace, call.charge - used)
+
+
+__all__ = ['Admission', 'Incoming']
--- /dev/null
+++ b/src/lentilrun/entry/attempt.py
@@ -0,0 +1,351 @@
+"""One attempt to run a call at one target."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
+
+from ..errors import CallError
+from ..errors import Code
+from ..errors import LentilrunError
+from ..metrics.registry import Count
+from ..metrics.registry import Timing
+from ..peers.messages import Suspicion
+from ..routing import prefix
+from . import streams
+from ..targets import loads
+from ..targets import requests
+from ..web.client import InterruptedExchangeError
+from ..web.client import NotSentError
+from ..web.client import Response
+from .learning import FAILED
+from .learning import Outcome
+from .relay import AnswerReceiver
+from .relay import read_usage
+from .relay import StreamState
+from .relay import Used
+from .suspects import Standing
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ..config.settings import Settings
+    from ..fleet.state import FleetState
+    from ..metrics.registry import Metrics
+    from ..peers.mesh import Mesh
+    from ..routing.pool import Pool
+    from ..web.client import Client
+    from .call import Call
+    from .learning import Learning
+    from .relay import Reply
+    from .scheduler import Place
+    from .suspects import Suspects
+
+_OK = 200
+_SERVER_ERROR = 500
+_UNAVAILABLE = 503
+_RETRIED_STATUSES = (429, 500, 502, 503)
+_MAX_RESUMES = 5
+_RESUME_PAUSE = 0.1
+_PROBES = 2
+_PROBE_TIMEOUT = 0.5
+_PROBE_PAUSE = 0.05
+STREAM_TOKEN = 'X-Stream-Token'
+REQUEST = 'X-Request-Id'
+
+
+class Parts(NamedTuple):
+    """What attempts work with."""
+
+    settings: Settings
+    state: FleetState
+    mesh: Mesh
+    client: Client
+    pool: Pool
+    suspects: Suspects
+    learning: Learning
+    metrics: Metrics
+
+
+class Result(NamedTuple):
+    """The answer to a call; ``response`` is empty if it was relayed."""
+
+    response: Response | None
+    used: Used
+
+
+class FailedError(LentilrunError):
+    """An attempt failed.
+
+    ``sent`` if bytes may have reached the target, ``begun`` if part of
+    an answer reached the caller; ``response`` is the target's answer if
+    it gave one that another target may better.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        sent: bool,
+        begun: bool = False,
+        result: Result | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.sent = sent
+        self.begun = begun
+        self.result = result
+
+
+async def has_crashed(parts: Parts, place: Place, incarnation: str) -> bool:
+    """Return whether a target is gone, or came back empty."""
+    address = place.target.target.address
+    for _ in range(_PROBES):
+        try:
+            load = await loads.read(parts.client, address, _PROBE_TIMEOUT)
+        except NotSentError:
+            return True
+        except InterruptedExchangeError:
+            await asyncio.sleep(_PROBE_PAUSE)
+            continue
+        if load is None or not incarnation:
+            return False
+        return load.incarnation != incarnation
+    return False
+
+
+class Attempt:
+    """One attempt, with its own id; cancelled at the target on exit."""
+
+    def __init__(
+        self, parts: Parts, call: Call, place: Place, reply: Reply
+    ) -> None:
+        self._parts = parts
+        self._call = call
+        self._place = place
+        self._state = place.target
+        self._reply = reply
+        self._incarnation = place.target.incarnation
+        self._version = place.target.version
+        self._began = parts.state.clock.now()
+        self._concluded = False
+        self.identifier = secrets.token_hex(8)
+        self._receiver = AnswerReceiver(StreamState(self.identifier), self)
+
+    def __enter__(self) -> Attempt:
+        self._parts.metrics.add(Count.ATTEMPTS, self._call.model.name)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if not self._concluded and self._call.text:
+            address = self._state.target.address
+            work = requests.cancel(
+                self._parts.client, address, self.identifier
+            )
+            task = asyncio.get_running_loop().create_task(work)
+            _cancelling.add(task)
+            task.add_done_callback(_cancelling.discard)
+
+    def count_output(self) -> int:
+        """Return the events that were relayed so far."""
+        return self._receiver.stream.events
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Begin a stream to the caller, with what resumes it elsewhere."""
+        self._place.note_first()
+        now = self._parts.state.clock.now()
+        spent = now - self._call.arrived
+        self._parts.metrics.time(Timing.FIRST_TOKEN, spent)
+        made = HTTPHeaders(headers)
+        made[REQUEST] = self._call.identifier
+        made[requests.ATTEMPT] = self.identifier
+        made[STREAM_TOKEN] = self._seal_token(headers)
+        self._reply.begin(status, made)
+
+    async def write(self, data: bytes) -> None:
+        """Relay events to the caller."""
+        await self._reply.write(data)
+
+    def _seal_token(self, headers: HTTPHeaders) -> str:
+        token = streams.StreamToken(
+            self.identifier,
+            self._state.target.name,
+            headers.get(requests.INCARNATION, self._incarnation),
+            self._call.workspace,
+            self._call.route.name,
+        )
+        return streams.seal(self._parts.settings.secrets.stream_key, token)
+
+    def _left(self) -> float:
+        now = self._parts.state.clock.now()
+        return max(0.001, self._call.deadline - now)
+
+    def _trace(self) -> requests.Trace:
+        call = self._call
+        return requests.Trace(
+            call.identifier,
+            self.identifier,
+            call.workspace,
+            prefix.make_salt(call.workspace, self._version),
+            call.route.priority,
+            self._left(),
+        )
+
+    async def run(self) -> Result:
+        """Send the request and relay or return its answer.
+
+        Raises ``FailedError``, or ``CallError`` before anything is sent.
+        """
+        call = self._call
+        # The last check before the effect: a pause may have come between.
+        self._check_fresh()
+        try:
+            await requests.send(
+                self._parts.client,
+                self._state.target.address,
+                call.outgoing,
+                self._trace(),
+                self._receiver,
+                reuse=call.route.idempotent,
+            )
+        except NotSentError as error:
+            self._parts.pool.fail(self._state.target.name)
+            raise FailedError(str(error), False) from error
+        except InterruptedExchangeError as error:
+            await self._handle_break(str(error))
+        receiver = self._receiver
+        if receiver.is_stream and not receiver.stream.done:
+            # The connection ended well, but the stream did not.
+            await self._handle_break('the stream ended early')
+        return await self._conclude()
+
+    def _check_fresh(self) -> None:
+        state = self._parts.state
+        key = self._call.key
+        known = not key or key in state.configuration.keys
+        if state.is_fresh() and known:
+            return
+        text = 'this VM lost touch, or the key was withdrawn'
+        raise CallError(Code.VM_STALE, text, _UNAVAILABLE, retry_after=1.0)
+
+    def _note_failure(self) -> None:
+        self._parts.learning.note_outcome(
+            self._call, self._place, self._version, FAILED
+        )
+
+    async def _handle_break(self, message: str) -> None:
+        """Return if the stream was resumed to its end, else raise."""
+        receiver = self._receiver
+        if receiver.caller_gone:
+            raise StreamClosedError
+        if receiver.crossed:
+            self._parts.metrics.add(Count.CROSSED_ANSWERS)
+            raise FailedError('the answer was to another', True)
+        if receiver.stream.done:
+            return
+        if await has_crashed(self._parts, self._place, self._incarnation):
+            self._suspect()
+            self._parts.pool.fail(self._state.target.name)
+        elif receiver.begun and receiver.stream.numbered:
+            if await self._resume():
+                return
+        self._note_failure()
+        if receiver.begun:
+            self._parts.metrics.add(Count.BROKEN_STREAMS)
+        raise FailedError(message, True, receiver.begun)
+
+    def _suspect(self) -> None:
+        suspicion = Suspicion(
+            self._call.fingerprint,
+            self._state.target.name,
+            self._incarnation,
+            self._state.own,
+        )
+        if self._parts.suspects.note(suspicion):
+            self._parts.mesh.broadcast(suspicion)
+
+    async def _resume(self) -> bool:
+        stream = self._receiver.stream
+        for _ in range(_MAX_RESUMES):
+            self._parts.metrics.add(Count.RESUMES)
+            receiver = AnswerReceiver(stream, self)
+            receiver.begun = True
+            try:
+                await requests.resume(
+                    self._parts.client,
+                    self._state.target.address,
+                    self.identifier,
+                    stream.last,
+                    self._left(),
+                    receiver,
+                )
+            except (NotSentError, InterruptedExchangeError):
+                pass
+            if stream.done:
+                return True
+            if receiver.caller_gone:
+                raise StreamClosedError
+            if receiver.status not in (0, _OK):
+                return False
+            await asyncio.sleep(_RESUME_PAUSE)
+        return False
+
+    async def _conclude(self) -> Result:
+        self._concluded = True
+        receiver = self._receiver
+        response = None if receiver.is_stream else receiver.response()
+        if response is not None and self._call.text:
+            self._place.note_first()
+        used = read_usage(receiver, self._call.tokens)
+        result = Result(response, used)
+        holder = self._parts.learning.observe(self._state, receiver.headers)
+        failed = response is not None and response.status >= _SERVER_ERROR
+        spent = self._parts.state.clock.now() - self._began
+        self._parts.learning.note_outcome(
+            self._call,
+            self._place,
+            self._version,
+            Outcome(not failed, spent, used.output),
+        )
+        if response is not None and response.status in _RETRIED_STATUSES:
+            self._refuse(result, response)
+        if self._call.text and not failed:
+            self._parts.learning.note_cached(
+                self._call, self._state, holder, used
+            )
+        await self._clear_suspicion()
+        return result
+
+    def _refuse(self, result: Result, response: Response) -> None:
+        if response.status == _UNAVAILABLE:
+            self._parts.pool.fail(self._state.target.name)
+        text = f'a target said {response.status}'
+        raise FailedError(text, True, False, result)
+
+    async def _clear_suspicion(self) -> None:
+        suspects = self._parts.suspects
+        fingerprint = self._call.fingerprint
+        if suspects.find(fingerprint) is not Standing.CLEAR:
+            await suspects.clear(fingerprint, time.time())
+
+
+_cancelling: set[asyncio.Task[None]] = set()
+
+__all__ = [
+    'Attempt',
+    'FailedError',
+    'has_crashed',
+    'Parts',
+    'REQUEST',
+    'Result',
+    'STREAM_TOKEN',
+]
--- /dev/null
+++ b/src/lentilrun/entry/call.py
@@ -0,0 +1,51 @@
+"""One caller's request on its way through a daemon."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..config.configuration import Model
+    from ..config.configuration import Route
+    from ..targets.requests import Outgoing
+
+OPEN = 'open'
+
+
+class Call(NamedTuple):
+    """A request that was identified; times by the clock, in seconds.
+
+    ``workspace`` is ``OPEN`` on open routes without a key, and ``key``
+    the digest of the key, or empty. ``charge`` is in tokens.
+    """
+
+    identifier: str
+    route: Route
+    model: Model
+    workspace: str
+    key: str
+    outgoing: Outgoing
+    text: bytes
+    tokens: int
+    limit: int
+    streams: bool
+    charge: float
+    arrived: float
+    deadline: float
+    idempotency_key: str
+    fingerprint: str
+
+    def is_charged(self) -> bool:
+        """Return whether a workspace's bucket pays for it."""
+        return bool(self.key) and self.charge > 0.0
+
+
+def make_fingerprint(workspace: str, path: str, body: bytes) -> str:
+    """Return a digest that is the same when a request is sent again."""
+    head = f'{workspace}\n{path}\n'.encode()
+    return hashlib.blake2b(head + body, digest_size=16).hexdigest()
+
+
+__all__ = ['Call', 'make_fingerprint', 'OPEN']
--- /dev/null
+++ b/src/lentilrun/entry/claimed.py
@@ -0,0 +1,120 @@
+"""Calls that may not be repeated, run under a claim."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from tornado.httputil import HTTPHeaders
+
+from ..coordination.claims import Outcome
+from ..coordination.claims import State
+from ..errors import CallError
+from ..errors import Code
+from ..errors import PlatformError
+from ..errors import Ran
+from ..web.client import Response
+from .attempt import Result
+from .relay import Used
+
+if TYPE_CHECKING:
+    from ..coordination.claims import Claimed
+    from ..coordination.claims import Claims
+    from .attempts import Attempts
+    from .call import Call
+    from .relay import Reply
+
+_CONFLICT = 409
+_UNPROCESSABLE = 422
+_UNAVAILABLE = 503
+REPEATED = 'X-Repeated'
+_NOTHING = Used(0, 0, 0)
+
+
+class Ended(NamedTuple):
+    """A result, and whether it is that of an earlier request."""
+
+    result: Result
+    repeated: bool
+
+
+def make_key(call: Call) -> str:
+    """Return the claim's key: an idempotency key within a workspace."""
+    text = f'{call.route.name}\n{call.idempotency_key}'
+    digest = hashlib.sha256(text.encode()).hexdigest()
+    return f'{call.workspace}/{digest}'
+
+
+def _replay(outcome: Outcome) -> Ended:
+    headers = HTTPHeaders({'Content-Type': outcome.kind})
+    response = Response(outcome.status, headers, outcome.body)
+    return Ended(Result(response, _NOTHING), True)
+
+
+class ClaimedRuns:
+    """Runs calls under claims; no claim, no dispatch."""
+
+    def __init__(self, claims: Claims, attempts: Attempts) -> None:
+        self._claims = claims
+        self._attempts = attempts
+
+    async def run(self, call: Call, reply: Reply) -> Ended:
+        """Run a call once, or give the result of when it ran."""
+        key = make_key(call)
+        claimed = await self._claim(key, call)
+        if not claimed.ours:
+            return self._answer_other(call, claimed)
+        try:
+            result = await self._attempts.run(call, reply)
+        except CallError as error:
+            if error.ran is Ran.NOT_RUN:
+                await self._release(key, claimed)
+            raise
+        await self._finish(key, claimed, result)
+        return Ended(result, False)
+
+    async def _claim(self, key: str, call: Call) -> Claimed:
+        try:
+            return await self._claims.claim(
+                key, call.fingerprint, call.identifier
+            )
+        except PlatformError as error:
+            text = 'no claim could be made, so the request was not sent'
+            raise CallError(
+                Code.CLAIM_UNAVAILABLE, text, _UNAVAILABLE, retry_after=1.0
+            ) from error
+
+    def _answer_other(self, call: Call, claimed: Claimed) -> Ended:
+        claim = claimed.claim
+        if claim.digest != call.fingerprint:
+            text = 'the idempotency key was used for another request'
+            raise CallError(Code.CLAIM_MISMATCH, text, _UNPROCESSABLE)
+        if claim.state is State.DONE and claim.outcome is not None:
+            return _replay(claim.outcome)
+        text = 'a request with this idempotency key was sent before'
+        raise CallError(Code.CLAIM_RUNNING, text, _CONFLICT, Ran.UNKNOWN, 1.0)
+
+    async def _release(self, key: str, claimed: Claimed) -> None:
+        try:
+            await self._claims.release(key, claimed)
+        except PlatformError:
+            # The claim stays: a repeat is told that nobody knows.
+            pass
+
+    async def _finish(
+        self, key: str, claimed: Claimed, result: Result
+    ) -> None:
+        response = result.response
+        if response is None:
+            return
+        kind = response.headers.get('Content-Type', '')
+        outcome = Outcome(response.status, kind, response.body)
+        try:
+            await self._claims.finish(key, claimed, outcome)
+        except PlatformError:
+            # The caller still gets its answer; a repeat does not.
+            pass
+
+
+__all__ = ['ClaimedRuns', 'Ended', 'make_key', 'REPEATED']
--- /dev/null
+++ b/src/lentilrun/entry/handlers.py
@@ -0,0 +1,255 @@
+"""Web handlers of the port for callers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from absl import logging
+import msgspec
+from tornado.iostream import StreamClosedError
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+from ..errors import CallError
+from ..errors import Code
+from ..errors import Ran
+from .admission import Incoming
+from .attempt import REQUEST
+from .claimed import REPEATED
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+    from ..fleet.state import FleetState
+    from .call import Call
+    from .claimed import Ended
+    from .resumption import Resumption
+    from .service import Service
+
+_OK = 200
+_INTERNAL_ERROR = 500
+_UNAVAILABLE = 503
+_EVENT_END = b'\n\n'
+_KEPT_OUT = frozenset(
+    (
+        'connection',
+        'content-length',
+        'date',
+        'keep-alive',
+        'server',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
+
+class ErrorBody(NamedTuple):
+    """An error as callers see it."""
+
+    code: str
+    message: str
+    ran: str
+    request_id: str
+
+
+def encode_error(error: CallError, identifier: str) -> bytes:
+    """Return an error as JSON."""
+    body = ErrorBody(error.code, str(error), error.ran, identifier)
+    return msgspec.json.encode({'error': body._asdict()})
+
+
+class _CallerHandler(RequestHandler):
+    """What all handlers for callers share: replies and errors."""
+
+    def initialize(self, service: Service, resumption: Resumption) -> None:
+        self.service = service
+        self.resumption = resumption
+        self.events = 0
+        self.identifier = ''
+        self.streaming = False
+        self.task: asyncio.Task[None] | None = None
+        self.may_cancel = True
+
+    def set_default_headers(self) -> None:
+        self.clear_header('Server')
+
+    def compute_etag(self) -> str | None:
+        return None
+
+    def on_connection_close(self) -> None:
+        if self.task is not None and self.may_cancel:
+            self.task.cancel()
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Send the status and headers of a target's answer."""
+        self.set_status(status)
+        self.copy_headers(headers)
+        self.streaming = True
+
+    def copy_headers(self, headers: HTTPHeaders) -> None:
+        for name, value in headers.get_all():
+            if name.lower() not in _KEPT_OUT:
+                self.set_header(name, value)
+
+    async def write_events(self, data: bytes) -> None:
+        self.events += data.count(_EVENT_END)
+        RequestHandler.write(self, data)
+        await self.flush()
+
+    def fail(self, error: CallError) -> None:
+        """Tell the caller of an error, within its stream if one began."""
+        body = encode_error(error, self.identifier)
+        if self.streaming:
+            event = b'event: error\ndata: ' + body + _EVENT_END
+            RequestHandler.write(self, event)
+            self.finish()
+            return
+        self.clear()
+        self.set_status(error.status)
+        self.set_header('Content-Type', 'application/json')
+        self.set_header(REQUEST, self.identifier)
+        if error.retry_after is not None:
+            self.set_header('Retry-After', f'{error.retry_after:.3f}')
+        self.finish(body)
+
+    async def guard(self) -> None:
+        """Run ``work`` and tell the caller of whatever goes wrong."""
+        self.task = asyncio.current_task()
+        try:
+            await self.work()
+        except CallError as error:
+            self.fail(error)
+        except (StreamClosedError, asyncio.CancelledError):
+            self.task = None
+        except Exception:
+            logging.exception('a request failed')
+            text = 'the router failed'
+            self.fail(
+                CallError(Code.INTERNAL, text, _INTERNAL_ERROR, Ran.UNKNOWN)
+            )
+        finally:
+            self.task = None
+
+    async def work(self) -> None:
+        """Serve the request."""
+        raise NotImplementedError
+
+    def read_incoming(self) -> Incoming:
+        request = self.request
+        return Incoming(
+            request.method or '',
+            request.path,
+            request.query,
+            request.headers,
+            request.body,
+        )
+
+
+class _ReplyTo:
+    """The way back to the caller of a handler."""
+
+    def __init__(self, handler: _CallerHandler) -> None:
+        self._handler = handler
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        self._handler.begin(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        await self._handler.write_events(data)
+
+
+class CallHandler(_CallerHandler):
+    """Serves all routes."""
+
+    async def work(self) -> None:
+        """Serve one call."""
+        call = self.service.identify(self.read_incoming())
+        self.identifier = call.identifier
+        self.may_cancel = call.route.idempotent
+        try:
+            ended = await self.service.serve(call, _ReplyTo(self))
+        except (StreamClosedError, asyncio.CancelledError):
+            self.service.settle_cut(call, self.events)
+            raise
+        self._finish(call, ended)
+
+    def _finish(self, call: Call, ended: Ended) -> None:
+        response = ended.result.response
+        if response is None:
+            self.finish()
+            return
+        self.set_status(response.status)
+        self.copy_headers(response.headers)
+        self.set_header(REQUEST, call.identifier)
+        if ended.repeated:
+            self.set_header(REPEATED, 'yes')
+        self.finish(response.body or None)
+
+    async def get(self) -> None:
+        await self.guard()
+
+    async def head(self) -> None:
+        await self.guard()
+
+    async def post(self) -> None:
+        await self.guard()
+
+    async def put(self) -> None:
+        await self.guard()
+
+    async def patch(self) -> None:
+        await self.guard()
+
+    async def delete(self) -> None:
+        await self.guard()
+
+
+class ResumeHandler(_CallerHandler):
+    """Resumes a stream that began at any VM."""
+
+    async def work(self) -> None:
+        """Relay what the caller has not seen."""
+        token = self.path_args[0]
+        last = self.request.headers.get('Last-Event-ID', '0')
+        await self.resumption.run(
+            token, last, self.read_incoming(), _ReplyTo(self)
+        )
+        self.finish()
+
+    async def get(self, token: str) -> None:
+        await self.guard()
+
+
+class ReadyHandler(RequestHandler):
+    """Tells the balancer whether to send callers here."""
+
+    def initialize(self, state: FleetState) -> None:
+        self.state = state
+
+    async def get(self) -> None:
+        state = self.state
+        ready = state.is_fresh() and state.generation() > 0
+        if state.leaving or not ready:
+            self.set_status(_UNAVAILABLE)
+        self.finish('ready' if ready and not state.leaving else 'not ready')
+
+
+def make_application(
+    service: Service, resumption: Resumption, state: FleetState
+) -> Application:
+    """Return the web application for callers."""
+    given = {'service': service, 'resumption': resumption}
+    return Application(
+        [
+            (r'/ready', ReadyHandler, {'state': state}),
+            (r'/v1/streams/([^/]+)', ResumeHandler, given),
+            (r'/.*', CallHandler, given),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+__all__ = ['encode_error', 'ErrorBody', 'make_application']
--- /dev/null
+++ b/src/lentilrun/entry/scheduler.py
@@ -0,0 +1,280 @@
+"""The order in which waiting calls get targets: fair by tokens."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING
+
+from ..errors import CallError
+from ..errors import Code
+from ..metrics.registry import Timing
+from ..routing.choice import Wish
+from ..routing import prefix
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ..fleet.state import FleetState
+    from ..metrics.registry import Metrics
+    from ..moves.progress import Moves
+    from ..moves.progress import Split
+    from ..routing.choice import Choice
+    from ..routing.choice import Chooser
+    from ..routing.pool import Group
+    from ..routing.pool import Pool
+    from .call import Call
+
+_UNAVAILABLE = 503
+_OVERLOAD_RETRY = 1.0
+_MAX_WAITING = 4000
+_SLACK_TOKENS = 50_000.0
+_NO_TARGET_WAIT = 2.0
+
+
+@dataclasses.dataclass(eq=False)
+class _Waiter:
+    call: Call
+    avoid: frozenset[str]
+    ready: asyncio.Future[Place]
+    since: float
+
+
+class Place:
+    """A call's place at a target; given back on exit."""
+
+    def __init__(
+        self, scheduler: Scheduler, call: Call, choice: Choice
+    ) -> None:
+        self.target = choice.target
+        self.cached = choice.cached
+        self._scheduler = scheduler
+        self._model = call.model.name
+        self._prefill = max(0, call.tokens - choice.cached)
+        self.target.own += 1
+        self.target.prefilling += self._prefill
+
+    def __enter__(self) -> Place:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.release()
+
+    def note_first(self) -> None:
+        """Note that the call's prompt was computed."""
+        state = self.target
+        state.prefilling = max(0.0, state.prefilling - self._prefill)
+        self._prefill = 0
+
+    def release(self) -> None:
+        """Give the place to another call."""
+        self.note_first()
+        state = self.target
+        state.own = max(0, state.own - 1)
+        state.own_reported = min(state.own_reported, state.own)
+        self._scheduler.pump(self._model)
+
+
+class FairClock:
+    """Tokens served by workspace and weight, as virtual time."""
+
+    def __init__(self) -> None:
+        self._served: dict[str, float] = {}
+        self._floor = 0.0
+
+    def get(self, workspace: str) -> float:
+        """Return a workspace's virtual time."""
+        return max(self._served.get(workspace, 0.0), self._floor)
+
+    def charge(self, workspace: str, tokens: float, weight: float) -> None:
+        """Advance a workspace by what it is served."""
+        self._served[workspace] = self.get(workspace) + tokens / weight
+
+    def raise_floor(self, value: float) -> None:
+        """Let nobody save up idle time below ``value``."""
+        self._floor = max(self._floor, value)
+        behind = [w for w, v in self._served.items() if v <= self._floor]
+        for workspace in behind:
+            del self._served[workspace]
+
+
+class Scheduler:
+    """Gives targets to calls; those that find no room wait their turn."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        pool: Pool,
+        chooser: Chooser,
+        moves: Moves,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._pool = pool
+        self._chooser = chooser
+        self._moves = moves
+        self._metrics = metrics
+        self._waiting: dict[str, list[_Waiter]] = {}
+        self._fair = FairClock()
+
+    def count_waiting(self) -> int:
+        """Return how many calls wait."""
+        return sum(len(w) for w in self._waiting.values())
+
+    async def acquire(self, call: Call, avoid: frozenset[str]) -> Place:
+        """Return a target for a call, with its place taken.
+
+        Raises ``CallError`` if none has room by the deadline.
+        """
+        waiting = self._waiting.get(call.model.name)
+        if not waiting:
+            choice = self._try(call, avoid)
+            if choice is not None:
+                return self._take(call, choice)
+        return await self._wait(call, avoid)
+
+    async def _wait(self, call: Call, avoid: frozenset[str]) -> Place:
+        loop = asyncio.get_running_loop()
+        now = self._state.clock.now()
+        waiter = _Waiter(call, avoid, loop.create_future(), now)
+        waiting = self._waiting.setdefault(call.model.name, [])
+        waiting.append(waiter)
+        if self.count_waiting() > _MAX_WAITING:
+            self._shed(waiting)
+        self.pump(call.model.name)
+        limit = max(0.0, call.deadline - now)
+        if not self._has_targets(call):
+            limit = min(limit, _NO_TARGET_WAIT)
+        try:
+            async with asyncio.timeout(limit):
+                return await waiter.ready
+        except TimeoutError as error:
+            if waiter.ready.done() and not waiter.ready.cancelled():
+                if waiter.ready.exception() is None:
+                    return waiter.ready.result()
+            raise self._explain(call) from error
+        except asyncio.CancelledError:
+            self._give_back(waiter)
+            raise
+        finally:
+            if waiter in waiting:
+                waiting.remove(waiter)
+
+    def _give_back(self, waiter: _Waiter) -> None:
+        ready = waiter.ready
+        if ready.done() and not ready.cancelled() and not ready.exception():
+            ready.result().release()
+
+    def _has_targets(self, call: Call) -> bool:
+        return bool(self._pool.groups(call.model.name))
+
+    def _explain(self, call: Call) -> CallError:
+        if not self._has_targets(call):
+            text = 'no target can take the request'
+            return CallError(
+                Code.NO_TARGET, text, _UNAVAILABLE, retry_after=1.0
+            )
+        return self._overloaded()
+
+    @staticmethod
+    def _overloaded() -> CallError:
+        return CallError(
+            Code.OVERLOADED,
+            'all targets are busy',
+            _UNAVAILABLE,
+            retry_after=_OVERLOAD_RETRY,
+        )
+
+    def _key(self, waiter: _Waiter, least: float) -> tuple[float, ...]:
+        """Return the sort key: urgent calls first, within fair shares."""
+        served = self._fair.get(waiter.call.workspace)
+        beyond = served - least > _SLACK_TOKENS
+        urgency = waiter.call.route.priority
+        return (float(beyond), float(urgency), served, waiter.since)
+
+    def _sort(self, waiting: list[_Waiter]) -> None:
+        least = min(self._fair.get(w.call.workspace) for w in waiting)
+        self._fair.raise_floor(least)
+        waiting.sort(key=lambda w: self._key(w, least))
+
+    def _shed(self, waiting: list[_Waiter]) -> None:
+        self._sort(waiting)
+        last = waiting.pop()
+        if not last.ready.done():
+            last.ready.set_exception(self._overloaded())
+
+    def pump(self, model: str) -> None:
+        """Give free places of a model's targets to those who wait."""
+        waiting = self._waiting.get(model)
+        if not waiting:
+            return
+        self._sort(waiting)
+        index = 0
+        while index < len(waiting):
+            waiter = waiting[index]
+            if waiter.ready.done():
+                waiting.pop(index)
+                continue
+            choice = self._try(waiter.call, waiter.avoid)
+            if choice is None:
+                return
+            waiting.pop(index)
+            waiter.ready.set_result(self._take(waiter.call, choice))
+
+    def pump_all(self) -> None:
+        """Give free places of all targets to those who wait."""
+        for model in list(self._waiting):
+            self.pump(model)
+
+    def _take(self, call: Call, choice: Choice) -> Place:
+        workspace = self._state.configuration.workspaces.get(call.workspace)
+        weight = workspace.weight if workspace is not None else 1.0
+        tokens = call.tokens + call.limit if call.text else call.charge
+        self._fair.charge(call.workspace, tokens, weight)
+        return Place(self, call, choice)
+
+    def _try(self, call: Call, avoid: frozenset[str]) -> Choice | None:
+        started = self._state.clock.now()
+        groups = self._pool.groups(call.model.name)
+        split = self._moves.split(call.model.name, groups)
+        choice = self._choose(call, split, avoid)
+        self._metrics.time(Timing.DECISION, self._state.clock.now() - started)
+        return choice
+
+    def _choose(
+        self, call: Call, split: Split, avoid: frozenset[str]
+    ) -> Choice | None:
+        model = call.model.name
+        if self._moves.take_turn(model, call.route.name, split):
+            assert split.new is not None
+            choice = self._choose_in(call, split.new, avoid)
+            if choice is not None:
+                return choice
+        best: Choice | None = None
+        for group in split.old:
+            choice = self._choose_in(call, group, avoid)
+            if choice is None:
+                continue
+            if best is None or choice.cost < best.cost:
+                best = choice
+        if best is None and split.new is not None and split.share >= 1.0:
+            best = self._choose_in(call, split.new, avoid)
+        return best
+
+    def _choose_in(
+        self, call: Call, group: Group, avoid: frozenset[str]
+    ) -> Choice | None:
+        version = self._pool.targets[group.names[0]].version
+        salt = prefix.make_salt(call.workspace, version)
+        chain = prefix.chain(call.text, salt, call.model.block_bytes)
+        wish = Wish(call.model, chain, call.tokens, avoid)
+        policy = self._state.configuration.policy
+        return self._chooser.choose(wish, group, policy, True)
+
+
+__all__ = ['FairClock', 'Place', 'Scheduler']
--- /dev/null
+++ b/src/lentilrun/errors.py
@@ -0,0 +1,97 @@
+"""Errors with stable codes, and what each says about the request."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Ran(enum.StrEnum):
+    """What is known about whether a request ran at a target."""
+
+    NOT_RUN = 'not run'
+    UNKNOWN = 'outcome unknown'
+
+
+class Code(enum.StrEnum):
+    """Stable error codes, as shown to callers and operators."""
+
+    BAD_REQUEST = 'bad_request'
+    BODY_TOO_LARGE = 'body_too_large'
+    UNKNOWN_ROUTE = 'unknown_route'
+    UNKNOWN_MODEL = 'unknown_model'
+    KEY_MISSING = 'key_missing'
+    KEY_REFUSED = 'key_refused'
+    WORKSPACE_REFUSED = 'workspace_refused'
+    RATE_EXCEEDED = 'rate_exceeded'
+    OVERLOADED = 'overloaded'
+    VM_STALE = 'vm_stale'
+    VM_STOPPING = 'vm_stopping'
+    NOT_CONFIGURED = 'not_configured'
+    NO_TARGET = 'no_target'
+    QUARANTINED = 'quarantined'
+    CLAIM_UNAVAILABLE = 'claim_unavailable'
+    CLAIM_RUNNING = 'claim_running'
+    CLAIM_MISMATCH = 'claim_mismatch'
+    TARGET_FAILED = 'target_failed'
+    STREAM_BROKEN = 'stream_broken'
+    STREAM_UNKNOWN = 'stream_unknown'
+    DEADLINE = 'deadline'
+    KEY_WITHDRAWN = 'key_withdrawn'
+    INVALID_FILE = 'invalid_file'
+    CONFLICT = 'conflict'
+    MAJORITY_MISSING = 'majority_missing'
+    PLATFORM_UNAVAILABLE = 'platform_unavailable'
+    OPERATOR_REFUSED = 'operator_refused'
+    PORT_IN_USE = 'port_in_use'
+    INTERNAL = 'internal'
+
+
+class LentilrunError(Exception):
+    """Base of all errors that carry a code."""
+
+    code = Code.INTERNAL
+
+    def __init__(self, message: str, code: Code | None = None) -> None:
+        super().__init__(message)
+        if code is not None:
+            self.code = code
+
+
+class CallError(LentilrunError):
+    """An error told to a caller, with its HTTP status and what ran."""
+
+    def __init__(
+        self,
+        code: Code,
+        message: str,
+        status: int,
+        ran: Ran = Ran.NOT_RUN,
+        retry_after: float | None = None,
+    ) -> None:
+        """Describe the error; ``retry_after`` is in seconds."""
+        super().__init__(message, code)
+        self.status = status
+        self.ran = ran
+        self.retry_after = retry_after
+
+
+class PlatformError(LentilrunError):
+    """The platform gave no answer: the effect of a write is unknown."""
+
+    code = Code.PLATFORM_UNAVAILABLE
+
+
+class ConflictError(LentilrunError):
+    """A conditional write found another version of its row."""
+
+    code = Code.CONFLICT
+
+
+__all__ = [
+    'CallError',
+    'Code',
+    'ConflictError',
+    'LentilrunError',
+    'PlatformError',
+    'Ran',
+]
--- /dev/null
+++ b/src/lentilrun/fleet/agreement.py
@@ -0,0 +1,152 @@
+"""Changes of agreed values: announce, commit, spread."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..coordination.accord import Acknowledge
+from ..coordination.accord import Announce
+from ..coordination.accord import Commit
+from ..coordination.accord import Fetch
+from ..coordination.accord import OutcomeUnknownError
+from ..coordination.accord import Quorum
+from ..coordination.accord import Withdraw
+from ..coordination import membership
+from ..errors import LentilrunError
+from .state import MEMBERS
+
+if TYPE_CHECKING:
+    from ..coordination.accord import Topic
+    from ..coordination.accord import Value
+    from ..peers.codec import Sender
+    from ..peers.mesh import Mesh
+    from .state import FleetState
+
+_CONFIRM_STEP = 0.02
+_REMOVAL_SILENCE = 3.0
+
+
+class Agreement:
+    """Makes changes of agreed values and takes part in those of peers."""
+
+    def __init__(self, state: FleetState, mesh: Mesh) -> None:
+        self._state = state
+        self._mesh = mesh
+        self._quorums: dict[str, Quorum] = {}
+        # Names that the platform lists as gone: they can't speak any more.
+        self.gone: frozenset[str] = frozenset()
+
+    async def change(
+        self, topic: Topic, operation: str, announce: Announce
+    ) -> Value:
+        """Make an announced change; return the value that stands.
+
+        Raises ``MajorityMissingError`` or ``ConflictError`` if it was
+        not made, ``OutcomeUnknownError`` if nobody can tell.
+        """
+        voters = self._state.roster.names() - self.gone
+        quorum = Quorum(operation, voters)
+        self._quorums[operation] = quorum
+        topic.note(announce)
+        quorum.take(self._state.name, Acknowledge(topic.name, operation, ''))
+        try:
+            self._mesh.broadcast(announce)
+            await quorum.wait()
+            value = await topic.commit(operation, announce.value)
+        except OutcomeUnknownError:
+            raise
+        except LentilrunError:
+            topic.withdraw(operation)
+            self._mesh.broadcast(Withdraw(topic.name, operation))
+            raise
+        finally:
+            del self._quorums[operation]
+        topic.adopt(value)
+        self._mesh.broadcast(Commit(topic.name, value))
+        return value
+
+    async def confirm(
+        self, topic: str, generation: int, timeout: float
+    ) -> tuple[str, ...]:
+        """Wait until all members act on a generation; return the rest."""
+        clock = self._state.clock
+        end = clock.now() + timeout
+        missing = self._find_missing(topic, generation)
+        while missing and clock.now() < end:
+            await asyncio.sleep(_CONFIRM_STEP)
+            missing = self._find_missing(topic, generation)
+        return missing
+
+    def _find_missing(self, topic: str, generation: int) -> tuple[str, ...]:
+        missing = []
+        for name in sorted(self._state.roster.names()):
+            peer = self._state.heartbeats.peers.get(name)
+            if name == self._state.name:
+                known = self._state.topics[topic].value.generation
+            else:
+                known = peer.beat.generations.get(topic, 0) if peer else 0
+            if known < generation:
+                missing.append(name)
+        return tuple(missing)
+
+    def receive_announce(self, message: Announce, sender: Sender) -> None:
+        """Note a change that may be committed, and say so."""
+        topic = self._state.topics.get(message.topic)
+        if topic is None:
+            return
+        refusal = self._refuse(topic, message)
+        if not refusal:
+            topic.note(message)
+            self._state.set_limits()
+        answer = Acknowledge(message.topic, message.operation, refusal)
+        self._mesh.send(sender.name, answer)
+
+    def _refuse(self, topic: Topic, message: Announce) -> str:
+        if message.value.generation <= topic.value.generation:
+            return 'the generation is past'
+        if topic.name != MEMBERS:
+            return ''
+        roster = membership.decode(message.value.body)
+        for name in self._state.roster.names() - roster.names():
+            silent = self._state.heartbeats.is_silent(name, _REMOVAL_SILENCE)
+            operation = f'leave/{name}/'
+            asked = message.operation.startswith(operation)
+            if not asked and (not silent or name == self._state.name):
+                return f'{name} is alive'
+        return ''
+
+    def receive_acknowledge(
+        self, message: Acknowledge, sender: Sender
+    ) -> None:
+        """Count an answer to a change of ours."""
+        quorum = self._quorums.get(message.operation)
+        if quorum is not None:
+            quorum.take(sender.name, message)
+
+    def receive_withdraw(self, message: Withdraw, sender: Sender) -> None:
+        """Forget a change that was not committed."""
+        topic = self._state.topics.get(message.topic)
+        if topic is not None:
+            topic.withdraw(message.operation)
+            self._state.set_limits()
+
+    def receive_commit(self, message: Commit, sender: Sender) -> None:
+        """Adopt a committed value."""
+        topic = self._state.topics.get(message.topic)
+        if topic is not None:
+            topic.adopt(message.value)
+
+    def receive_fetch(self, message: Fetch, sender: Sender) -> None:
+        """Send the newest committed and announced values."""
+        topic = self._state.topics.get(message.topic)
+        if topic is None:
+            return
+        if topic.value.generation:
+            commit = Commit(topic.name, topic.value)
+            self._mesh.send(sender.name, commit)
+        for announce in topic.find_pending():
+            self._mesh.send(sender.name, announce)
+
+
+__all__ = ['Agreement']
--- /dev/null
+++ b/src/lentilrun/fleet/roster.py
@@ -0,0 +1,104 @@
+"""Joining the members, leaving them, and removing those that died."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from ..config.ini import parse_address
+from ..coordination import membership
+from ..errors import LentilrunError
+from .state import MEMBERS
+
+if TYPE_CHECKING:
+    from ..coordination.membership import Roster
+    from ..peers.mesh import Mesh
+    from .agreement import Agreement
+    from .state import FleetState
+
+_PAUSE = 0.5
+_REMOVAL_SILENCE = 5.0
+_START_GRACE = 6.0
+
+
+class Membership:
+    """Keeps this daemon among the members, and the dead out."""
+
+    def __init__(
+        self, state: FleetState, mesh: Mesh, agreement: Agreement
+    ) -> None:
+        self._state = state
+        self._mesh = mesh
+        self._agreement = agreement
+        self._started = state.clock.now()
+        state.on_roster.append(self.connect)
+
+    def connect(self, roster: Roster) -> None:
+        """Connect to all members, and to nobody else but the seeds."""
+        wanted = dict(self._state.settings.peers)
+        for member in roster.members:
+            wanted[member.name] = parse_address(member.address)
+        wanted.pop(self._state.name, None)
+        for name in self._mesh.names():
+            if name not in wanted:
+                self._mesh.disconnect(name)
+                self._state.heartbeats.forget(name)
+        for name, address in wanted.items():
+            self._mesh.connect(name, address)
+
+    async def run(self) -> None:
+        """Join, and remove dead members, for ever."""
+        while True:
+            await self._step()
+            await asyncio.sleep(_PAUSE)
+
+    async def _step(self) -> None:
+        state = self._state
+        if state.leaving or not state.freshness.has_table():
+            return
+        found = state.roster.find(state.name)
+        if found != state.member():
+            await self._change('join', state.roster.add(state.member()))
+            return
+        dead = self._find_dead()
+        if dead is not None:
+            await self._change('remove', state.roster.remove(dead))
+
+    def _find_dead(self) -> str | None:
+        state = self._state
+        if state.clock.now() - self._started < _START_GRACE:
+            return None
+        silent = [
+            name
+            for name in sorted(state.roster.names())
+            if name != state.name
+            and state.heartbeats.is_silent(name, _REMOVAL_SILENCE)
+        ]
+        live = state.roster.names() - set(silent)
+        if silent and state.name == min(live):
+            return silent[0]
+        return None
+
+    async def _change(self, verb: str, roster: Roster) -> bool:
+        topic = self._state.topics[MEMBERS]
+        operation = f'{verb}/{self._state.name}/{secrets.token_hex(8)}'
+        body = membership.encode(roster)
+        announce = topic.propose(operation, body)
+        try:
+            await self._agreement.change(topic, operation, announce)
+        except LentilrunError:
+            return False
+        return True
+
+    async def leave(self) -> None:
+        """Give up all units and leave the members, if that can be done."""
+        state = self._state
+        state.leaving = True
+        state.respondent.retire()
+        if state.freshness.has_table():
+            roster = state.roster.remove(state.name)
+            await self._change('leave', roster)
+
+
+__all__ = ['Membership']
--- /dev/null
+++ b/src/lentilrun/fleet/state.py
@@ -0,0 +1,183 @@
+"""What one daemon knows of the fleet, shared by the parts here."""
+
+from __future__ import annotations
+
+import secrets
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+import zlib
+
+from absl import logging
+import msgspec
+
+from ..config.configuration import EMPTY
+from ..config import declaration
+from ..coordination.accord import Topic
+from ..coordination.freshness import Freshness
+from ..coordination.heartbeat import Heartbeats
+from ..coordination import membership
+from ..coordination.membership import Member
+from ..coordination.membership import Roster
+from ..coordination.shares import Limit
+from ..coordination.shares import Shares
+from ..coordination.survey import Respondent
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..config.configuration import Configuration
+    from ..config.settings import Settings
+    from ..coordination.accord import Value
+    from ..coordination.clock import Clock
+    from ..coordination.table import Table
+
+CONFIGURATION = 'configuration'
+MEMBERS = 'members'
+_MAX_TEXT = 32 * 1024 * 1024
+
+
+class Doubt(NamedTuple):
+    """A configuration that may have been committed."""
+
+    generation: int
+    configuration: Configuration
+
+
+def pack_text(text: str) -> bytes:
+    """Return a configuration's text as bytes to agree on."""
+    return zlib.compress(text.encode())
+
+
+def unpack_text(body: bytes) -> str:
+    """Return the text in agreed bytes, bounded in size."""
+    return zlib.decompressobj().decompress(body, _MAX_TEXT).decode()
+
+
+class FleetState:
+    """The agreed values, the peers heard, and this daemon's parts."""
+
+    def __init__(self, settings: Settings, clock: Clock, table: Table) -> None:
+        self.settings = settings
+        self.name = settings.name
+        self.incarnation = secrets.token_hex(8)
+        self.clock = clock
+        self.heartbeats = Heartbeats(clock)
+        self.freshness = Freshness(clock, settings.name)
+        self.shares = Shares(clock)
+        self.respondent = Respondent(self.shares)
+        self.configuration: Configuration = EMPTY
+        self.roster = Roster(())
+        self.shrunk_at = float('-inf')
+        self.adopted_at = clock.now()
+        self.leaving = False
+        self.was_fresh = False
+        self.on_configuration: list[Callable[[Configuration], None]] = []
+        self.on_roster: list[Callable[[Roster], None]] = []
+        self._doubts: tuple[Doubt, ...] = ()
+        self._doubted: frozenset[str] = frozenset()
+        self.topics = {
+            CONFIGURATION: Topic(
+                CONFIGURATION, table, clock, self._adopt_configuration
+            ),
+            MEMBERS: Topic(MEMBERS, table, clock, self._adopt_members),
+        }
+
+    def member(self) -> Member:
+        """Return this daemon as a member."""
+        settings = self.settings
+        address = str(settings.listen.peers)
+        return Member(self.name, address, settings.data_centre)
+
+    def generation(self) -> int:
+        """Return the generation of the configuration in force."""
+        return self.topics[CONFIGURATION].value.generation
+
+    def is_fresh(self) -> bool:
+        """Return whether this daemon may act on what it knows."""
+        fresh = self.freshness.is_fresh()
+        if fresh and not self.freshness.has_table():
+            fresh = not self._may_be_removed()
+        self.was_fresh = self.was_fresh or fresh
+        return fresh
+
+    def _may_be_removed(self) -> bool:
+        for announce in self.topics[MEMBERS].find_pending():
+            try:
+                roster = membership.decode(announce.value.body)
+            except msgspec.MsgspecError:
+                return True
+            if roster.find(self.name) is None:
+                return True
+        return False
+
+    def _adopt_configuration(self, value: Value) -> None:
+        found = declaration.parse(unpack_text(value.body), 'accepted')
+        self.configuration = found
+        self.adopted_at = self.clock.now()
+        self.set_limits()
+        self.freshness.note_known(CONFIGURATION, value.generation)
+        logging.info('configuration %d is in force', value.generation)
+        for callback in self.on_configuration:
+            callback(found)
+
+    def _adopt_members(self, value: Value) -> None:
+        roster = membership.decode(value.body)
+        before = self.roster.names()
+        self.roster = roster
+        if before - roster.names():
+            self.shrunk_at = self.clock.now()
+        if self.name in before and roster.find(self.name) is None:
+            self.respondent.void()
+        self.freshness.set_members(roster.names())
+        self.freshness.note_known(MEMBERS, value.generation)
+        joined = ', '.join(sorted(roster.names()))
+        logging.info('members %d: %s', value.generation, joined)
+        for callback in self.on_roster:
+            callback(roster)
+
+    def find_doubts(self) -> tuple[Doubt, ...]:
+        """Return configurations that were announced and may be in force.
+
+        With a fresh read of the table there are none.
+        """
+        topic = self.topics[CONFIGURATION]
+        pending = topic.find_pending()
+        if not pending or self.freshness.has_table():
+            return ()
+        names = frozenset(a.operation for a in pending)
+        if names != self._doubted:
+            self._doubts = tuple(
+                Doubt(
+                    a.value.generation,
+                    declaration.parse(unpack_text(a.value.body), 'announced'),
+                )
+                for a in pending
+            )
+            self._doubted = names
+        return self._doubts
+
+    def set_limits(self) -> None:
+        """Set the buckets' limits, the lowest of all that may hold."""
+        limits = {
+            w.name: Limit(w.rate, w.burst)
+            for w in self.configuration.workspaces.values()
+        }
+        for doubt in self.find_doubts():
+            for name, limit in limits.items():
+                other = doubt.configuration.workspaces.get(name)
+                if other is not None:
+                    limits[name] = Limit(
+                        min(limit.rate, other.rate),
+                        min(limit.burst, other.burst),
+                    )
+        self.shares.configure(limits)
+
+
+__all__ = [
+    'CONFIGURATION',
+    'Doubt',
+    'FleetState',
+    'MEMBERS',
+    'pack_text',
+    'unpack_text',
+]
--- /dev/null
+++ b/src/lentilrun/fleet/surveys.py
@@ -0,0 +1,167 @@
+"""Runs surveys so that units nobody holds are given out again."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from typing import TYPE_CHECKING
+
+from ..coordination.freshness import LIMIT
+from ..coordination.shares import UNITS
+from ..coordination.survey import Answer
+from ..coordination.survey import Issue
+from ..coordination.survey import Question
+from ..coordination.survey import Survey
+from ..errors import ConflictError
+from ..errors import PlatformError
+from ..metrics.registry import Count
+from .state import MEMBERS
+
+if TYPE_CHECKING:
+    from ..coordination.table import Table
+    from ..metrics.registry import Metrics
+    from ..peers.codec import Sender
+    from ..peers.mesh import Mesh
+    from .beats import Beats
+    from .state import FleetState
+
+_PAUSE = 0.25
+_TIMEOUT = 1.0
+_IDLE_PAUSE = 5.0
+# A removed member stops within LIMIT; the rest is a margin for clocks.
+_REMOVAL_WAIT = LIMIT + 1.0
+
+
+class Surveys:
+    """Runs surveys while this daemon is the first live member."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        mesh: Mesh,
+        table: Table,
+        beats: Beats,
+        metrics: Metrics,
+    ) -> None:
+        self._state = state
+        self._mesh = mesh
+        self._table = table
+        self._beats = beats
+        self._metrics = metrics
+        self._survey: Survey | None = None
+        self._complete = asyncio.Event()
+        self._marked: set[str] = set()
+        self._settled: tuple[int, int] = (-1, -1)
+        self._last = float('-inf')
+
+    async def run(self) -> None:
+        """Survey whenever something changed, for ever."""
+        while True:
+            await asyncio.sleep(_PAUSE)
+            if self._is_first() and self._is_due():
+                await self._survey_once()
+
+    def _is_first(self) -> bool:
+        state = self._state
+        names = state.roster.names()
+        if state.name not in names or not state.is_fresh():
+            return False
+        heartbeats = state.heartbeats
+        lower = [n for n in names if n < state.name]
+        return all(heartbeats.is_silent(n) for n in lower)
+
+    def _stamp(self) -> tuple[int, int]:
+        state = self._state
+        members = state.topics[MEMBERS].value.generation
+        return (state.generation(), members)
+
+    def _is_due(self) -> bool:
+        now = self._state.clock.now()
+        if now - self._state.shrunk_at < _REMOVAL_WAIT:
+            return False
+        if self._stamp() != self._settled or self._beats.restarted:
+            return True
+        return now - self._last >= _IDLE_PAUSE
+
+    async def _survey_once(self) -> None:
+        state = self._state
+        stamp = self._stamp()
+        restarted = set(self._beats.restarted)
+        buckets = tuple(sorted(state.configuration.workspaces))
+        name = f'{state.name}/{secrets.token_hex(8)}'
+        members = tuple(sorted(state.roster.names()))
+        survey = Survey(name, members, buckets)
+        self._survey = survey
+        self._complete.clear()
+        question = Question(name, stamp[1])
+        self._mesh.broadcast(question)
+        survey.take(state.name, state.respondent.answer(question))
+        if not survey.is_complete() and not await self._wait():
+            return
+        self._metrics.add(Count.SURVEYS)
+        new = await self._mark_new(survey)
+        issues = survey.plan(new, frozenset(self._marked))
+        self._survey = None
+        self._last = state.clock.now()
+        self._hand_out(issues)
+        if not issues and stamp == self._stamp():
+            self._settled = stamp
+            self._beats.restarted -= restarted
+
+    async def _wait(self) -> bool:
+        try:
+            async with asyncio.timeout(_TIMEOUT):
+                await self._complete.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _hand_out(self, issues: dict[str, Issue]) -> None:
+        for member, issue in issues.items():
+            if member == self._state.name:
+                self._state.respondent.accept(issue)
+            else:
+                self._mesh.send(member, issue)
+
+    async def _mark_new(self, survey: Survey) -> frozenset[str]:
+        """Return the buckets that were surely never issued before.
+
+        A bucket that some member does not know yet waits for the next
+        survey, so that all its units start full.
+        """
+        new = set()
+        unheld = survey.find_unheld()
+        for bucket in survey.find_known() - self._marked:
+            if unheld[bucket] < UNITS:
+                self._marked.add(bucket)
+                continue
+            try:
+                await self._table.write(f'buckets/{bucket}', b'issued', 0)
+                new.add(bucket)
+                self._marked.add(bucket)
+            except ConflictError:
+                self._marked.add(bucket)
+            except PlatformError:
+                continue
+        return frozenset(new)
+
+    def receive_question(self, question: Question, sender: Sender) -> None:
+        """Answer a survey of the members as this daemon knows them."""
+        if question.members != self._stamp()[1]:
+            return
+        answer = self._state.respondent.answer(question)
+        self._mesh.send(sender.name, answer)
+
+    def receive_answer(self, answer: Answer, sender: Sender) -> None:
+        """Take in an answer to our survey."""
+        if self._survey is not None:
+            self._survey.take(sender.name, answer)
+            if self._survey.is_complete():
+                self._complete.set()
+
+    def receive_issue(self, issue: Issue, sender: Sender) -> None:
+        """Take the units that a survey gives."""
+        self._state.respondent.accept(issue)
+
+
+__all__ = ['Surveys']
--- /dev/null
+++ b/src/lentilrun/metrics/__init__.py
@@ -0,0 +1,3 @@
+"""Counters and histograms, exposed as text."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/moves/driver.py
@@ -0,0 +1,274 @@
+"""Drives moves while holding the lease: orders, shares and verdicts."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from absl import logging
+
+from ..coordination.leases import Lease
+from ..errors import ConflictError
+from ..errors import PlatformError
+from ..peers.messages import Tallies
+from ..peers.messages import Verdict
+from ..targets import orders
+from . import verdict
+from .progress import decode
+from .progress import encode
+from .progress import make_key
+from .progress import PREFIX
+from .progress import Progress
+from .progress import Stage
+
+if TYPE_CHECKING:
+    from ..config.configuration import Move
+    from ..coordination.table import Row
+    from ..coordination.table import Table
+    from ..fleet.state import FleetState
+    from ..peers.codec import Sender
+    from ..peers.mesh import Mesh
+    from ..routing.pool import Pool
+    from ..routing.pool import TargetState
+    from ..web.client import Client
+    from .progress import Moves
+    from .tallies import TallyBook
+
+_PAUSE = 0.5
+_MAX_LOADS = 3
+_ORDER_TIMEOUT = 4.0
+_STEPS = (0.1, 0.3, 0.6, 1.0)
+_ENOUGH = 30
+_STEP_PARTS = 6
+_LEAST_STEP = 1.0
+_LONGEST_STEP = 30.0
+
+
+class Driver:
+    """One daemon's part in moves; only the lease holder gives orders."""
+
+    def __init__(
+        self,
+        state: FleetState,
+        mesh: Mesh,
+        table: Table,
+        client: Client,
+        pool: Pool,
+        moves: Moves,
+        book: TallyBook,
+    ) -> None:
+        self._state = state
+        self._mesh = mesh
+        self._table = table
+        self._client = client
+        self._pool = pool
+        self._moves = moves
+        self._book = book
+        holder = f'{state.name}/{secrets.token_hex(4)}'
+        self._lease = Lease(table, state.clock, 'moves', holder)
+        self._rows: dict[str, Row] = {}
+
+    async def run(self) -> None:
+        """Watch all moves, and drive them under the lease, for ever."""
+        async with self._lease:
+            while True:
+                self.judge()
+                try:
+                    await self._step()
+                except (PlatformError, ConflictError):
+                    pass
+                await asyncio.sleep(_PAUSE)
+
+    def judge(self) -> None:
+        """Cut off at once what looks bad, without asking anybody."""
+        self._mesh.broadcast(self._book.export())
+        for move in self._moves.all():
+            if self._moves.find_ban(move.model, move.version):
+                continue
+            reason = verdict.find_fault(self._book, move.model, move.version)
+            if reason:
+                self._ban(Verdict(move.model, move.version, reason))
+
+    def _ban(self, found: Verdict) -> None:
+        if self._moves.ban(found.model, found.version, found.reason):
+            logging.warning(
+                '%s %s is cut off: %s',
+                found.model,
+                found.version,
+                found.reason,
+            )
+            self._mesh.broadcast(found)
+
+    def receive_verdict(self, found: Verdict, sender: Sender) -> None:
+        """Cut off what a peer found bad."""
+        self._ban(found)
+
+    def receive_tallies(self, found: Tallies, sender: Sender) -> None:
+        """Take a peer's tallies."""
+        self._book.receive(sender.name, found)
+
+    async def _step(self) -> None:
+        rows = await self._table.scan(PREFIX)
+        self._rows = {row.key: row for row in rows}
+        self._moves.set_progress([decode(row.value) for row in rows])
+        await self._record_bans()
+        if not self._moves.all() or self._state.leaving:
+            return
+        if not await self._lease.renew():
+            return
+        for move in self._moves.all():
+            await self._drive(move)
+
+    async def _record_bans(self) -> None:
+        """Write down what is cut off; any daemon may, it is final."""
+        for move in self._moves.all():
+            reason = self._moves.find_ban(move.model, move.version)
+            progress = self._moves.progress(move)
+            if not reason or (progress is not None and progress.is_final()):
+                continue
+            found = progress or self._begin(move)
+            await self._write(move, found, Stage.TAKEN_BACK, 0.0, reason)
+
+    def _begin(self, move: Move) -> Progress:
+        now = time.time()
+        return Progress(
+            move.name,
+            move.model,
+            move.version,
+            Stage.PROVING,
+            move.share,
+            '',
+            now,
+            now,
+        )
+
+    async def _write(
+        self,
+        move: Move,
+        progress: Progress,
+        stage: Stage,
+        share: float,
+        reason: str = '',
+    ) -> None:
+        wanted = progress._replace(
+            stage=stage, share=share, reason=reason, since=time.time()
+        )
+        key = make_key(move)
+        row = self._rows.get(key)
+        version = row.version if row is not None else 0
+        await self._table.write(key, encode(wanted), version)
+        self._moves.set_progress([wanted])
+        logging.info('move %s: %s %.2f %s', move.name, stage, share, reason)
+
+    async def _drive(self, move: Move) -> None:
+        progress = self._moves.progress(move)
+        if progress is None:
+            progress = self._begin(move)
+            await self._write(move, progress, Stage.PROVING, move.share)
+            return
+        if progress.is_final():
+            await self._load_back(move)
+            return
+        wanted = self._count_wanted(move, progress)
+        await self._load(move, move.version, wanted)
+        if progress.stage is not Stage.DONE:
+            await self._advance(move, progress)
+
+    def _count_wanted(self, move: Move, progress: Progress) -> int:
+        targets = len(self._pool.of_model(move.model))
+        if progress.stage is Stage.PROVING:
+            return min(1, targets)
+        return max(1, int(targets * progress.share + 0.999))
+
+    def _on_version(self, model: str, version: str) -> list[TargetState]:
+        return [t for t in self._pool.of_model(model) if t.version == version]
+
+    async def _advance(self, move: Move, progress: Progress) -> None:
+        ready = len(self._on_version(move.model, move.version))
+        if ready < self._count_wanted(move, progress):
+            return
+        if not self._is_proved(move, progress):
+            return
+        if progress.share >= _STEPS[-1]:
+            await self._write(move, progress, Stage.DONE, 1.0)
+            return
+        larger = [s for s in _STEPS if s > progress.share]
+        await self._write(move, progress, Stage.ROLLING, larger[0])
+
+    def _is_proved(self, move: Move, progress: Progress) -> bool:
+        """Return whether a stage was long enough, given the time left."""
+        now = time.time()
+        spent = now - progress.since
+        planned = max(0.0, move.by - progress.began) / _STEP_PARTS
+        longest = min(max(planned, _LEAST_STEP), _LONGEST_STEP)
+        if spent >= longest:
+            return True
+        seen = verdict.count_seen(self._book, move.model, move.version)
+        return spent >= _LEAST_STEP and seen >= _ENOUGH and planned < spent
+
+    async def _load_back(self, move: Move) -> None:
+        model = self._state.configuration.models[move.model]
+        if model.version == move.version:
+            return
+        bad = len(self._on_version(move.model, move.version))
+        if bad:
+            targets = self._pool.of_model(move.model)
+            good = len(targets) - bad
+            await self._load(
+                move, model.version, good + bad, source=move.version
+            )
+
+    async def _load(
+        self, move: Move, version: str, wanted: int, source: str = ''
+    ) -> None:
+        """Order loads, at most 3 at once, until ``wanted`` have it."""
+        if move.model not in self._state.configuration.models:
+            return
+        if self._is_service(move.model):
+            return
+        targets = self._pool.of_model(move.model)
+        having = [t for t in targets if t.version == version]
+        lacking = [
+            t
+            for t in targets
+            if t.version != version
+            and not t.loading
+            and not t.leaving
+            and (not source or t.version == source)
+        ]
+        loading = sum(1 for t in targets if t.loading)
+        count = min(wanted - len(having) - loading, _MAX_LOADS - loading)
+        if count <= 0:
+            return
+        lacking.sort(key=lambda t: t.load())
+        await asyncio.gather(
+            *(self._order(t, version) for t in lacking[:count])
+        )
+
+    def _is_service(self, model: str) -> bool:
+        kind = self._state.configuration.models[model].kind
+        return kind == 'service'
+
+    async def _order(self, target: TargetState, version: str) -> None:
+        # The order must end while the lease is held: a target that does
+        # not check fencing would take it from an old holder, too.
+        timeout = min(_ORDER_TIMEOUT, self._lease.remaining() - 1.0)
+        if timeout <= 0.0 or not self._state.is_fresh():
+            return
+        fence = self._lease.fence
+        name = target.target.name
+        self._pool.mark_loading(name, True)
+        try:
+            answer = await orders.load_version(
+                self._client, target.target.address, version, fence, timeout
+            )
+        finally:
+            self._pool.mark_loading(name, False)
+        if answer is orders.Answer.DONE:
+            self._pool.observe(name, '', version)
+        logging.info('order %s to %s: %s', version, name, answer)
+
+
+__all__ = ['Driver']
--- /dev/null
+++ b/src/lentilrun/moves/progress.py
@@ -0,0 +1,165 @@
+"""How far each move is, as kept in the table and seen by every daemon."""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..errors import PlatformError
+from ..routing.pool import Group
+
+if TYPE_CHECKING:
+    from ..config.configuration import Configuration
+    from ..config.configuration import Move
+
+PREFIX = 'moves/'
+
+
+class Stage(enum.StrEnum):
+    """Where a move stands."""
+
+    PROVING = 'proving'
+    ROLLING = 'rolling'
+    DONE = 'done'
+    TAKEN_BACK = 'taken_back'
+
+
+class Progress(NamedTuple):
+    """A move's row: its stage, the share of traffic and the reason.
+
+    ``since`` and ``began`` are in seconds since 1970.
+    """
+
+    name: str
+    model: str
+    version: str
+    stage: Stage
+    share: float
+    reason: str
+    began: float
+    since: float
+
+    def is_final(self) -> bool:
+        """Return whether the version was taken back, for good."""
+        return self.stage is Stage.TAKEN_BACK
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Progress)
+
+
+def encode(progress: Progress) -> bytes:
+    """Return a row's value."""
+    return _encoder.encode(progress)
+
+
+def decode(value: bytes) -> Progress:
+    """Return the progress in a row's value."""
+    try:
+        return _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise PlatformError('a move row holds no progress') from error
+
+
+def make_key(move: Move) -> str:
+    """Return a move's row key: the same for a model and version."""
+    return f'{PREFIX}{move.model}/{move.version}'
+
+
+class Split(NamedTuple):
+    """Targets of a model by version, and the new version's share."""
+
+    old: tuple[Group, ...]
+    new: Group | None
+    share: float
+
+
+class Moves:
+    """The moves as this daemon sees them, and versions it cut off."""
+
+    def __init__(self) -> None:
+        self._moves: dict[str, Move] = {}
+        self._progress: dict[tuple[str, str], Progress] = {}
+        self._banned: dict[tuple[str, str], str] = {}
+        self._credit: dict[tuple[str, str], float] = {}
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the moves of a configuration."""
+        self._moves = {m.model: m for m in configuration.moves.values()}
+
+    def set_progress(self, found: list[Progress]) -> None:
+        """Take what the table says; a version once banned stays so."""
+        for progress in found:
+            key = (progress.model, progress.version)
+            self._progress[key] = progress
+            if progress.is_final():
+                self._banned.setdefault(key, progress.reason)
+
+    def find(self, model: str) -> Move | None:
+        """Return the move of a model."""
+        return self._moves.get(model)
+
+    def all(self) -> list[Move]:
+        """Return all moves."""
+        return list(self._moves.values())
+
+    def progress(self, move: Move) -> Progress | None:
+        """Return how far a move is, if that was ever read."""
+        return self._progress.get((move.model, move.version))
+
+    def ban(self, model: str, version: str, reason: str) -> bool:
+        """Cut a version off for good; return if that is news."""
+        if (model, version) in self._banned:
+            return False
+        self._banned[model, version] = reason
+        return True
+
+    def find_ban(self, model: str, version: str) -> str:
+        """Return why a version is cut off, or nothing."""
+        return self._banned.get((model, version), '')
+
+    def bans(self) -> dict[tuple[str, str], str]:
+        """Return all versions that are cut off."""
+        return dict(self._banned)
+
+    def split(self, model: str, groups: dict[str, Group]) -> Split:
+        """Return a model's targets without those cut off."""
+        move = self._moves.get(model)
+        usable = {
+            v: g for v, g in groups.items() if (model, v) not in self._banned
+        }
+        if move is None:
+            return Split(tuple(usable.values()), None, 0.0)
+        new = usable.pop(move.version, None)
+        progress = self.progress(move)
+        share = progress.share if progress is not None else move.share
+        return Split(tuple(usable.values()), new, share)
+
+    def take_turn(self, model: str, route: str, split: Split) -> bool:
+        """Return whether the next request is the new version's.
+
+        Counts, so that no stretch of requests holds more than its share.
+        """
+        if split.new is None:
+            return False
+        if not split.old:
+            return True
+        credit = self._credit.get((model, route), 0.0) + split.share
+        taken = credit >= 1.0
+        self._credit[model, route] = credit - 1.0 if taken else credit
+        return taken
+
+
+__all__ = [
+    'decode',
+    'encode',
+    'make_key',
+    'Moves',
+    'PREFIX',
+    'Progress',
+    'Split',
+    'Stage',
+]
--- /dev/null
+++ b/src/lentilrun/operator/commands.py
@@ -0,0 +1,77 @@
+"""Commands of operators: changes of the configuration."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..config import declaration
+from ..errors import ConflictError
+from ..fleet.state import CONFIGURATION
+from ..fleet.state import pack_text
+from ..metrics.registry import Timing
+
+if TYPE_CHECKING:
+    from ..daemon.node import Node
+
+_CONFIRM_TIMEOUT = 6.0
+
+
+class Applied(NamedTuple):
+    """An accepted configuration and where it is not yet in force.
+
+    ``repeated`` if the same operation had been accepted before.
+    """
+
+    generation: int
+    missing: tuple[str, ...]
+    seconds: float
+    repeated: bool
+
+
+class Order(NamedTuple):
+    """A configuration to accept; ``expected`` is the generation before."""
+
+    text: str
+    file: str
+    operation: str
+    expected: int | None
+
+
+async def apply(node: Node, order: Order) -> Applied:
+    """Accept a configuration and wait until all VMs act on it.
+
+    Raises ``InvalidFileError``, ``ConflictError``, ``PlatformError`` or
+    what an agreement raises.
+    """
+    declaration.parse(order.text, order.file)
+    started = node.clock.now()
+    topic = node.state.topics[CONFIGURATION]
+    await topic.refresh()
+    earlier = topic.find_operation(topic.value, order.operation)
+    if earlier is not None:
+        generation = earlier.generation
+    else:
+        generation = await _change(node, order)
+    missing = await node.agreement.confirm(
+        CONFIGURATION, generation, _CONFIRM_TIMEOUT
+    )
+    seconds = node.clock.now() - started
+    node.metrics.time(Timing.IN_FORCE, seconds)
+    return Applied(generation, missing, seconds, earlier is not None)
+
+
+async def _change(node: Node, order: Order) -> int:
+    topic = node.state.topics[CONFIGURATION]
+    present = topic.value.generation
+    if order.expected is not None and order.expected != present:
+        raise ConflictError(
+            f'generation {present} is in force, not {order.expected}'
+        )
+    announce = topic.propose(order.operation, pack_text(order.text))
+    value = await node.agreement.change(topic, order.operation, announce)
+    made = topic.find_operation(value, order.operation)
+    return made.generation if made is not None else value.generation
+
+
+__all__ = ['Applied', 'apply', 'Order']
--- /dev/null
+++ b/src/lentilrun/operator/reports.py
@@ -0,0 +1,242 @@
+"""What operators are shown, as typed values."""
+
+from __future__ import annotations
+
+import resource
+import time
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..fleet.state import CONFIGURATION
+from ..usage.records import read_all
+from ..usage.records import sum_up
+
+if TYPE_CHECKING:
+    from ..daemon.node import Node
+    from ..usage.records import Record
+    from ..usage.records import Total
+
+
+class MemberStatus(NamedTuple):
+    """A member as this daemon hears it; ``silent`` in seconds."""
+
+    name: str
+    data_centre: str
+    generation: int
+    silent: float
+    leaving: bool
+
+
+class TargetStatus(NamedTuple):
+    """A target as this daemon sees it."""
+
+    name: str
+    model: str
+    version: str
+    usable: bool
+    leaving: bool
+    load: int
+
+
+class Status(NamedTuple):
+    """The state of the fleet as one daemon knows it."""
+
+    vm: str
+    generation: int
+    fresh: bool
+    table: bool
+    in_force_everywhere: bool
+    behind: tuple[str, ...]
+    members: tuple[MemberStatus, ...]
+    targets: tuple[TargetStatus, ...]
+
+
+class MoveStatus(NamedTuple):
+    """A move: done, under way or taken back, and why."""
+
+    name: str
+    model: str
+    version: str
+    state: str
+    share: float
+    reason: str
+    by: float
+    overdue: bool
+
+
+class UsageReport(NamedTuple):
+    """Totals by workspace, and how far the records reach.
+
+    ``unwritten`` is how many seconds of a crashed daemon's use may be
+    missing at most.
+    """
+
+    totals: dict[str, Total]
+    records: tuple[Record, ...]
+    unwritten: float
+
+
+class Dump(NamedTuple):
+    """The state of one process."""
+
+    vm: str
+    incarnation: str
+    status: Status
+    counts: dict[str, int]
+    timings: dict[str, dict[str, int]]
+    buckets: dict[str, float]
+    units: dict[str, int]
+    running: int
+    waiting: int
+    placements: int
+    bans: dict[str, str]
+    suspects: int
+    tasks: tuple[str, ...]
+    memory_kib: int
+    cpu_seconds: float
+
+
+_USAGE_LAG = 2.5
+
+
+def make_status(node: Node) -> Status:
+    """Return the state of the fleet as a daemon knows it."""
+    state = node.state
+    generation = state.generation()
+    members = tuple(_make_member(node, n) for n in sorted(_names(node)))
+    behind = tuple(m.name for m in members if m.generation < generation)
+    return Status(
+        state.name,
+        generation,
+        state.is_fresh(),
+        state.freshness.has_table(),
+        not behind,
+        behind,
+        members,
+        tuple(_make_targets(node)),
+    )
+
+
+def _names(node: Node) -> frozenset[str]:
+    return node.state.roster.names()
+
+
+def _make_member(node: Node, name: str) -> MemberStatus:
+    state = node.state
+    member = state.roster.find(name)
+    centre = member.data_centre if member is not None else ''
+    if name == state.name:
+        generation = state.generation()
+        return MemberStatus(name, centre, generation, 0.0, state.leaving)
+    peer = state.heartbeats.peers.get(name)
+    if peer is None:
+        return MemberStatus(name, centre, 0, -1.0, False)
+    generation = peer.beat.generations.get(CONFIGURATION, 0)
+    silent = round(state.clock.now() - peer.heard, 3)
+    return MemberStatus(name, centre, generation, silent, peer.beat.leaving)
+
+
+def _make_targets(node: Node) -> list[TargetStatus]:
+    found = []
+    for name, state in sorted(node.pool.targets.items()):
+        groups = node.pool.groups(state.model.name)
+        usable = any(name in group.names for group in groups.values())
+        found.append(
+            TargetStatus(
+                name,
+                state.model.name,
+                state.version,
+                usable,
+                state.leaving or name in node.pool.gone,
+                state.load(),
+            )
+        )
+    return found
+
+
+_STATES = {
+    'done': 'done',
+    'taken_back': 'taken back',
+    'proving': 'under way',
+    'rolling': 'under way',
+}
+
+
+def make_moves(node: Node) -> tuple[MoveStatus, ...]:
+    """Return how far each move is."""
+    found = []
+    now = time.time()
+    for move in node.moves.all():
+        progress = node.moves.progress(move)
+        stage = progress.stage if progress is not None else 'proving'
+        banned = node.moves.find_ban(move.model, move.version)
+        if banned:
+            stage = 'taken_back'
+        reason = banned or (progress.reason if progress is not None else '')
+        share = progress.share if progress is not None else move.share
+        overdue = _STATES[stage] == 'under way' and now > move.by
+        found.append(
+            MoveStatus(
+                move.name,
+                move.model,
+                move.version,
+                _STATES[stage],
+                0.0 if banned else share,
+                reason,
+                move.by,
+                overdue,
+            )
+        )
+    return tuple(found)
+
+
+async def make_usage(node: Node) -> UsageReport:
+    """Return the use of all workspaces; raises ``PlatformError``."""
+    records = await read_all(node.table)
+    own = node.usage.export(time.time())
+    others = [r for r in records if r.incarnation != own.incarnation]
+    found = [*others, own]
+    return UsageReport(sum_up(found), tuple(found), _USAGE_LAG)
+
+
+def make_dump(node: Node) -> Dump:
+    """Return the state of a process; no secrets are in it."""
+    state = node.state
+    spent = resource.getrusage(resource.RUSAGE_SELF)
+    timings = {}
+    for timing in node.metrics.timings():
+        found = node.metrics.quantiles(timing)
+        timings[str(timing)] = {
+            f'p{q.percent:g}_us': q.microseconds for q in found
+        }
+    return Dump(
+        state.name,
+        state.incarnation,
+        make_status(node),
+        node.metrics.counts(),
+        timings,
+        {n: state.shares.level(n) for n in state.shares.count()},
+        state.shares.count(),
+        len(node.running),
+        node.scheduler.count_waiting(),
+        len(node.placements),
+        {f'{m}/{v}': r for (m, v), r in node.moves.bans().items()},
+        len(node.suspects.export()),
+        tuple(sorted(node.tasks.names())),
+        spent.ru_maxrss,
+        spent.ru_utime + spent.ru_stime,
+    )
+
+
+__all__ = [
+    'Dump',
+    'make_dump',
+    'make_moves',
+    'make_status',
+    'make_usage',
+    'MemberStatus',
+    'MoveStatus',
+    'Status',
+    'TargetStatus',
+    'UsageReport',
+]
--- /dev/null
+++ b/src/lentilrun/peers/__init__.py
@@ -0,0 +1,3 @@
+"""Messages and connections between the daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/peers/codec.py
@@ -0,0 +1,104 @@
+"""Messages between daemons as bytes, with the version of the protocol."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from ..coordination import accord
+from ..coordination import heartbeat
+from ..coordination import shares
+from ..coordination import survey
+from ..errors import LentilrunError
+from . import messages
+
+PROTOCOL = 1
+MAX_BYTES = 32 * 1024 * 1024
+
+_KINDS: dict[str, type] = {
+    'beat': heartbeat.Beat,
+    'announce': accord.Announce,
+    'acknowledge': accord.Acknowledge,
+    'withdraw': accord.Withdraw,
+    'commit': accord.Commit,
+    'fetch': accord.Fetch,
+    'ask': shares.Ask,
+    'loan': shares.Loan,
+    'question': survey.Question,
+    'answer': survey.Answer,
+    'issue': survey.Issue,
+    'suspicion': messages.Suspicion,
+    'tallies': messages.Tallies,
+    'placements': messages.Placements,
+    'hints_wanted': messages.HintsWanted,
+    'verdict': messages.Verdict,
+}
+_NAMES = {kind: name for name, kind in _KINDS.items()}
+
+
+class BadMessageError(LentilrunError):
+    """A message can't be read, or is of another protocol."""
+
+
+class Sender(NamedTuple):
+    """Who sent a message."""
+
+    name: str
+    incarnation: str
+
+
+class Envelope(NamedTuple):
+    """A message with its sender."""
+
+    sender: Sender
+    message: Any
+
+
+class _Frame(NamedTuple):
+    protocol: int
+    sender: str
+    incarnation: str
+    kind: str
+    payload: msgspec.Raw
+
+
+_encoder = msgspec.msgpack.Encoder()
+_frame_decoder = msgspec.msgpack.Decoder(_Frame)
+_decoders: dict[str, msgspec.msgpack.Decoder[Any]] = {
+    name: msgspec.msgpack.Decoder(kind) for name, kind in _KINDS.items()
+}
+
+
+def encode(sender: Sender, message: NamedTuple) -> bytes:
+    """Return a message as bytes."""
+    payload = msgspec.Raw(_encoder.encode(message))
+    kind = _NAMES[type(message)]
+    frame = _Frame(PROTOCOL, sender.name, sender.incarnation, kind, payload)
+    return _encoder.encode(frame)
+
+
+def decode(data: bytes) -> Envelope:
+    """Return the message in ``data``; raises ``BadMessageError``."""
+    if len(data) > MAX_BYTES:
+        raise BadMessageError('the message is too large')
+    try:
+        frame = _frame_decoder.decode(data)
+        if frame.protocol != PROTOCOL:
+            raise BadMessageError(f'protocol {frame.protocol} is unknown')
+        message = _decoders[frame.kind].decode(frame.payload)
+    except (msgspec.MsgspecError, KeyError, RecursionError) as error:
+        raise BadMessageError(str(error)) from error
+    return Envelope(Sender(frame.sender, frame.incarnation), message)
+
+
+__all__ = [
+    'BadMessageError',
+    'decode',
+    'encode',
+    'Envelope',
+    'MAX_BYTES',
+    'PROTOCOL',
+    'Sender',
+]
--- /dev/null
+++ b/src/lentilrun/peers/messages.py
@@ -0,0 +1,81 @@
+"""Messages about targets, sent between the daemons."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+
+class Suspicion(NamedTuple):
+    """A request was running at a target when it crashed.
+
+    ``incarnation`` is the target's incarnation that ended; ``alone`` the
+    number of requests known to have run there at that moment.
+    """
+
+    fingerprint: str
+    target: str
+    incarnation: str
+    alone: int
+
+
+class Tally(NamedTuple):
+    """Outcomes of one version on one route, counted by one daemon.
+
+    ``log_sum`` and ``log_squares`` sum the logarithm of the time over
+    the expected time, and its square, over the ``done`` requests.
+    """
+
+    model: str
+    version: str
+    route: str
+    epoch: int
+    done: int
+    failed: int
+    log_sum: float
+    log_squares: float
+
+
+class Tallies(NamedTuple):
+    """The tallies of one daemon since it began, by what they count."""
+
+    tallies: tuple[Tally, ...]
+
+
+class Placement(NamedTuple):
+    """A target holds the block ``block`` in incarnation ``incarnation``."""
+
+    block: int
+    target: str
+    incarnation: str
+    version: str
+
+
+class Placements(NamedTuple):
+    """Known placements of blocks."""
+
+    placements: tuple[Placement, ...]
+
+
+class HintsWanted(NamedTuple):
+    """A starting daemon asks for what others know, up to ``most``."""
+
+    most: int
+
+
+class Verdict(NamedTuple):
+    """A version of a model was found bad and is final."""
+
+    model: str
+    version: str
+    reason: str
+
+
+__all__ = [
+    'HintsWanted',
+    'Placement',
+    'Placements',
+    'Suspicion',
+    'Tallies',
+    'Tally',
+    'Verdict',
+]
--- /dev/null
+++ b/src/lentilrun/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Clients of the services that the platform gives."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/platform/service.py
@@ -0,0 +1,50 @@
+"""Requests to the platform's services, with their failures as one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..errors import PlatformError
+from ..web.client import InterruptedExchangeError
+from ..web.client import NotSentError
+from ..web.client import Request
+
+if TYPE_CHECKING:
+    from ..config.ini import Address
+    from ..web.client import Client
+    from ..web.client import Response
+
+TIMEOUT = 2.0
+_SERVER_ERROR = 500
+
+
+class Service:
+    """One service of the platform, at one address."""
+
+    def __init__(
+        self, client: Client, address: Address, timeout: float = TIMEOUT
+    ) -> None:
+        """Use ``client``; ``timeout`` of each request is in seconds."""
+        self._client = client
+        self._address = address
+        self._timeout = timeout
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> Response:
+        """Return an answer; raises ``PlatformError`` if there is none."""
+        request = Request(method, path, headers or {}, body, self._timeout)
+        try:
+            response = await self._client.fetch(self._address, request)
+        except (NotSentError, InterruptedExchangeError) as error:
+            raise PlatformError(str(error)) from error
+        if response.status >= _SERVER_ERROR:
+            raise PlatformError(f'{self._address} said {response.status}')
+        return response
+
+
+__all__ = ['Service', 'TIMEOUT']
--- /dev/null
+++ b/src/lentilrun/platform/tables.py
@@ -0,0 +1,87 @@
+"""Client of the transactional table service, by HTTP entity tags."""
+
+from __future__ import annotations
+
+import base64
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+
+from ..coordination.table import ABSENT
+from ..coordination.table import Row
+from ..errors import ConflictError
+from ..errors import PlatformError
+
+if TYPE_CHECKING:
+    from .service import Service
+
+_PATH = '/tables/lentilrun'
+_OK = 200
+_NOT_FOUND = 404
+_CONFLICTS = (409, 412)
+
+
+class _Listed(NamedTuple):
+    key: str
+    value: str
+    version: int
+
+
+_decoder = msgspec.json.Decoder(list[_Listed])
+
+
+def _version(tag: str) -> int:
+    try:
+        return int(tag.strip('"'))
+    except ValueError as error:
+        raise PlatformError(f'no usable entity tag: {tag!r}') from error
+
+
+class HttpTable:
+    """The ``Table`` of the coordination parts, over HTTP."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    async def read(self, key: str) -> Row:
+        """Return the row, or one with version ``ABSENT``."""
+        response = await self._service.send('GET', f'{_PATH}/{quote(key)}')
+        if response.status == _NOT_FOUND:
+            return Row(key, b'', ABSENT)
+        if response.status != _OK:
+            raise PlatformError(f'the table said {response.status}')
+        version = _version(response.headers.get('ETag', ''))
+        return Row(key, response.body, version)
+
+    async def write(self, key: str, value: bytes, version: int) -> int:
+        """Write if the row has ``version``; return the new version."""
+        condition = {'If-Match': f'"{version}"'}
+        if version == ABSENT:
+            condition = {'If-None-Match': '*'}
+        path = f'{_PATH}/{quote(key)}'
+        response = await self._service.send('PUT', path, value, condition)
+        if response.status in _CONFLICTS:
+            raise ConflictError(f'{key} is no longer at {version}')
+        if response.status not in (_OK, 201, 204):
+            raise PlatformError(f'the table said {response.status}')
+        return _version(response.headers.get('ETag', str(version + 1)))
+
+    async def scan(self, prefix: str) -> list[Row]:
+        """Return the rows whose key starts with ``prefix``."""
+        path = f'{_PATH}?prefix={quote(prefix, safe="")}'
+        response = await self._service.send('GET', path)
+        if response.status != _OK:
+            raise PlatformError(f'the table said {response.status}')
+        try:
+            listed = _decoder.decode(response.body)
+            return [
+                Row(r.key, base64.b64decode(r.value), r.version)
+                for r in listed
+            ]
+        except (msgspec.DecodeError, ValueError) as error:
+            raise PlatformError('the table sent an odd list') from error
+
+
+__all__ = ['HttpTable']
--- /dev/null
+++ b/src/lentilrun/platform/weights.py
@@ -0,0 +1,32 @@
+"""Client of the rate-limited weight store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from ..errors import PlatformError
+
+if TYPE_CHECKING:
+    from .service import Service
+
+_OK = 200
+_NOT_FOUND = 404
+
+
+class Weights:
+    """Tells which versions of a model are stored."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+
+    async def has(self, model: str, version: str) -> bool:
+        """Return whether the store holds a version's weights."""
+        path = f'/weights/{quote(model)}/{quote(version)}'
+        response = await self._service.send('GET', path)
+        if response.status not in (_OK, _NOT_FOUND):
+            raise PlatformError(f'the weight store said {response.status}')
+        return response.status == _OK
+
+
+__all__ = ['Weights']
--- /dev/null
+++ b/src/lentilrun/routing/choice.py
@@ -0,0 +1,120 @@
+"""The choice of a target: the least estimated cost of a few."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..config.configuration import Model
+    from ..config.configuration import Policy
+    from .placements import Placements
+    from .pool import Group
+    from .pool import Pool
+    from .pool import TargetState
+
+_HOLDERS = 4
+_RING_TARGETS = 2
+_SAMPLES = 2
+_FALL_BACK_SAMPLES = 16
+# A batch slows down as it fills: the share of a request's time added by
+# a full one.
+_BATCH_SLOPE = 0.1
+
+
+class Wish(NamedTuple):
+    """What is to be placed: its chain of blocks and prompt tokens."""
+
+    model: Model
+    chain: tuple[int, ...]
+    tokens: int
+    avoid: frozenset[str]
+
+
+class Choice(NamedTuple):
+    """A target with the tokens thought to be cached there."""
+
+    target: TargetState
+    cached: int
+    cost: float
+
+
+class Chooser:
+    """Weighs waiting against computing again, in seconds."""
+
+    def __init__(
+        self, pool: Pool, placements: Placements, seed: int | None = None
+    ) -> None:
+        self._pool = pool
+        self._placements = placements
+        self._random = random.Random(seed)
+
+    def _candidates(self, wish: Wish, group: Group) -> dict[str, int]:
+        found = self._placements.match(wish.chain, _HOLDERS)
+        if wish.chain:
+            # The first block spreads over targets by the levels below it.
+            for block in (wish.chain[0], wish.chain[-1]):
+                for name in group.ring.find(block, _RING_TARGETS):
+                    found.setdefault(name, 0)
+        count = min(_SAMPLES, len(group.names))
+        for name in self._random.sample(group.names, count):
+            found.setdefault(name, 0)
+        return found
+
+    def choose(
+        self, wish: Wish, group: Group, policy: Policy, bounded: bool
+    ) -> Choice | None:
+        """Return the cheapest of a few targets of a group.
+
+        With ``bounded`` a target with no room is passed over, and
+        nothing is returned if none of the group has any.
+        """
+        members = frozenset(group.names)
+        best: Choice | None = None
+        for name, depth in self._candidates(wish, group).items():
+            if name not in members or name in wish.avoid:
+                continue
+            choice = self._weigh(wish, name, depth, policy)
+            if bounded and choice.target.room() <= 0:
+                continue
+            if best is None or choice.cost < best.cost:
+                best = choice
+        if best is None:
+            best = self._fall_back(wish, group, policy, bounded)
+        return best
+
+    def _fall_back(
+        self, wish: Wish, group: Group, policy: Policy, bounded: bool
+    ) -> Choice | None:
+        count = min(_FALL_BACK_SAMPLES, len(group.names))
+        for name in self._random.sample(group.names, count):
+            if name in wish.avoid:
+                continue
+            choice = self._weigh(wish, name, 0, policy)
+            if not bounded or choice.target.room() > 0:
+                return choice
+        return None
+
+    def _weigh(
+        self, wish: Wish, name: str, depth: int, policy: Policy
+    ) -> Choice:
+        state = self._pool.targets[name]
+        model = wish.model
+        block = model.block_bytes / model.bytes_per_token
+        cached = min(wish.tokens, int(depth * block))
+        recompute = (wish.tokens - cached) / model.prefill
+        cost = policy.wait_weight * self._estimate_wait(state)
+        cost += policy.recompute_weight * recompute
+        return Choice(state, cached, cost)
+
+    def _estimate_wait(self, state: TargetState) -> float:
+        slots = state.model.slots
+        load = state.load()
+        service = self._pool.service_time(state.model.name)
+        queued = max(0, load - slots + 1) / slots * service
+        filled = _BATCH_SLOPE * service * min(load, slots) / slots
+        return queued + filled + state.prefilling / state.model.prefill
+
+
+__all__ = ['Choice', 'Chooser', 'Wish']
--- /dev/null
+++ b/src/lentilrun/routing/pool.py
@@ -0,0 +1,207 @@
+"""The targets of each model, and what is known of their state."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TYPE_CHECKING
+
+from .ring import Ring
+
+if TYPE_CHECKING:
+    from ..config.configuration import Configuration
+    from ..config.configuration import Model
+    from ..config.configuration import Target
+    from ..coordination.clock import Clock
+    from ..targets.loads import Load
+
+_BLOCK_BASE = 0.25
+_BLOCK_MAX = 4.0
+_SERVICE_MEMORY = 0.05
+
+
+@dataclasses.dataclass
+class TargetState:
+    """A target as this daemon sees it.
+
+    ``own`` counts this daemon's running requests, ``own_reported`` those
+    that the last report already held; ``prefilling`` is in tokens, times
+    in seconds of the clock.
+    """
+
+    target: Target
+    model: Model
+    incarnation: str = ''
+    version: str = ''
+    reported: int = 0
+    own: int = 0
+    own_reported: int = 0
+    prefilling: float = 0.0
+    suspects: int = 0
+    leaving: bool = False
+    loading: bool = False
+    failures: int = 0
+    blocked_until: float = float('-inf')
+
+    def load(self) -> int:
+        """Return the estimated number of requests at the target."""
+        others = max(0, self.reported - self.own_reported)
+        return others + self.own
+
+    def room(self) -> int:
+        """Return how many more requests it should be given now."""
+        return self.model.slots - self.load()
+
+
+class Group:
+    """The usable targets of one model and version."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.names = names
+        self.ring = Ring(names)
+
+
+class Pool:
+    """The state of all targets, and usable ones by model and version."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.targets: dict[str, TargetState] = {}
+        self._by_model: dict[str, set[str]] = {}
+        self._groups: dict[str, dict[str, Group]] = {}
+        self._service_time: dict[str, float] = {}
+        self.gone: frozenset[str] = frozenset()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Take the targets of a configuration; keeps known states."""
+        before = self.targets
+        self.targets = {}
+        self._by_model = {}
+        for name, target in configuration.targets.items():
+            model = configuration.models[target.model]
+            state = before.get(name)
+            moved = state is None or state.target.address != target.address
+            if state is None or moved:
+                state = TargetState(target, model, version=target.version)
+            state.target = target
+            state.model = model
+            self.targets[name] = state
+            self._by_model.setdefault(model.name, set()).add(name)
+        self._groups.clear()
+
+    def set_gone(self, gone: frozenset[str]) -> None:
+        """Set the targets that the platform lists as leaving or gone."""
+        if gone != self.gone:
+            self.gone = gone
+            self._groups.clear()
+
+    def groups(self, model: str) -> dict[str, Group]:
+        """Return the usable targets of a model by version."""
+        found = self._groups.get(model)
+        if found is None:
+            found = self._build(model)
+            self._groups[model] = found
+        return found
+
+    def _build(self, model: str) -> dict[str, Group]:
+        now = self._clock.now()
+        versions: dict[str, list[str]] = {}
+        for name in sorted(self._by_model.get(model, ())):
+            if self._is_usable(self.targets[name], now):
+                version = self.targets[name].version
+                versions.setdefault(version, []).append(name)
+        return {v: Group(tuple(names)) for v, names in versions.items()}
+
+    def _is_usable(self, state: TargetState, now: float) -> bool:
+        if state.leaving or state.loading or state.target.name in self.gone:
+            return False
+        return state.blocked_until <= now
+
+    def of_model(self, model: str) -> list[TargetState]:
+        """Return all targets of a model, usable or not."""
+        names = sorted(self._by_model.get(model, ()))
+        return [self.targets[n] for n in names]
+
+    def report(self, name: str, load: Load, own_before: int) -> None:
+        """Take a report; ``own_before`` counts our requests it can hold."""
+        state = self.targets.get(name)
+        if state is None:
+            return
+        state.reported = load.running + load.waiting
+        state.own_reported = min(state.own, own_before)
+        before = self._traits(state)
+        state.incarnation = load.incarnation or state.incarnation
+        state.version = load.version or state.version
+        state.leaving = load.leaving
+        state.loading = load.loading
+        self._recover(state)
+        if before != self._traits(state):
+            self._groups.pop(state.model.name, None)
+
+    @staticmethod
+    def _traits(state: TargetState) -> tuple[str, bool, bool, float]:
+        return (
+            state.version,
+            state.leaving,
+            state.loading,
+            state.blocked_until,
+        )
+
+    def _recover(self, state: TargetState) -> None:
+        state.failures = 0
+        state.blocked_until = float('-inf')
+
+    def fail(self, name: str) -> None:
+        """Keep new requests off a target that can't be reached."""
+        state = self.targets.get(name)
+        if state is None:
+            return
+        state.failures += 1
+        pause = min(_BLOCK_MAX, _BLOCK_BASE * 2.0**state.failures)
+        state.blocked_until = self._clock.now() + pause
+        self._groups.pop(state.model.name, None)
+
+    def mark_loading(self, name: str, loading: bool) -> None:
+        """Keep requests off a target while it loads weights."""
+        state = self.targets.get(name)
+        if state is not None:
+            state.loading = loading
+            self._groups.pop(state.model.name, None)
+
+    def observe(self, name: str, incarnation: str, version: str) -> None:
+        """Note what a target's answer said of itself."""
+        state = self.targets.get(name)
+        if state is None:
+            return
+        state.incarnation = incarnation or state.incarnation
+        if version and version != state.version:
+            state.version = version
+            self._groups.pop(state.model.name, None)
+
+    def refuse(self, name: str) -> None:
+        """Note that a target said it is leaving."""
+        state = self.targets.get(name)
+        if state is not None:
+            state.leaving = True
+            self._groups.pop(state.model.name, None)
+
+    def expire(self) -> None:
+        """Let targets back in whose pause is over."""
+        now = self._clock.now()
+        for state in self.targets.values():
+            until = state.blocked_until
+            if float('-inf') < until <= now:
+                state.blocked_until = float('-inf')
+                self._groups.pop(state.model.name, None)
+
+    def note_service(self, model: str, seconds: float) -> None:
+        """Note the time that a request took."""
+        mean = self._service_time.get(model, seconds)
+        mean += _SERVICE_MEMORY * (seconds - mean)
+        self._service_time[model] = mean
+
+    def service_time(self, model: str) -> float:
+        """Return the mean time of a model's requests, in seconds."""
+        return self._service_time.get(model, 0.0)
+
+
+__all__ = ['Group', 'Pool', 'TargetState']
--- /dev/null
+++ b/src/lentilrun/session/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/session/cmd/__init__.py
@@ -0,0 +1,3 @@
+"""The subcommands, one module each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/session/cmd/commands/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands that change something."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/session/cmd/queries/__init__.py
@@ -0,0 +1,3 @@
+"""Subcommands that only read."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/session/connection.py
@@ -0,0 +1,89 @@
+"""Requests of the command line to a daemon's port for operators."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+
+from ..config.ini import parse_address
+from ..errors import Code
+from ..errors import LentilrunError
+from ..web.client import Client
+from ..web.client import InterruptedExchangeError
+from ..web.client import NotSentError
+from ..web.client import Request
+from .exits import Exit
+
+DEFAULT_OPERATOR = '127.0.0.1:8081'
+_TIMEOUT = 30.0
+_OK = 200
+_EXITS: dict[str, Exit] = {
+    Code.INVALID_FILE: Exit.INVALID_FILE,
+    Code.CONFLICT: Exit.CONFLICT,
+    Code.PLATFORM_UNAVAILABLE: Exit.UNKNOWN,
+    Code.MAJORITY_MISSING: Exit.MAJORITY_MISSING,
+    Code.OPERATOR_REFUSED: Exit.REFUSED,
+}
+
+
+class Reply(NamedTuple):
+    """A daemon's answer, decoded, and the exit code that it calls for."""
+
+    body: Any
+    exit: Exit
+
+
+class UnreachableError(LentilrunError):
+    """The daemon could not be reached; ``sent`` if bytes may have left."""
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+async def _fetch(address: str, request: Request) -> Reply:
+    with Client() as client:
+        try:
+            response = await client.fetch(parse_address(address), request)
+        except NotSentError as error:
+            raise UnreachableError(str(error), False) from error
+        except InterruptedExchangeError as error:
+            raise UnreachableError(str(error), True) from error
+    body = msgspec.json.decode(response.body)
+    if response.status == _OK:
+        return Reply(body, Exit.DONE)
+    code = body.get('error', {}).get('code', '')
+    return Reply(body, _EXITS.get(code, Exit.UNKNOWN))
+
+
+def _headers() -> dict[str, str]:
+    token = os.environ.get('LENTILRUN_OPERATOR_TOKEN', '')
+    return {'Authorization': f'Bearer {token}'} if token else {}
+
+
+def query(address: str, path: str) -> Reply:
+    """Read something from a daemon."""
+    request = Request('GET', path, _headers(), b'', _TIMEOUT)
+    return asyncio.run(_fetch(address, request))
+
+
+def command(
+    address: str, path: str, headers: dict[str, str], body: bytes
+) -> Reply:
+    """Order something from a daemon."""
+    made = {**_headers(), **headers}
+    request = Request('POST', path, made, body, _TIMEOUT)
+    return asyncio.run(_fetch(address, request))
+
+
+__all__ = [
+    'command',
+    'DEFAULT_OPERATOR',
+    'query',
+    'Reply',
+    'UnreachableError',
+]
--- /dev/null
+++ b/src/lentilrun/session/exits.py
@@ -0,0 +1,21 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Exit(enum.IntEnum):
+    """Why the command line ended as it did."""
+
+    DONE = 0
+    NOT_EVERYWHERE = 1
+    INVALID_FILE = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    UNKNOWN = 5
+    MAJORITY_MISSING = 6
+    REFUSED = 7
+
+
+__all__ = ['Exit']
--- /dev/null
+++ b/src/lentilrun/standins/__init__.py
@@ -0,0 +1,3 @@
+"""Small stand-ins for targets and the platform."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/lentilrun/targets/events.py
@@ -0,0 +1,85 @@
+"""Cache events of model engines, with sequence numbers and gaps."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+import zmq
+import zmq.asyncio
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ..config.ini import Address
+
+
+class CacheEvent(NamedTuple):
+    """Blocks that an engine stored and removed."""
+
+    sequence: int
+    incarnation: str
+    version: str
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+class Reading(NamedTuple):
+    """An event, and whether others before it were missed."""
+
+    event: CacheEvent
+    gap: bool
+
+
+_decoder = msgspec.msgpack.Decoder(CacheEvent)
+
+
+class Sequence:
+    """Finds gaps in the numbers of one engine's events."""
+
+    def __init__(self) -> None:
+        self._incarnation = ''
+        self._last = 0
+
+    def check(self, event: CacheEvent) -> bool:
+        """Return whether events were missed before this one."""
+        same = event.incarnation == self._incarnation
+        gap = same and event.sequence > self._last + 1
+        self._incarnation = event.incarnation
+        self._last = event.sequence
+        return gap
+
+
+class Subscription:
+    """A subscription to the events of one engine."""
+
+    def __init__(self, address: Address) -> None:
+        self._sequence = Sequence()
+        self._socket = zmq.asyncio.Context.instance().socket(zmq.SUB)
+        self._socket.linger = 0
+        self._socket.subscribe(b'')
+        self._socket.connect(f'tcp://{address}')
+
+    def __enter__(self) -> Subscription:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._socket.close(linger=0)
+
+    async def read(self) -> Reading | None:
+        """Return the next event, or nothing if it is malformed."""
+        data = await self._socket.recv()
+        try:
+            event = _decoder.decode(data)
+        except msgspec.MsgspecError:
+            return None
+        return Reading(event, self._sequence.check(event))
+
+
+__all__ = ['CacheEvent', 'Reading', 'Sequence', 'Subscription']
--- /dev/null
+++ b/src/lentilrun/web/__init__.py
@@ -0,0 +1,3 @@
+"""HTTP exchanges over pooled connections."""
+
+from __future__ import annotations
