Fail a refused change at once, and let racing joins part soon

Cause: of VMs that join at once the loser waited 2 s for a majority that had refused it, so a VM could pause while only two had joined. Change: a quorum that can no longer be reached ends at once; the next try follows after 0.05 to 0.2 s; a VM that is behind by a message waits for it instead of refusing.

--- a/src/lentilrun/coordination/accord.py
+++ b/src/lentilrun/coordination/accord.py
@@ -256,11 +256,22 @@
         needed = count_majority(len(self._members))
         return not self._members or len(self._agreed) >= needed
 
+    def _check_refusals(self) -> None:
+        needed = count_majority(len(self._members))
+        if len(self._members) - len(self._refusals) < needed:
+            reasons = sorted(set(self._refusals.values()))
+            raise ConflictError(f'refused: {", ".join(reasons)}')
+
     async def wait(self, timeout: float = ANNOUNCE_TIMEOUT) -> None:
-        """Wait for the majority; raises ``MajorityMissingError``."""
+        """Wait for the majority.
+
+        Raises ``ConflictError`` as soon as too many refused, and
+        ``MajorityMissingError`` if too few answered in time.
+        """
         try:
             async with asyncio.timeout(timeout):
                 while not self.is_reached():
+                    self._check_refusals()
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError as error:
--- a/src/lentilrun/entry/admission.py
+++ b/src/lentilrun/entry/admission.py
@@ -74,7 +74,7 @@
     def _clock(self) -> Clock:
         return self._state.clock
 
-    def check_fresh(self) -> None:
+    async def check_fresh(self) -> None:
         """Raise unless this daemon may act on what it knows."""
         if not self._state.generation():
             raise CallError(
@@ -83,7 +83,7 @@
                 _UNAVAILABLE,
                 retry_after=_STALE_RETRY,
             )
-        if not self._state.is_fresh():
+        if not await self._state.wait_fresh():
             raise CallError(
                 Code.VM_STALE,
                 'this VM can not tell whether it knows the newest state',
@@ -91,10 +91,10 @@
                 retry_after=_STALE_RETRY,
             )
 
-    def identify(self, incoming: Incoming) -> Call:
+    async def identify(self, incoming: Incoming) -> Call:
         """Return the call that a request makes; raises ``CallError``."""
-        self.check_fresh()
         arrived = self._clock.now()
+        await self.check_fresh()
         configuration = self._state.configuration
         routes = configuration.find_routes(incoming.path)
         if not routes:
--- a/src/lentilrun/entry/attempt.py
+++ b/src/lentilrun/entry/attempt.py
@@ -214,7 +214,7 @@
         """
         call = self._call
         # The last check before the effect: a pause may have come between.
-        self._check_fresh()
+        await self._check_fresh()
         try:
             await requests.send(
                 self._parts.client,
@@ -235,11 +235,11 @@
             await self._handle_break('the stream ended early')
         return await self._conclude()
 
-    def _check_fresh(self) -> None:
+    async def _check_fresh(self) -> None:
         state = self._parts.state
         key = self._call.key
-        known = not key or key in state.configuration.keys
-        if state.is_fresh() and known:
+        fresh = await state.wait_fresh()
+        if fresh and (not key or key in state.configuration.keys):
             return
         text = 'this VM lost touch, or the key was withdrawn'
         raise CallError(Code.VM_STALE, text, _UNAVAILABLE, retry_after=1.0)
--- a/src/lentilrun/entry/handlers.py
+++ b/src/lentilrun/entry/handlers.py
@@ -232,7 +232,7 @@
 
     async def work(self) -> None:
         """Serve one call."""
-        call = self.service.identify(self.read_incoming())
+        call = await self.service.identify(self.read_incoming())
         self.identifier = call.identifier
         self.may_cancel = call.route.idempotent
         try:
--- a/src/lentilrun/entry/resumption.py
+++ b/src/lentilrun/entry/resumption.py
@@ -63,7 +63,7 @@
         self, text: str, last: str, incoming: Incoming, reply: Reply
     ) -> None:
         """Relay the events after ``last``; raises ``CallError``."""
-        self._admission.check_fresh()
+        await self._admission.check_fresh()
         token = streams.unseal(self._secrets.stream_key, text)
         if token is None:
             raise self._unknown()
--- a/src/lentilrun/entry/service.py
+++ b/src/lentilrun/entry/service.py
@@ -43,10 +43,10 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
 
-    def identify(self, incoming: Incoming) -> Call:
+    async def identify(self, incoming: Incoming) -> Call:
         """Return the call that a request makes; raises ``CallError``."""
         try:
-            return self._parts.admission.identify(incoming)
+            return await self._parts.admission.identify(incoming)
         except CallError as error:
             self._parts.metrics.add(Count.REFUSALS, error.code)
             raise
--- a/src/lentilrun/fleet/roster.py
+++ b/src/lentilrun/fleet/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import secrets
 from typing import TYPE_CHECKING
 
@@ -18,6 +19,7 @@
     from .state import FleetState
 
 _PAUSE = 0.5
+_RACE_PAUSE = 0.05
 _REMOVAL_SILENCE = 5.0
 _START_GRACE = 6.0
 
@@ -32,6 +34,7 @@
         self._mesh = mesh
         self._agreement = agreement
         self._started = state.clock.now()
+        self._random = random.Random(state.incarnation)
         state.on_roster.append(self.connect)
 
     def connect(self, roster: Roster) -> None:
@@ -50,20 +53,26 @@
     async def run(self) -> None:
         """Join, and remove dead members, for ever."""
         while True:
-            await self._step()
-            await asyncio.sleep(_PAUSE)
+            changed = await self._step()
+            await asyncio.sleep(_PAUSE if changed else self._pick_pause())
 
-    async def _step(self) -> None:
+    def _pick_pause(self) -> float:
+        """Return a short pause, so that racing joins part soon."""
+        return self._random.uniform(_RACE_PAUSE, 4.0 * _RACE_PAUSE)
+
+    async def _step(self) -> bool:
+        """Make one change if one is due; return whether all is well."""
         state = self._state
         if state.leaving or not state.freshness.has_table():
-            return
+            return True
         found = state.roster.find(state.name)
         if found != state.member():
-            await self._change('join', state.roster.add(state.member()))
-            return
+            joined = state.roster.add(state.member())
+            return await self._change('join', joined)
         dead = self._find_dead()
         if dead is not None:
-            await self._change('remove', state.roster.remove(dead))
+            return await self._change('remove', state.roster.remove(dead))
+        return True
 
     def _find_dead(self) -> str | None:
         state = self._state
--- a/src/lentilrun/fleet/state.py
+++ b/src/lentilrun/fleet/state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import secrets
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -33,6 +34,8 @@
 
 CONFIGURATION = 'configuration'
 MEMBERS = 'members'
+_CATCH_UP = 0.5
+_CATCH_UP_PAUSE = 0.01
 _MAX_TEXT = 32 * 1024 * 1024
 
 
@@ -100,6 +103,19 @@
         self.was_fresh = self.was_fresh or fresh
         return fresh
 
+    async def wait_fresh(self) -> bool:
+        """Wait a moment until this daemon caught up; return if it did.
+
+        Whoever hears of a change before it has the change is behind for
+        as long as a message takes.
+        """
+        end = self.clock.now() + _CATCH_UP
+        while not self.is_fresh():
+            if self.clock.now() >= end:
+                return False
+            await asyncio.sleep(_CATCH_UP_PAUSE)
+        return True
+
     def _may_be_removed(self) -> bool:
         for announce in self.topics[MEMBERS].find_pending():
             try:
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -261,7 +261,7 @@
         return msgspec.json.decode(response.body)
 
     async def wait_units(self) -> None:
-        """Wait until all units of all buckets are given out."""
+        """Wait until all VMs joined and all units are given out."""
         async with asyncio.timeout(_START_TIMEOUT):
             while True:
                 dumps = [
@@ -271,7 +271,9 @@
                     sum(d['units'].get(name, 0) for d in dumps)
                     for name in KEYS
                 ]
-                if all(s == 1_000_000 for s in sums):
+                joined = {len(d['status']['members']) for d in dumps}
+                whole = all(s == 1_000_000 for s in sums)
+                if whole and joined == {len(self.vms)}:
                     return
                 await asyncio.sleep(0.1)
 
--- a/tests/e2e/test_leaving.py
+++ b/tests/e2e/test_leaving.py
@@ -53,7 +53,8 @@
         fleet.signal('vm3', signal.SIGSTOP)
         await asyncio.sleep(4.0)
         kept = {'jepara': KEYS['jepara']}
-        await fleet.apply(fleet.declare(keys=kept))
+        applied = await fleet.apply(fleet.declare(keys=kept))
+        assert applied.get('generation') == 2, applied
         waiting = [
             asyncio.create_task(
                 fleet.send(
@@ -69,7 +70,9 @@
         await asyncio.sleep(1.0)
         fleet.signal('vm3', signal.SIGCONT)
         for response in await asyncio.gather(*waiting):
-            error = msgspec.json.decode(response.body)['error']
+            told = msgspec.json.decode(response.body)
+            assert 'error' in told, told
+            error = told['error']
             assert error['ran'] == 'not run'
             assert error['code'] in ('vm_stale', 'key_refused')
         assert await fleet.read_ledger('stock') == []
