Repeat announcements until a majority answered

Cause: a change was announced once. A peer whose connection was still being made never got it, the change was given up after 2 s as without a majority, and the next step of the test waited for a configuration that was never accepted (dump: generation 0 everywhere, all members joined).

Change: whoever did not answer is told again every 0.2 s; handshakes are tried again after 1 s and dead connections given up after 3 s.

Removing the repeat makes test_lost_announcements_are_repeated fail.

--- a/src/lentilrun/coordination/accord.py
+++ b/src/lentilrun/coordination/accord.py
@@ -28,6 +28,7 @@
     from .table import Table
 
 ANNOUNCE_TIMEOUT = 2.0
+_REMIND_PAUSE = 0.2
 _READ_BACK_TRIES = 5
 _READ_BACK_DELAY = 0.2
 _DOUBT_LIMIT = 15.0
@@ -262,8 +263,16 @@
             reasons = sorted(set(self._refusals.values()))
             raise ConflictError(f'refused: {", ".join(reasons)}')
 
-    async def wait(self, timeout: float = ANNOUNCE_TIMEOUT) -> None:
-        """Wait for the majority.
+    def missing(self) -> frozenset[str]:
+        """Return the members that did not answer yet."""
+        return self._members - self._agreed - self._refusals.keys()
+
+    async def wait(
+        self,
+        remind: Callable[[frozenset[str]], None],
+        timeout: float = ANNOUNCE_TIMEOUT,
+    ) -> None:
+        """Wait for the majority; ``remind`` tells those missing again.
 
         Raises ``ConflictError`` as soon as too many refused, and
         ``MajorityMissingError`` if too few answered in time.
@@ -272,13 +281,22 @@
             async with asyncio.timeout(timeout):
                 while not self.is_reached():
                     self._check_refusals()
-                    self._changed.clear()
-                    await self._changed.wait()
+                    await self._wait_change(remind)
         except TimeoutError as error:
-            missing = sorted(self._members - self._agreed)
+            missing = sorted(self.missing())
             text = f'no majority: {", ".join(missing)} did not agree'
             raise MajorityMissingError(text) from error
 
+    async def _wait_change(
+        self, remind: Callable[[frozenset[str]], None]
+    ) -> None:
+        self._changed.clear()
+        try:
+            async with asyncio.timeout(_REMIND_PAUSE):
+                await self._changed.wait()
+        except TimeoutError:
+            remind(self.missing())
+
 
 __all__ = [
     'Acknowledge',
--- a/src/lentilrun/fleet/agreement.py
+++ b/src/lentilrun/fleet/agreement.py
@@ -52,7 +52,7 @@
         quorum.take(self._state.name, Acknowledge(topic.name, operation, ''))
         try:
             self._mesh.broadcast(announce)
-            await quorum.wait()
+            await quorum.wait(lambda names: self._remind(names, announce))
             value = await topic.commit(operation, announce.value)
         except OutcomeUnknownError:
             raise
@@ -66,6 +66,10 @@
         self._mesh.broadcast(Commit(topic.name, value))
         return value
 
+    def _remind(self, names: frozenset[str], announce: Announce) -> None:
+        for name in names:
+            self._mesh.send(name, announce)
+
     async def confirm(
         self, topic: str, generation: int, timeout: float
     ) -> tuple[str, ...]:
--- a/src/lentilrun/peers/mesh.py
+++ b/src/lentilrun/peers/mesh.py
@@ -25,6 +25,9 @@
 
 _QUEUED = 1000
 _RECONNECT_MS = 100
+_HANDSHAKE_MS = 1000
+_HEARTBEAT_MS = 1000
+_HEARTBEAT_TIMEOUT_MS = 3000
 
 
 class _FleetOnly:
@@ -77,6 +80,11 @@
         else:
             socket.curve_serverkey = self._secrets.curve_public
         socket.linger = 0
+        # A handshake that was lost is tried again soon, and a connection
+        # whose far end is gone without a word is given up.
+        socket.handshake_ivl = _HANDSHAKE_MS
+        socket.heartbeat_ivl = _HEARTBEAT_MS
+        socket.heartbeat_timeout = _HEARTBEAT_TIMEOUT_MS
         socket.sndhwm = _QUEUED
         socket.rcvhwm = _QUEUED
         socket.maxmsgsize = codec.MAX_BYTES
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -252,7 +252,9 @@
         """Apply an operators' file; return the daemon's answer."""
         address = self.vms[vm].operators
         response = await self.send(address, 'POST', '/apply', text.encode())
-        return msgspec.json.decode(response.body)
+        told = msgspec.json.decode(response.body)
+        assert 'generation' in told, told
+        return told
 
     async def query(self, name: str, vm: int = 0) -> Any:
         """Return a report of a daemon."""
@@ -262,11 +264,19 @@
 
     async def wait_units(self) -> None:
         """Wait until all VMs joined and all units are given out."""
+        dumps: list[Any] = []
+        try:
+            await self._wait_whole(dumps)
+        except TimeoutError as error:
+            raise AssertionError(dumps[-len(self.vms) :]) from error
+
+    async def _wait_whole(self, seen: list[Any]) -> None:
         async with asyncio.timeout(_START_TIMEOUT):
             while True:
                 dumps = [
                     await self.query('dump', i) for i in range(len(self.vms))
                 ]
+                seen.extend(dumps)
                 sums = [
                     sum(d['units'].get(name, 0) for d in dumps)
                     for name in KEYS
--- a/tests/fleet/fleets.py
+++ b/tests/fleet/fleets.py
@@ -31,16 +31,21 @@
         self.network = Network(seed)
         self.shared = MemoryTable()
         self.names = [f'vm{i}' for i in range(1, count + 1)]
-        self.members = {n: self._make(n) for n in self.names}
+        self.members: dict[str, Member] = {}
+        for name in self.names:
+            self.start(name)
 
-    def _make(self, name: str) -> Member:
+    def start(self, name: str) -> None:
+        """Start a member."""
         settings = make_settings(name, self.names)
-        return Member(self.loop, self.network, self.shared, settings)
+        self.members[name] = Member(
+            self.loop, self.network, self.shared, settings
+        )
 
     def restart(self, name: str) -> None:
         """Kill a member and start it anew, with nothing kept."""
         self.members[name].kill()
-        self.members[name] = self._make(name)
+        self.start(name)
 
     def set_table(self, down: bool, names: list[str] | None = None) -> None:
         """Put the table out of, or into, the reach of members."""
--- a/tests/fleet/test_agreement.py
+++ b/tests/fleet/test_agreement.py
@@ -48,6 +48,21 @@
     timeloop.run(main)
 
 
+def test_lost_announcements_are_repeated() -> None:
+    """Half of all messages are lost; a change is still made."""
+
+    async def main(loop: TimeLoop) -> None:
+        fleet = Fleet(loop, 6)
+        await fleet.settle()
+        fleet.network.lost = 0.5
+        for generation in range(1, 11):
+            assert await fleet.apply(declare()) == generation
+        await fleet.settle(_IN_FORCE)
+        assert fleet.generations() == [10] * 6
+
+    timeloop.run(main)
+
+
 @pytest.mark.parametrize('seed', range(8))
 def test_racing_operators_end_in_one_conflict(seed: int) -> None:
     """Of two changes of one generation exactly one is accepted."""
