Share capacity, prefixes and moves without trusting lagging reports

Placement: VMs that know of no holder chose any target, so six VMs put the same prefix on six targets. 2. Overload: all VMs saw a freed place at once, filled one target up to 36 calls for 4 slots and left others idle. 3. Moves: the share of a new version ran ahead of the targets that had loaded it; they were overloaded and looked slow.

Change: a prefix's first and second place on the ring are guessed to hold 0.8 and 0.4 of it; each VM may hold 1.5 x slots / VMs calls at a target whatever reports say, and more only where others leave room; a call that its workspace can't reach within 0.7 of its deadline is refused at once; a loading version's share is at most its part of the targets.

--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,348 @@
+"""Where to send: this router's choice against baselines and an oracle.
+
+Run ``python -m benchmarks.placement``. Seeded, on modelled time: small
+targets with a prefix cache in limited memory, several VMs that each see
+lagging reports, nested prompts whose hot prefixes shift.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from lentilrun.config.configuration import Configuration
+from lentilrun.config.configuration import Kind
+from lentilrun.config.configuration import Model
+from lentilrun.config.configuration import Policy
+from lentilrun.config.configuration import Target
+from lentilrun.config.ini import Address
+from lentilrun.routing.choice import Chooser
+from lentilrun.routing.choice import Wish
+from lentilrun.routing.placements import Holder
+from lentilrun.routing.placements import Placements
+from lentilrun.routing.pool import Pool
+from lentilrun.routing import prefix
+from lentilrun.standins.engine import Cache
+from lentilrun.standins import timeloop
+from lentilrun.targets.loads import Load
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lentilrun.standins.timeloop import TimeLoop
+
+_BLOCK_TOKENS = 2048
+_BLOCK_BYTES = 64
+_PREFILL = 40_000.0
+_SLOTS = 16
+_CAPACITY = 60
+_STEP = 0.004
+_REPORT_LAG = 0.5
+_SHIFT = 20.0
+_ANY_PART = 1e6
+_VMS = 6
+_PART = 1.5 * _SLOTS / _VMS
+_HOLDER = Holder('i', 'v1')
+HIT_AIM = 0.9
+
+
+class Mix(NamedTuple):
+    """A partner's traffic; lengths in blocks, ``chat`` a share."""
+
+    name: str
+    workspaces: int
+    documents: int
+    chat: float
+    depth: int
+    policy: Policy
+
+
+MIXES = (
+    Mix('kulit', 5, 12, 0.4, 6, Policy(1.0, 2.0)),
+    Mix('kuiseb', 5, 20, 0.7, 4, Policy(2.0, 1.0)),
+)
+
+
+class Outcome(NamedTuple):
+    """What a policy came to; times in seconds."""
+
+    policy: str
+    hit_rate: float
+    recomputed: int
+    first_p50: float
+    first_p99: float
+
+
+class _Engine:
+    """A target: slots, one computation of prompts at a time, a cache."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.cache = Cache(_CAPACITY)
+        self.running = 0
+        self.backlog = 0.0
+        self._slots = asyncio.Semaphore(_SLOTS)
+        self._compute = asyncio.Lock()
+
+    async def run(
+        self, chain: tuple[int, ...], tokens: int, output: int
+    ) -> int:
+        """Run to the first token; return the tokens found cached."""
+        self.running += 1
+        # What is still to compute is known to the oracle only.
+        expected = tokens / _PREFILL
+        self.backlog += expected
+        await self._slots.acquire()
+        async with self._compute:
+            cached = min(tokens, self.cache.match(chain) * _BLOCK_TOKENS)
+            await asyncio.sleep((tokens - cached) / _PREFILL)
+            self.cache.store(chain)
+            self.backlog -= expected
+        loop = asyncio.get_running_loop()
+        loop.call_later(output * _STEP, self._leave)
+        return cached
+
+    def _leave(self) -> None:
+        self.running -= 1
+        self._slots.release()
+
+
+class _Prompts:
+    """Nested prompts: a workspace, a document of it, a question."""
+
+    def __init__(self, mix: Mix, seed: int) -> None:
+        self._mix = mix
+        self._random = random.Random(seed)
+
+    def make(self, now: float) -> tuple[bytes, int, int]:
+        """Return a prompt's text, its tokens and those of its output."""
+        mix = self._mix
+        workspace = self._random.randrange(mix.workspaces)
+        # A few documents are hot, and which ones shifts.
+        rank = int(self._random.paretovariate(1.1)) - 1
+        shift = int(now / _SHIFT)
+        document = (rank + 3 * shift) % mix.documents
+        parts = [f'workspace {workspace}'.ljust(_BLOCK_BYTES)]
+        if self._random.random() < mix.chat:
+            output = self._random.randint(20, 60)
+            depth = 1
+        else:
+            output = 1
+            depth = mix.depth
+        parts += [
+            f'{workspace} document {document} {i}'.ljust(_BLOCK_BYTES)
+            for i in range(depth)
+        ]
+        text = ''.join(parts)
+        return text.encode(), (depth + 1) * _BLOCK_TOKENS + 100, output
+
+
+class _Vm:
+    """One VM's own view of the targets, as a daemon holds it."""
+
+    def __init__(
+        self, loop: TimeLoop, engines: list[_Engine], mix: Mix, seed: int
+    ) -> None:
+        self._loop = loop
+        self._engines = {e.name: e for e in engines}
+        self.mix = mix
+        self.model = Model(
+            'm', Kind.MODEL, 'v1', _BLOCK_BYTES, _BLOCK_BYTES / _BLOCK_TOKENS,
+            _PREFILL, _SLOTS,
+        )  # fmt: skip
+        address = Address('127.0.0.1', 1)
+        targets = {
+            e.name: Target(e.name, 'm', address, None, 'v1', False)
+            for e in engines
+        }
+        self.pool = Pool(loop)
+        self.pool.configure(
+            Configuration(
+                {}, {}, {'m': self.model}, targets, (), {}, mix.policy
+            )
+        )
+        self.placements = Placements(100_000)
+        self.chooser = Chooser(self.pool, self.placements, seed)
+        self.random = random.Random(seed)
+        self.turn = seed
+        for name in targets:
+            self.placements.set_current(name, _HOLDER)
+
+    async def report(self) -> None:
+        """Take the targets' reports, with a lag."""
+        while True:
+            own = {n: s.own for n, s in self.pool.targets.items()}
+            seen = {n: e.running for n, e in self._engines.items()}
+            await asyncio.sleep(_REPORT_LAG)
+            for name, running in seen.items():
+                load = Load('i', 'v1', running, 0, False, False)
+                self.pool.report(name, load, own[name])
+
+
+def _choose_router(
+    vm: _Vm, engines: list[_Engine], chain: tuple[int, ...], tokens: int
+) -> str:
+    wish = Wish(vm.model, chain, tokens, frozenset())
+    group = vm.pool.groups('m')['v1']
+    choice = vm.chooser.choose(wish, group, vm.mix.policy, _PART)
+    if choice is None:
+        choice = vm.chooser.choose(wish, group, vm.mix.policy, _ANY_PART)
+    assert choice is not None
+    return choice.target.target.name
+
+
+def _choose_round_robin(
+    vm: _Vm, engines: list[_Engine], chain: tuple[int, ...], tokens: int
+) -> str:
+    vm.turn += 1
+    return engines[vm.turn % len(engines)].name
+
+
+def _choose_least(
+    vm: _Vm, engines: list[_Engine], chain: tuple[int, ...], tokens: int
+) -> str:
+    least = min(s.load() for s in vm.pool.targets.values())
+    names = [n for n, s in vm.pool.targets.items() if s.load() == least]
+    return vm.random.choice(names)
+
+
+def _choose_rendezvous(
+    vm: _Vm, engines: list[_Engine], chain: tuple[int, ...], tokens: int
+) -> str:
+    group = vm.pool.groups('m')['v1']
+    return group.find(chain[-1], 1)[0]
+
+
+def _choose_oracle(
+    vm: _Vm, engines: list[_Engine], chain: tuple[int, ...], tokens: int
+) -> str:
+    """Sees every cache and every backlog as it is now."""
+
+    def cost(engine: _Engine) -> float:
+        cached = min(tokens, engine.cache.match(chain) * _BLOCK_TOKENS)
+        recompute = (tokens - cached) / _PREFILL
+        queued = max(0, engine.running - _SLOTS + 1) * 0.01
+        policy = vm.mix.policy
+        wait = engine.backlog * 0.3 + queued
+        return policy.wait_weight * wait + policy.recompute_weight * recompute
+
+    return min(engines, key=cost).name
+
+
+POLICIES: dict[str, Callable[..., str]] = {
+    'round robin': _choose_round_robin,
+    'least in flight': _choose_least,
+    'rendezvous alone': _choose_rendezvous,
+    'lentilrun': _choose_router,
+    'oracle': _choose_oracle,
+}
+
+
+class _Run:
+    """One run of one policy."""
+
+    def __init__(self, loop: TimeLoop, mix: Mix, targets: int) -> None:
+        self.loop = loop
+        self.engines = [_Engine(f't{i}') for i in range(targets)]
+        self.by_name = {e.name: e for e in self.engines}
+        self.vms = [_Vm(loop, self.engines, mix, i) for i in range(_VMS)]
+        self.first: list[float] = []
+        self.cached = 0
+        self.prompt = 0
+
+    async def serve(
+        self, vm: _Vm, policy: str, prompt: tuple[bytes, int, int]
+    ) -> None:
+        """Serve one request and learn from its answer."""
+        text, tokens, output = prompt
+        chain = prefix.chain(text, 's', _BLOCK_BYTES)
+        name = POLICIES[policy](vm, self.engines, chain, tokens)
+        state = vm.pool.targets[name]
+        state.own += 1
+        state.prefilling += tokens
+        started = self.loop.time()
+        cached = await self.by_name[name].run(chain, tokens, output)
+        self.first.append(self.loop.time() - started)
+        state.prefilling -= tokens
+        self.cached += cached
+        self.prompt += tokens
+        for block in chain:
+            vm.placements.add(block, name, _HOLDER)
+        await asyncio.sleep(output * _STEP)
+        vm.pool.note_service('m', self.loop.time() - started)
+        state.own -= 1
+        state.own_reported = min(state.own_reported, state.own)
+
+
+def measure(
+    policy: str, mix: Mix, targets: int, rate: float, seconds: float, seed: int
+) -> Outcome:
+    """Run a policy; ``rate`` is requests a second for each target."""
+
+    async def main(loop: TimeLoop) -> Outcome:
+        run = _Run(loop, mix, targets)
+        tasks = [asyncio.ensure_future(vm.report()) for vm in run.vms]
+        prompts = _Prompts(mix, seed)
+        arrivals = random.Random(seed)
+        end = loop.time() + seconds
+        sent = []
+        while loop.time() < end:
+            await asyncio.sleep(arrivals.expovariate(rate * targets))
+            vm = arrivals.choice(run.vms)
+            prompt = prompts.make(loop.time() - 1000.0)
+            sent.append(asyncio.ensure_future(run.serve(vm, policy, prompt)))
+        await asyncio.wait(sent)
+        for task in tasks:
+            task.cancel()
+        ordered = sorted(run.first)
+        return Outcome(
+            policy,
+            run.cached / run.prompt,
+            run.prompt - run.cached,
+            ordered[len(ordered) // 2],
+            ordered[int(len(ordered) * 0.99)],
+        )
+
+    return timeloop.run(main)
+
+
+def find_misses(outcomes: list[Outcome]) -> list[str]:
+    """Return which aims the router misses against the baselines."""
+    found = {o.policy: o for o in outcomes}
+    own = found['lentilrun']
+    misses = []
+    if own.hit_rate < HIT_AIM * found['oracle'].hit_rate:
+        misses.append('hit rate below 90% of the oracle')
+    if own.first_p99 > found['least in flight'].first_p99:
+        misses.append('first token p99 above least in flight')
+    return misses
+
+
+def main() -> None:
+    """Print the table of all policies; exit with 1 on a missed aim."""
+    missed = False
+    for mix in MIXES:
+        for targets, rate in ((9, 3.0), (9, 7.0), (48, 3.0)):
+            sys.stdout.write(
+                f'{mix.name}, {targets} targets, {rate} requests/s each\n'
+            )
+            outcomes = [
+                measure(p, mix, targets, rate, 60.0, 1) for p in POLICIES
+            ]
+            for o in outcomes:
+                sys.stdout.write(
+                    f'  {o.policy:17} hit {o.hit_rate:.3f}, recomputed '
+                    f'{o.recomputed / 1e6:6.2f}M, first token p50 '
+                    f'{o.first_p50:.3f} s, p99 {o.first_p99:.3f} s\n'
+                )
+            for miss in find_misses(outcomes):
+                missed = True
+                sys.stdout.write(f'  MISSED: {miss}\n')
+    sys.exit(1 if missed else 0)
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -182,9 +182,7 @@
         policy = Policy(1.0, 1.0)
         decisions.append(
             time_each(
-                lambda c=chooser, w=wish, g=group: c.choose(
-                    w, g, policy, True
-                ),
+                lambda c=chooser, w=wish, g=group: c.choose(w, g, policy, 1.5),
                 2000,
             )
         )
--- a/src/lentilrun/daemon/node.py
+++ b/src/lentilrun/daemon/node.py
@@ -114,6 +114,7 @@
             self.pool,
             self.moves,
             self.book,
+            time.time,
         )
 
     def _build_entry(self) -> None:
--- a/src/lentilrun/entry/scheduler.py
+++ b/src/lentilrun/entry/scheduler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from ..errors import CallError
@@ -15,6 +16,8 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from ..config.configuration import Model
+    from ..coordination.clock import Clock
     from ..fleet.state import FleetState
     from ..metrics.registry import Metrics
     from ..moves.progress import Moves
@@ -28,7 +31,11 @@
 _UNAVAILABLE = 503
 _OVERLOAD_RETRY = 1.0
 _MAX_WAITING = 4000
-_SLACK_TOKENS = 50_000.0
+_FILL = 1.5
+_SLACK = 5.0
+_RATE_MEMORY = 5.0
+# The share of a deadline that a call may be expected to wait.
+_PATIENCE = 0.7
 _NO_TARGET_WAIT = 2.0
 
 
@@ -80,6 +87,31 @@
         self._scheduler.pump(self._model)
 
 
+class Throughput:
+    """The tokens a second that were given out lately."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._began = clock.now()
+        self._rate = 0.0
+
+    def note(self, tokens: float) -> None:
+        """Count tokens that are given out now."""
+        self._decay()
+        self._rate += tokens / _RATE_MEMORY
+
+    def _decay(self) -> None:
+        now = self._clock.now()
+        kept = math.exp((self._began - now) / _RATE_MEMORY)
+        self._rate *= kept
+        self._began = now
+
+    def get(self) -> float:
+        """Return the rate in tokens a second."""
+        self._decay()
+        return self._rate
+
+
 class FairClock:
     """Tokens served by workspace and weight, as virtual time."""
 
@@ -103,6 +135,11 @@
             del self._served[workspace]
 
 
+def _weigh(call: Call) -> float:
+    """Return the tokens that a call is expected to take."""
+    return call.tokens + call.limit if call.text else call.charge
+
+
 class Scheduler:
     """Gives targets to calls; those that find no room wait their turn."""
 
@@ -121,6 +158,7 @@
         self._metrics = metrics
         self._waiting: dict[str, list[_Waiter]] = {}
         self._fair = FairClock()
+        self._throughput = Throughput(state.clock)
 
     def count_waiting(self) -> int:
         """Return how many calls wait."""
@@ -143,6 +181,10 @@
         now = self._state.clock.now()
         waiter = _Waiter(call, avoid, loop.create_future(), now)
         waiting = self._waiting.setdefault(call.model.name, [])
+        if self._expect_wait(call, waiting) > _PATIENCE * (
+            call.deadline - now
+        ):
+            raise self._overloaded()
         waiting.append(waiter)
         if self.count_waiting() > _MAX_WAITING:
             self._shed(waiting)
@@ -165,6 +207,20 @@
             if waiter in waiting:
                 waiting.remove(waiter)
 
+    def _expect_wait(self, call: Call, waiting: list[_Waiter]) -> float:
+        """Return how long a call's workspace takes to get to it."""
+        rate = self._throughput.get()
+        ahead = sum(
+            _weigh(w.call)
+            for w in waiting
+            if w.call.workspace == call.workspace
+            and w.call.route.priority <= call.route.priority
+        )
+        if not rate or not ahead:
+            return 0.0
+        workspaces = {w.call.workspace for w in waiting}
+        return ahead * len(workspaces) / rate
+
     def _give_back(self, waiter: _Waiter) -> None:
         ready = waiter.ready
         if ready.done() and not ready.cancelled() and not ready.exception():
@@ -190,17 +246,20 @@
             retry_after=_OVERLOAD_RETRY,
         )
 
-    def _key(self, waiter: _Waiter, least: float) -> tuple[float, ...]:
+    def _key(
+        self, waiter: _Waiter, least: float, slack: float
+    ) -> tuple[float, ...]:
         """Return the sort key: urgent calls first, within fair shares."""
         served = self._fair.get(waiter.call.workspace)
-        beyond = served - least > _SLACK_TOKENS
+        beyond = served - least > slack
         urgency = waiter.call.route.priority
         return (float(beyond), float(urgency), served, waiter.since)
 
     def _sort(self, waiting: list[_Waiter]) -> None:
         least = min(self._fair.get(w.call.workspace) for w in waiting)
         self._fair.raise_floor(least)
-        waiting.sort(key=lambda w: self._key(w, least))
+        slack = _SLACK * self._throughput.get()
+        waiting.sort(key=lambda w: self._key(w, least, slack))
 
     def _shed(self, waiting: list[_Waiter]) -> None:
         self._sort(waiting)
@@ -234,8 +293,9 @@
     def _take(self, call: Call, choice: Choice) -> Place:
         workspace = self._state.configuration.workspaces.get(call.workspace)
         weight = workspace.weight if workspace is not None else 1.0
-        tokens = call.tokens + call.limit if call.text else call.charge
+        tokens = _weigh(call)
         self._fair.charge(call.workspace, tokens, weight)
+        self._throughput.note(tokens)
         return Place(self, call, choice)
 
     def _try(self, call: Call, avoid: frozenset[str]) -> Choice | None:
@@ -266,6 +326,16 @@
             best = self._choose_in(call, split.new, avoid)
         return best
 
+    def _find_part(self, model: Model) -> float:
+        """Return the calls that this VM may hold at each target.
+
+        All VMs see a free place at once, and a report of it lags. Their
+        parts need no report: together they keep each target busy, with
+        a few calls that wait there.
+        """
+        vms = max(1, len(self._state.roster.members))
+        return model.slots * _FILL / vms
+
     def _choose_in(
         self, call: Call, group: Group, avoid: frozenset[str]
     ) -> Choice | None:
@@ -274,7 +344,8 @@
         chain = prefix.chain(call.text, salt, call.model.block_bytes)
         wish = Wish(call.model, chain, call.tokens, avoid)
         policy = self._state.configuration.policy
-        return self._chooser.choose(wish, group, policy, True)
+        part = self._find_part(call.model)
+        return self._chooser.choose(wish, group, policy, part)
 
 
 __all__ = ['FairClock', 'Place', 'Scheduler']
--- a/src/lentilrun/moves/driver.py
+++ b/src/lentilrun/moves/driver.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import secrets
-import time
 from typing import TYPE_CHECKING
 
 from absl import logging
@@ -25,6 +24,8 @@
 from .progress import Stage
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..config.configuration import Move
     from ..coordination.table import Row
     from ..coordination.table import Table
@@ -61,7 +62,9 @@
         pool: Pool,
         moves: Moves,
         book: TallyBook,
+        read_time: Callable[[], float],
     ) -> None:
+        """Drive moves by ``read_time``, in seconds since 1970."""
         self._state = state
         self._mesh = mesh
         self._table = table
@@ -69,6 +72,7 @@
         self._pool = pool
         self._moves = moves
         self._book = book
+        self._read_time = read_time
         holder = f'{state.name}/{secrets.token_hex(4)}'
         self._lease = Lease(table, state.clock, 'moves', holder)
         self._rows: dict[str, Row] = {}
@@ -157,7 +161,7 @@
             await self._write(move, found, Stage.TAKEN_BACK, 0.0, reason)
 
     def _begin(self, move: Move) -> Progress:
-        now = time.time()
+        now = self._read_time()
         return Progress(
             move.name,
             move.model,
@@ -178,7 +182,7 @@
         reason: str = '',
     ) -> None:
         wanted = progress._replace(
-            stage=stage, share=share, reason=reason, since=time.time()
+            stage=stage, share=share, reason=reason, since=self._read_time()
         )
         key = make_key(move)
         row = self._rows.get(key)
@@ -229,7 +233,7 @@
 
     def _is_proved(self, move: Move, progress: Progress) -> bool:
         """Return whether a stage was long enough, given the time left."""
-        now = time.time()
+        now = self._read_time()
         spent = now - progress.since
         planned = max(0.0, move.by - progress.began) / _STEP_PARTS
         longest = min(max(planned, _LEAST_STEP), _LONGEST_STEP)
--- a/src/lentilrun/moves/progress.py
+++ b/src/lentilrun/moves/progress.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..config.configuration import Kind
 from ..errors import PlatformError
 from ..routing.pool import Group
 
@@ -82,6 +83,8 @@
 
     def __init__(self) -> None:
         self._moves: dict[str, Move] = {}
+        # Models whose versions are loaded by order, target by target.
+        self._loaded: frozenset[str] = frozenset()
         self._progress: dict[tuple[str, str], Progress] = {}
         self._banned: dict[tuple[str, str], str] = {}
         self._credit: dict[tuple[str, str], float] = {}
@@ -89,6 +92,11 @@
     def configure(self, configuration: Configuration) -> None:
         """Take the moves of a configuration."""
         self._moves = {m.model: m for m in configuration.moves.values()}
+        self._loaded = frozenset(
+            m.name
+            for m in configuration.models.values()
+            if m.kind is Kind.MODEL
+        )
 
     def set_progress(self, found: list[Progress]) -> None:
         """Take what the table says; a version once banned stays so."""
@@ -136,6 +144,11 @@
         new = usable.pop(move.version, None)
         progress = self.progress(move)
         share = progress.share if progress is not None else move.share
+        if new is not None and model in self._loaded:
+            # Targets still load the version: its share must not outrun
+            # them, or it looks slow for want of targets alone.
+            total = len(new.names) + sum(len(g.names) for g in usable.values())
+            share = min(share, len(new.names) / total)
         return Split(tuple(usable.values()), new, share)
 
     def take_turn(self, model: str, route: str, split: Split) -> bool:
--- a/src/lentilrun/routing/choice.py
+++ b/src/lentilrun/routing/choice.py
@@ -15,7 +15,8 @@
     from .pool import TargetState
 
 _HOLDERS = 4
-_RING_TARGETS = 2
+# The share of a prefix that its first, second place is guessed to hold.
+_RING_PRIORS = (0.8, 0.4)
 _SAMPLES = 2
 _FALL_BACK_SAMPLES = 16
 # A batch slows down as it fills: the share of a request's time added by
@@ -50,53 +51,57 @@
         self._placements = placements
         self._random = random.Random(seed)
 
-    def _candidates(self, wish: Wish, group: Group) -> dict[str, int]:
-        found = self._placements.match(wish.chain, _HOLDERS)
+    def _candidates(self, wish: Wish, group: Group) -> dict[str, float]:
+        """Return a few targets with the blocks they are thought to hold."""
+        known = self._placements.match(wish.chain, _HOLDERS)
+        found: dict[str, float] = dict(known)
         if wish.chain:
-            # The first block spreads over targets by the levels below it.
-            for block in (wish.chain[0], wish.chain[-1]):
-                for name in group.find(block, _RING_TARGETS):
-                    found.setdefault(name, 0)
+            # Other VMs, too, send a prefix that nobody is known to hold
+            # to its place on the ring, so that place may well hold it.
+            places = group.find(wish.chain[-1], len(_RING_PRIORS))
+            for name, prior in zip(places, _RING_PRIORS, strict=False):
+                guess = prior * len(wish.chain)
+                found[name] = max(guess, found.get(name, 0.0))
         count = min(_SAMPLES, len(group.names))
         for name in self._random.sample(group.names, count):
             found.setdefault(name, 0)
         return found
 
     def choose(
-        self, wish: Wish, group: Group, policy: Policy, bounded: bool
+        self, wish: Wish, group: Group, policy: Policy, part: float
     ) -> Choice | None:
         """Return the cheapest of a few targets of a group.
 
-        With ``bounded`` a target with no room is passed over, and
-        nothing is returned if none of the group has any.
+        A target without room above this daemon's ``part`` of its slots
+        is passed over; nothing is returned if no other is found.
         """
         best: Choice | None = None
         for name, depth in self._candidates(wish, group).items():
             if name not in group.members or name in wish.avoid:
                 continue
             choice = self._weigh(wish, name, depth, policy)
-            if bounded and choice.target.room() <= 0:
+            if choice.target.room(part) <= 0:
                 continue
             if best is None or choice.cost < best.cost:
                 best = choice
         if best is None:
-            best = self._fall_back(wish, group, policy, bounded)
+            best = self._fall_back(wish, group, policy, part)
         return best
 
     def _fall_back(
-        self, wish: Wish, group: Group, policy: Policy, bounded: bool
+        self, wish: Wish, group: Group, policy: Policy, part: float
     ) -> Choice | None:
         count = min(_FALL_BACK_SAMPLES, len(group.names))
         for name in self._random.sample(group.names, count):
             if name in wish.avoid:
                 continue
             choice = self._weigh(wish, name, 0, policy)
-            if not bounded or choice.target.room() > 0:
+            if choice.target.room(part) > 0:
                 return choice
         return None
 
     def _weigh(
-        self, wish: Wish, name: str, depth: int, policy: Policy
+        self, wish: Wish, name: str, depth: float, policy: Policy
     ) -> Choice:
         state = self._pool.targets[name]
         model = wish.model
--- a/src/lentilrun/routing/pool.py
+++ b/src/lentilrun/routing/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from .ring import Ring
@@ -20,6 +21,7 @@
 _BLOCK_MAX = 4.0
 _SERVICE_MEMORY = 0.05
 _STALLED = 2
+_OTHERS_MEMORY = 0.3
 
 
 @dataclasses.dataclass
@@ -27,9 +29,9 @@
     """A target as this daemon sees it.
 
     ``own`` counts this daemon's running requests, ``own_reported`` those
-    that the last report already held; ``prefilling`` is in tokens, times
-    in seconds of the clock. ``watchers`` are called when it is found to
-    be stalled.
+    that the last report already held, ``others_mean`` those of others;
+    ``prefilling`` is in tokens, times in seconds of the clock.
+    ``watchers`` are called when it is found to be stalled.
     """
 
     target: Target
@@ -39,6 +41,7 @@
     reported: int = 0
     own: int = 0
     own_reported: int = 0
+    others_mean: float = 0.0
     prefilling: float = 0.0
     suspects: int = 0
     leaving: bool = False
@@ -50,11 +53,27 @@
     def load(self) -> int:
         """Return the estimated number of requests at the target."""
         others = max(0, self.reported - self.own_reported)
-        return others + self.own
+        return round(max(others, self.others_mean)) + self.own
 
-    def room(self) -> int:
-        """Return how many more requests it should be given now."""
-        return self.model.slots - self.load()
+    def take_report(self, reported: int, own_before: int) -> None:
+        """Take a report of the requests that it ran a moment ago.
+
+        All VMs see a free target at once. What others held there over
+        the last reports tells how many of its places they will take.
+        """
+        self.reported = reported
+        self.own_reported = min(self.own, own_before)
+        others = max(0, reported - own_before)
+        self.others_mean += _OTHERS_MEMORY * (others - self.others_mean)
+
+    def room(self, part: float) -> int:
+        """Return how many more requests it should be given now.
+
+        ``part`` is how many this daemon may hold there whatever others
+        do; above it, only places that others seem to leave free count.
+        """
+        free = self.model.slots - self.load()
+        return max(math.ceil(part) - self.own, free)
 
 
 class Group:
@@ -148,8 +167,7 @@
         state = self.targets.get(name)
         if state is None:
             return
-        state.reported = load.running + load.waiting
-        state.own_reported = min(state.own, own_before)
+        state.take_report(load.running + load.waiting, own_before)
         before = self._traits(state)
         state.incarnation = load.incarnation or state.incarnation
         state.version = load.version or state.version
--- a/src/lentilrun/standins/members.py
+++ b/src/lentilrun/standins/members.py
@@ -133,9 +133,11 @@
         )
         self.membership = Membership(self.state, mesh, self.agreement)
         self._tasks: set[asyncio.Task[Any]] = set()
+        self.attach(None)
         self._start()
 
-    def _start(self) -> None:
+    def attach(self, driver: Any) -> None:
+        """Take messages, those about moves with ``driver``."""
         nobody: Any = None
         inbox = Inbox(
             Parts(
@@ -143,12 +145,14 @@
                 self.beats,
                 self.lending,
                 self.surveys,
-                nobody,
+                driver,
                 nobody,
                 self.metrics,
             )
         )
         self._network.attach(self.name, inbox.receive, self.gate)
+
+    def _start(self) -> None:
         self.membership.connect(self.state.roster)
         poll = TablePoll(self.state, self.metrics)
         self.run(self.beats.run())
--- /dev/null
+++ b/tests/entry/test_tokens.py
@@ -0,0 +1,102 @@
+"""Stream tokens, keys and peer messages against arbitrary input."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from lentilrun.config.findings import InvalidFileError
+from lentilrun.config import settings as settings_file
+from lentilrun.entry import credentials
+from lentilrun.entry.relay import StreamState
+from lentilrun.entry import streams
+from lentilrun.peers import codec
+from lentilrun.routing import prefix
+import pytest
+from tornado.httputil import HTTPHeaders
+
+_SECRET = b'secret'
+_TOKEN = streams.StreamToken('a', 't', 'i', 'w', 'r')
+_SETTINGS = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+def test_a_token_is_authentic() -> None:
+    """Only whoever has the secret makes a token."""
+    sealed = streams.seal(_SECRET, _TOKEN)
+    assert streams.unseal(_SECRET, sealed) == _TOKEN
+    assert streams.unseal(b'other', sealed) is None
+
+
+@_SETTINGS
+@given(st.text())
+def test_any_text_is_no_token(text: str) -> None:
+    """Text that nobody sealed is no token, and no traceback."""
+    assert streams.unseal(_SECRET, text) is None
+
+
+@_SETTINGS
+@given(st.binary(max_size=300))
+def test_any_bytes_are_no_message(data: bytes) -> None:
+    """Bytes of no daemon are a coded error."""
+    with pytest.raises(codec.BadMessageError):
+        codec.decode(data)
+
+
+@_SETTINGS
+@given(st.one_of(st.binary(max_size=300), st.text().map(str.encode)))
+def test_any_body_is_read_or_refused(data: bytes) -> None:
+    """A body is a model request, or a ``ValueError``."""
+    try:
+        prefix.parse_request(data)
+    except ValueError:
+        pass
+
+
+@_SETTINGS
+@given(st.text(max_size=300))
+def test_any_settings_are_read_or_have_findings(text: str) -> None:
+    """Settings are whole, or findings say what is wrong."""
+    with pytest.raises(InvalidFileError):
+        settings_file.parse(text, 'f')
+
+
+@_SETTINGS
+@given(
+    st.text('abcdef0123456789', min_size=8, max_size=20),
+    st.sampled_from(['Authorization', 'X-Api-Key', 'X-Any', 'Cookie']),
+    st.booleans(),
+)
+def test_a_key_is_stripped(key: str, header: str, in_query: bool) -> None:
+    """Wherever a key stands, the target's headers and path lack it."""
+    headers = HTTPHeaders({header: f'Bearer {key}'})
+    query = f'key={key}&other=1&also={key}' if in_query else 'other=1'
+    stripped = credentials.strip('/p', query, headers, key)
+    assert key not in stripped.path
+    assert all(key not in v for v in stripped.headers.values())
+    assert 'other=1' in stripped.path
+
+
+def _event(number: int) -> bytes:
+    return b'id: %d\ndata: x\n\n' % number
+
+
+@pytest.mark.parametrize(
+    ('sent', 'relayed'),
+    [
+        ([1, 2, 3], [1, 2, 3]),
+        ([1, 2, 2, 3], [1, 2, 3]),
+        ([1, 2, 1, 2, 3], [1, 2, 3]),
+        ([1, 3], None),
+        ([2], None),
+    ],
+)
+def test_events_are_in_order_and_once(
+    sent: list[int], relayed: list[int] | None
+) -> None:
+    """Repeated events are dropped; a gap stops the relay."""
+    state = StreamState('a')
+    found = state.filter(b''.join(_event(n) for n in sent))
+    wanted = None
+    if relayed is not None:
+        wanted = b''.join(_event(n) for n in relayed)
+    assert found == wanted
