Free claims that a slow table made too late

Cause: a claim whose write took effect after the caller had been told 'not run' stayed held by nobody, so that every repeat was told 'outcome unknown' and the booking was lost for good (found by reading; test _slow_store). Change: the daemon frees a claim that it won't use once the table answers.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -46,6 +46,7 @@
 
 _SEED = 7
 _IDLE_SECONDS = 20.0
+_POLICY = Policy(1.0, 1.0)
 _RESULT = pathlib.Path(__file__).parent / 'slopes.json'
 
 
@@ -179,10 +180,11 @@
         model = pool.targets['t0'].model
         wish = Wish(model, chain, 16_384, frozenset())
         group = pool.groups('m0')['v1']
-        policy = Policy(1.0, 1.0)
         decisions.append(
             time_each(
-                lambda c=chooser, w=wish, g=group: c.choose(w, g, policy, 1.5),
+                lambda c=chooser, w=wish, g=group: c.choose(
+                    w, g, _POLICY, 1.5
+                ),
                 2000,
             )
         )
--- a/src/lentilrun/coordination/claims.py
+++ b/src/lentilrun/coordination/claims.py
@@ -108,6 +108,16 @@
         claim = claimed.claim._replace(state=State.FREE)
         await self._settle(key, claimed, claim)
 
+    async def abandon(self, key: str, holder: str) -> None:
+        """Free whatever claim ``holder`` may have made and won't use."""
+        row = await self._table.read(_PREFIX + key)
+        found = _read(row)
+        if found is None or found.holder != holder:
+            return
+        if found.state is State.HELD:
+            claimed = Claimed(found, row.version, True)
+            await self.release(key, claimed)
+
     async def _settle(self, key: str, claimed: Claimed, claim: Claim) -> None:
         value = _encoder.encode(claim)
         last: Exception | None = None
--- a/src/lentilrun/entry/claimed.py
+++ b/src/lentilrun/entry/claimed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -29,6 +30,8 @@
 _UNPROCESSABLE = 422
 _UNAVAILABLE = 503
 REPEATED = 'X-Repeated'
+_ABANDON_TRIES = 300
+_ABANDON_PAUSE = 1.0
 _NOTHING = Used(0, 0, 0)
 
 
@@ -58,6 +61,7 @@
     def __init__(self, claims: Claims, attempts: Attempts) -> None:
         self._claims = claims
         self._attempts = attempts
+        self._abandoning: set[asyncio.Task[None]] = set()
 
     async def run(self, call: Call, reply: Reply) -> Ended:
         """Run a call once, or give the result of when it ran."""
@@ -80,6 +84,7 @@
                 key, call.fingerprint, call.identifier
             )
         except PlatformError as error:
+            self._abandon_later(key, call.identifier)
             text = 'no claim could be made, so the request was not sent'
             raise CallError(
                 Code.CLAIM_UNAVAILABLE, text, _UNAVAILABLE, retry_after=1.0
@@ -99,8 +104,27 @@
         try:
             await self._claims.release(key, claimed)
         except PlatformError:
-            # The claim stays: a repeat is told that nobody knows.
-            pass
+            self._abandon_later(key, claimed.claim.holder)
+
+    def _abandon_later(self, key: str, holder: str) -> None:
+        """Free a claim that won't be used, once the table answers.
+
+        Its write may have taken effect; a repeat would then be told for
+        ever that nobody knows whether the request ran.
+        """
+        work = self._abandon(key, holder)
+        task = asyncio.get_running_loop().create_task(work)
+        self._abandoning.add(task)
+        task.add_done_callback(self._abandoning.discard)
+
+    async def _abandon(self, key: str, holder: str) -> None:
+        for _ in range(_ABANDON_TRIES):
+            try:
+                await self._claims.abandon(key, holder)
+            except PlatformError:
+                await asyncio.sleep(_ABANDON_PAUSE)
+                continue
+            return
 
     async def _finish(
         self, key: str, claimed: Claimed, result: Result
--- a/tests/e2e/test_once.py
+++ b/tests/e2e/test_once.py
@@ -27,6 +27,7 @@
         await _reuse_key(fleet)
         await _lose_answers(fleet)
         await _lose_store(fleet)
+        await _slow_store(fleet)
         await _kill_vm(fleet)
         await _kill_target(fleet)
 
@@ -94,6 +95,18 @@
     assert (await _book(fleet, 0, 'down', 'down'))[0] == 'ran'
 
 
+async def _slow_store(fleet: Fleet) -> None:
+    """A claim that took effect too late is freed, and the key usable."""
+    await fleet.platform_fault(kind='slow', seconds=4.0, delay=2.5)
+    told = await _book(fleet, 0, 'slow', 'slow')
+    assert told == ('not run', 'claim_unavailable')
+    await asyncio.sleep(1.0)
+    async with asyncio.timeout(15.0):
+        while (await _book(fleet, 1, 'slow', 'slow'))[0] != 'ran':
+            await asyncio.sleep(0.2)
+    assert (await _count_runs(fleet))['slow'] == 1
+
+
 async def _kill_vm(fleet: Fleet) -> None:
     """A VM killed at any step: repeats elsewhere never run it again."""
     for index in range(8):
