Part large modules by their jobs

Cause: read as a newcomer, five modules held two jobs each: the scheduler its fair clock, the agreement its quorum, an attempt the probe for crashes, the declaration its memory, the stand-in target its machine.

Change: moved, not rewritten.

--- a/src/lentilrun/config/declaration.py
+++ b/src/lentilrun/config/declaration.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import Any
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -19,7 +18,6 @@
 from .configuration import Target
 from .configuration import Workspace
 from .findings import Collector
-from .findings import InvalidFileError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,8 +30,6 @@
 _DEFAULT_SHARE = 0.02
 _MAX_SHARE = 0.5
 _KINDS = ('workspace', 'key', 'model', 'service', 'target', 'route', 'move')
-# A header as the INI reader takes it: at the start of a line.
-_HEADER = re.compile(r'^\[([^\]\n]+)\]', re.MULTILINE)
 
 
 def _read_workspace(section: Section) -> Workspace:
@@ -110,7 +106,7 @@
     )
 
 
-_READERS: dict[str, Callable[[Section], Any]] = {
+READERS: dict[str, Callable[[Section], Any]] = {
     'workspace': _read_workspace,
     'key': _read_key,
     'model': _read_model,
@@ -197,98 +193,6 @@
     return moves
 
 
-class Memory:
-    """What the sections of the last file read to, by their text.
-
-    A section that did not change is not read again: a change of a large
-    configuration then costs little more than what changed.
-    """
-
-    def __init__(self) -> None:
-        self.known: dict[str, Any] = {}
-
-
-def _read_section(header: str, chunk: str) -> Any:
-    """Return what a section reads to; raises if it has findings."""
-    collector = Collector()
-    kind = header.partition(' ')[0]
-    reader = _READERS.get(kind)
-    sections = ini.read(chunk, '', collector)
-    collector.check()
-    if reader is None or len(sections) != 1:
-        raise ValueError('not one section of a known kind')
-    value = reader(sections[0])
-    sections[0].finish(named=kind != 'policy')
-    collector.check()
-    return value
-
-
-def _read_chunks(text: str, memory: Memory) -> dict[str, list[Any]] | None:
-    found: dict[str, list[Any]] = {kind: [] for kind in _READERS}
-    parts = _HEADER.split(text)
-    known: dict[str, Any] = {}
-    seen = set()
-    for header, body in zip(parts[1::2], parts[2::2], strict=True):
-        chunk = f'[{header}]{body}'
-        value = memory.known.get(chunk)
-        try:
-            if value is None:
-                value = _read_section(header, chunk)
-        except (InvalidFileError, ValueError):
-            return None
-        if header in seen:
-            return None
-        seen.add(header)
-        known[chunk] = value
-        found[header.partition(' ')[0]].append(value)
-    memory.known = known
-    return None if parts[0].strip() else found
-
-
-def _are_whole(found: dict[str, list[Any]]) -> bool:
-    """Return whether all references and names are in order."""
-    workspaces = {w.name for w in found['workspace']}
-    models = {m.name for m in (*found['model'], *found['service'])}
-    keys = {k.digest for k in found['key']}
-    paths = {(r.path, r.model) for r in found['route']}
-    named = {
-        w
-        for holder in (found['key'], found['route'])
-        for one in holder
-        for w in (getattr(one, 'workspaces', None) or ())
-    }
-    named |= {k.workspace for k in found['key']}
-    used = {one.model for k in ('target', 'route', 'move') for one in found[k]}
-    return (
-        named <= workspaces
-        and used <= models
-        and len(models) == len(found['model']) + len(found['service'])
-        and len(keys) == len(found['key'])
-        and len(paths) == len(found['route'])
-        and len({m.model for m in found['move']}) == len(found['move'])
-    )
-
-
-def parse_again(text: str, file: str, memory: Memory) -> Configuration:
-    """Read a file much like the one before; as ``parse`` otherwise.
-
-    Whatever looks wrong is read as a whole, so that findings have their
-    places.
-    """
-    found = _read_chunks(text, memory)
-    if found is None or not _are_whole(found):
-        return parse(text, file)
-    return Configuration(
-        {w.name: w for w in found['workspace']},
-        {k.digest: k for k in found['key']},
-        {m.name: m for m in (*found['model'], *found['service'])},
-        {t.name: t for t in found['target']},
-        tuple(found['route']),
-        {m.name: m for m in found['move']},
-        found['policy'][-1] if found['policy'] else EMPTY.policy,
-    )
-
-
 def parse(text: str, file: str) -> Configuration:
     """Read an operators' file; raises ``InvalidFileError`` if wrong."""
     reading = _Reading(text, file)
@@ -317,4 +221,4 @@
     return configuration
 
 
-__all__ = ['Memory', 'parse', 'parse_again']
+__all__ = ['parse', 'READERS']
--- a/src/lentilrun/entry/attempt.py
+++ b/src/lentilrun/entry/attempt.py
@@ -19,11 +19,11 @@
 from ..peers.messages import Suspicion
 from ..routing import prefix
 from . import streams
-from ..targets import loads
 from ..targets import requests
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Response
+from .crashes import has_crashed
 from .learning import FAILED
 from .learning import Outcome
 from .relay import AnswerReceiver
@@ -53,9 +53,6 @@
 _RETRIED_STATUSES = (429, 500, 502, 503)
 _MAX_RESUMES = 5
 _RESUME_PAUSE = 0.1
-_PROBES = 2
-_PROBE_TIMEOUT = 0.5
-_PROBE_PAUSE = 0.05
 STREAM_TOKEN = 'X-Stream-Token'
 REQUEST = 'X-Request-Id'
 
@@ -101,23 +98,6 @@
         self.result = result
 
 
-async def has_crashed(parts: Parts, place: Place, incarnation: str) -> bool:
-    """Return whether a target is gone, or came back empty."""
-    address = place.target.target.address
-    for _ in range(_PROBES):
-        try:
-            load = await loads.read(parts.client, address, _PROBE_TIMEOUT)
-        except NotSentError:
-            return True
-        except InterruptedExchangeError:
-            await asyncio.sleep(_PROBE_PAUSE)
-            continue
-        if load is None or not incarnation:
-            return False
-        return load.incarnation != incarnation
-    return False
-
-
 class Attempt:
     """One attempt, with its own id; cancelled at the target on exit."""
 
@@ -259,7 +239,7 @@
             raise FailedError('the answer was to another', True)
         if receiver.stream.done:
             return
-        if await has_crashed(self._parts, self._place, self._incarnation):
+        if await self._has_crashed():
             self._suspect()
             self._parts.pool.fail(self._state.target.name)
         elif receiver.begun and receiver.stream.numbered:
@@ -270,6 +250,12 @@
             self._parts.metrics.add(Count.BROKEN_STREAMS)
         raise FailedError(message, True, receiver.begun)
 
+    async def _has_crashed(self) -> bool:
+        address = self._state.target.address
+        return await has_crashed(
+            self._parts.client, address, self._incarnation
+        )
+
     def _suspect(self) -> None:
         suspicion = Suspicion(
             self._call.fingerprint,
@@ -350,7 +336,6 @@
 __all__ = [
     'Attempt',
     'FailedError',
-    'has_crashed',
     'Parts',
     'REQUEST',
     'Result',
--- a/src/lentilrun/entry/scheduler.py
+++ b/src/lentilrun/entry/scheduler.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import math
 from typing import TYPE_CHECKING
 
 from ..errors import CallError
@@ -12,12 +11,13 @@
 from ..metrics.registry import Timing
 from ..routing.choice import Wish
 from ..routing import prefix
+from .fairness import FairClock
+from .fairness import Throughput
 
 if TYPE_CHECKING:
     from types import TracebackType
 
     from ..config.configuration import Model
-    from ..coordination.clock import Clock
     from ..fleet.state import FleetState
     from ..metrics.registry import Metrics
     from ..moves.progress import Moves
@@ -33,7 +33,6 @@
 _MAX_WAITING = 4000
 _FILL = 1.5
 _SLACK = 5.0
-_RATE_MEMORY = 5.0
 # The share of a deadline that a call may be expected to wait.
 _PATIENCE = 0.7
 _NO_TARGET_WAIT = 2.0
@@ -87,54 +86,6 @@
         self._scheduler.pump(self._model)
 
 
-class Throughput:
-    """The tokens a second that were given out lately."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._began = clock.now()
-        self._rate = 0.0
-
-    def note(self, tokens: float) -> None:
-        """Count tokens that are given out now."""
-        self._decay()
-        self._rate += tokens / _RATE_MEMORY
-
-    def _decay(self) -> None:
-        now = self._clock.now()
-        kept = math.exp((self._began - now) / _RATE_MEMORY)
-        self._rate *= kept
-        self._began = now
-
-    def get(self) -> float:
-        """Return the rate in tokens a second."""
-        self._decay()
-        return self._rate
-
-
-class FairClock:
-    """Tokens served by workspace and weight, as virtual time."""
-
-    def __init__(self) -> None:
-        self._served: dict[str, float] = {}
-        self._floor = 0.0
-
-    def get(self, workspace: str) -> float:
-        """Return a workspace's virtual time."""
-        return max(self._served.get(workspace, 0.0), self._floor)
-
-    def charge(self, workspace: str, tokens: float, weight: float) -> None:
-        """Advance a workspace by what it is served."""
-        self._served[workspace] = self.get(workspace) + tokens / weight
-
-    def raise_floor(self, value: float) -> None:
-        """Let nobody save up idle time below ``value``."""
-        self._floor = max(self._floor, value)
-        behind = [w for w, v in self._served.items() if v <= self._floor]
-        for workspace in behind:
-            del self._served[workspace]
-
-
 def _weigh(call: Call) -> float:
     """Return the tokens that a call is expected to take."""
     return call.tokens + call.limit if call.text else call.charge
@@ -348,4 +299,4 @@
         return self._chooser.choose(wish, group, policy, part)
 
 
-__all__ = ['FairClock', 'Place', 'Scheduler']
+__all__ = ['Place', 'Scheduler']
--- a/src/lentilrun/fleet/agreement.py
+++ b/src/lentilrun/fleet/agreement.py
@@ -11,9 +11,9 @@
 from ..coordination.accord import Committed
 from ..coordination.accord import Fetch
 from ..coordination.accord import OutcomeUnknownError
-from ..coordination.accord import Quorum
 from ..coordination.accord import Withdraw
 from ..coordination import membership
+from ..coordination.quorum import Quorum
 from ..errors import LentilrunError
 from .state import MEMBERS
 
--- a/src/lentilrun/fleet/state.py
+++ b/src/lentilrun/fleet/state.py
@@ -13,6 +13,8 @@
 
 from ..config.configuration import EMPTY
 from ..config import declaration
+from ..config.memory import Memory
+from ..config.memory import parse_again
 from ..coordination.accord import Topic
 from ..coordination.freshness import Freshness
 from ..coordination.heartbeat import Heartbeats
@@ -68,7 +70,7 @@
         self.freshness = Freshness(clock, settings.name)
         self.shares = Shares(clock)
         self.respondent = Respondent(self.shares)
-        self.memory = declaration.Memory()
+        self.memory = Memory()
         self.configuration: Configuration = EMPTY
         self.roster = Roster(())
         self.shrunk_at = float('-inf')
@@ -129,7 +131,7 @@
 
     def _adopt_configuration(self, value: Value) -> None:
         text = unpack_text(value.body)
-        found = declaration.parse_again(text, 'accepted', self.memory)
+        found = parse_again(text, 'accepted', self.memory)
         self.configuration = found
         self.adopted_at = self.clock.now()
         self.set_limits()
--- a/src/lentilrun/operator/commands.py
+++ b/src/lentilrun/operator/commands.py
@@ -5,7 +5,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from ..config import declaration
+from ..config.memory import Memory
+from ..config.memory import parse_again
 from ..errors import ConflictError
 from ..fleet.state import CONFIGURATION
 from ..fleet.state import pack_text
@@ -44,9 +45,9 @@
     Raises ``InvalidFileError``, ``ConflictError``, ``PlatformError`` or
     what an agreement raises.
     """
-    memory = declaration.Memory()
+    memory = Memory()
     memory.known = dict(node.state.memory.known)
-    declaration.parse_again(order.text, order.file, memory)
+    parse_again(order.text, order.file, memory)
     started = node.clock.now()
     topic = node.state.topics[CONFIGURATION]
     await topic.refresh()
--- /dev/null
+++ b/src/lentilrun/standins/machine.py
@@ -0,0 +1,93 @@
+"""Runs requests on a stand-in engine, and publishes its cache events."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import TYPE_CHECKING
+
+import msgspec
+import zmq
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .engine import Engine
+
+
+class Publisher:
+    """Publishes cache events with sequence numbers."""
+
+    def __init__(self, engine: Engine, address: str | None) -> None:
+        self._engine = engine
+        self._sequence = 0
+        self._socket: zmq.Socket[bytes] | None = None
+        if address:
+            self._socket = zmq.Context.instance().socket(zmq.PUB)
+            self._socket.bind(f'tcp://{address}')
+
+    def publish(self, stored: list[int], removed: list[int]) -> None:
+        """Publish one event."""
+        self._sequence += 1
+        event = (
+            self._sequence,
+            self._engine.incarnation,
+            self._engine.version,
+            stored,
+            removed,
+        )
+        if self._socket is not None:
+            self._socket.send(msgspec.msgpack.encode(event), zmq.NOBLOCK)
+
+
+class Machine:
+    """Runs requests on an engine with a limit on those at once."""
+
+    def __init__(
+        self, engine: Engine, publisher: Publisher, die: Callable[[], None]
+    ) -> None:
+        self.engine = engine
+        self.publisher = publisher
+        self.die = die
+        self.random = random.Random(engine.traits.name)
+        self._slots = asyncio.Semaphore(engine.traits.slots)
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def pause(self) -> None:
+        """Stop all progress."""
+        self._open.clear()
+
+    def resume(self) -> None:
+        """Go on."""
+        self._open.set()
+
+    async def enter(self) -> None:
+        """Wait for a slot."""
+        self.engine.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.engine.waiting -= 1
+        self.engine.running += 1
+
+    def leave(self) -> None:
+        """Give the slot back."""
+        self.engine.running -= 1
+        self._slots.release()
+
+    async def spend(self, seconds: float, path: str) -> None:
+        """Let service time pass, longer if the version is bad."""
+        fault = self.engine.find_fault(path)
+        slowdown = fault.slowdown if fault is not None else 1.0
+        if seconds:
+            await asyncio.sleep(seconds * slowdown)
+        await self._open.wait()
+
+    def fails(self, path: str) -> bool:
+        """Return whether this request fails, as a bad version may."""
+        fault = self.engine.find_fault(path)
+        return fault is not None and self.random.random() < fault.fails
+
+
+__all__ = ['Machine', 'Publisher']
--- a/src/lentilrun/standins/run.py
+++ b/src/lentilrun/standins/run.py
@@ -13,6 +13,8 @@
 from . import target
 from .engine import Engine
 from .engine import Traits
+from .machine import Machine
+from .machine import Publisher
 
 app = cyclopts.App(
     name='lentilrun-standin', help='Run a stand-in for trials and tests.'
@@ -41,8 +43,8 @@
 ) -> None:
     listen = parse_address(address)
     engine = Engine(traits)
-    publisher = target.Publisher(engine, events)
-    machine = target.Machine(engine, publisher, target.exit_process)
+    publisher = Publisher(engine, events)
+    machine = Machine(engine, publisher, target.exit_process)
     server = HTTPServer(
         target.make_application(machine), max_body_size=_MAX_BODY
     )
