Wait a moment for a lender before refusing within the rate

Cause: a VM that starts or wakes holds no units, and until a beat of a peer arrives it knew of nobody to borrow from and refused at once.

Ruled out: rounding of the parts of a loan (tried, traced, reverted), and the short cut for drained peers, which now needs all of them asked.

Change: wait up to 1.5 s for a peer to be heard. The command line ends quietly when its reader does; tests beside each other use ports of their own.

Measured: test_a_vm_that_comes_back_is_lent_to fails in both ways without the wait, passes with it.

--- a/src/lentilrun/fleet/lending.py
+++ b/src/lentilrun/fleet/lending.py
@@ -19,6 +19,8 @@
     from .state import FleetState
 
 _WAVES = 3
+_LENDER_WAIT = 1.5
+_LENDER_PAUSE = 0.05
 _WAVE_TIMEOUT = 0.8 * LOAN_LIFE
 
 
@@ -117,7 +119,8 @@
                 self._shares.refund(bucket, waiter.amount)
 
     async def _borrow(self, bucket: str, amount: float) -> float:
-        peers = self._find_lenders()
+        peers = await self._wait_lenders()
+        everybody = len(peers) >= len(self._state.roster.names()) - 1
         lent = 0.0
         for _ in range(_WAVES):
             lacking = amount - lent - self._shares.level(bucket)
@@ -126,7 +129,7 @@
             wave = await self._ask(bucket, amount - lent, lacking, peers)
             lent += wave.lent
             peers = [n for n, left in wave.left.items() if left > 0.0]
-            if not wave.waiting:
+            if everybody and not wave.waiting:
                 left_over = sum(wave.left.values())
                 now = self._state.clock.now()
                 self._drained[bucket] = _Drained(now, left_over)
@@ -146,6 +149,19 @@
         most = drained.left + elapsed * limit.rate
         return amount > most + self._shares.level(bucket)
 
+    async def _wait_lenders(self) -> list[str]:
+        """Return the peers that may lend, waiting a moment for one.
+
+        A daemon that starts, or was paused, has heard of nobody lately.
+        """
+        alone = self._state.roster.names() <= {self._state.name}
+        end = self._state.clock.now() + _LENDER_WAIT
+        while not (peers := self._find_lenders()):
+            if alone or self._state.clock.now() >= end:
+                break
+            await asyncio.sleep(_LENDER_PAUSE)
+        return peers
+
     def _find_lenders(self) -> list[str]:
         heartbeats = self._state.heartbeats
         names = self._state.roster.names()
--- a/src/lentilrun/run.py
+++ b/src/lentilrun/run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import cyclopts
@@ -26,6 +27,8 @@
 
 def main() -> None:
     """Run the command line and exit with its code."""
+    # A reader that has seen enough, such as head, ends it quietly.
+    signal.signal(signal.SIGPIPE, signal.SIG_DFL)
     sys.exit(app(result_action='return_value'))
 
 
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -24,7 +24,11 @@
 KEYS = {'solo': 'key-of-solo', 'jepara': 'key-of-jepara'}
 _START_TIMEOUT = 30.0
 _STOP_TIMEOUT = 30.0
-_PORTS = iter(range(20_000 + os.getpid() % 400 * 25, 32_000))
+_PORTS_EACH = 1500
+# Tests that run beside each other take ports of their own.
+_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:]) % 8
+_FIRST_PORT = 20_000 + _WORKER * _PORTS_EACH
+_PORTS = iter(range(_FIRST_PORT, _FIRST_PORT + _PORTS_EACH))
 
 
 def find_port() -> int:
--- a/tests/fleet/test_rates.py
+++ b/tests/fleet/test_rates.py
@@ -241,6 +241,48 @@
     timeloop.run(main)
 
 
+@pytest.mark.parametrize('way', ['pause', 'restart'])
+def test_a_vm_that_comes_back_is_lent_to(way: str) -> None:
+    """Its units are gone, and nobody was heard lately: it still serves."""
+
+    async def main(loop: TimeLoop) -> None:
+        fleet = await _start(loop, 4, 1)
+        load = _Load(fleet, 1)
+        if way == 'pause':
+            fleet.members['vm2'].gate.pause()
+            await asyncio.sleep(15.0)
+            fleet.members['vm2'].gate.resume()
+        else:
+            fleet.restart('vm2')
+        # Its connections to the others take a moment longer than the table.
+        fleet.network.cut({'vm2'}, set(fleet.names))
+        loop.call_later(0.6, fleet.network.heal)
+        while not fleet.members['vm2'].state.is_fresh():
+            await asyncio.sleep(0.001)
+        await load.run(['vm2'], 0.5 * _RATE, 5.0)
+        await load.finish()
+        assert len(load.taken) > 20
+        assert load.refused == 0
+
+    timeloop.run(main)
+
+
+@pytest.mark.parametrize('count', [3, 4, 7, 8])
+def test_loans_add_up_to_what_is_needed(count: int) -> None:
+    """A VM without units gets any amount that its peers have."""
+
+    async def main(loop: TimeLoop) -> None:
+        fleet = await _start(loop, count, 1)
+        member = fleet.members['vm2']
+        member.state.respondent.retire()
+        amounts = [1.0, 1013.0, 762.0, 0.1, 0.7, *range(1, 60)]
+        for amount in amounts:
+            assert await member.lending.take('solo', float(amount)), amount
+            await asyncio.sleep(1.2)
+
+    timeloop.run(main)
+
+
 def test_a_lowered_rate_holds_everywhere() -> None:
     """Once a lower rate is in force, no window exceeds it."""
 
