Remove what nothing uses

Cause: read once more as a whole, the change left an unused method of an attempt, an error code that is never given, an argument that is never read, and a test's method that only calls the one it overrides.

Change: removed; behaviour stays.

--- a/src/lentilrun/entry/attempt.py
+++ b/src/lentilrun/entry/attempt.py
@@ -142,10 +142,6 @@
             _cancelling.add(task)
             task.add_done_callback(_cancelling.discard)
 
-    def count_output(self) -> int:
-        """Return the events that were relayed so far."""
-        return self._receiver.stream.events
-
     def begin(self, status: int, headers: HTTPHeaders) -> None:
         """Begin a stream to the caller, with what resumes it elsewhere."""
         self._place.note_first()
@@ -312,9 +308,7 @@
         if response is not None and response.status in _RETRIED_STATUSES:
             self._refuse(result, response)
         if self._call.text and not failed:
-            self._parts.learning.note_cached(
-                self._call, self._state, holder, used
-            )
+            self._parts.learning.note_cached(self._call, self._state, holder)
         await self._clear_suspicion()
         return result
 
--- a/src/lentilrun/entry/learning.py
+++ b/src/lentilrun/entry/learning.py
@@ -18,7 +18,6 @@
     from ..routing.pool import Pool
     from ..routing.pool import TargetState
     from .call import Call
-    from .relay import Used
     from .scheduler import Place
 
 
@@ -54,7 +53,7 @@
         return holder
 
     def note_cached(
-        self, call: Call, state: TargetState, holder: Holder, used: Used
+        self, call: Call, state: TargetState, holder: Holder
     ) -> None:
         """Note that a target has a call's prompt in its cache now."""
         name = state.target.name
--- a/src/lentilrun/errors.py
+++ b/src/lentilrun/errors.py
@@ -25,7 +25,6 @@
     RATE_EXCEEDED = 'rate_exceeded'
     OVERLOADED = 'overloaded'
     VM_STALE = 'vm_stale'
-    VM_STOPPING = 'vm_stopping'
     NOT_CONFIGURED = 'not_configured'
     NO_TARGET = 'no_target'
     QUARANTINED = 'quarantined'
--- a/tests/entry/test_claimed.py
+++ b/tests/entry/test_claimed.py
@@ -14,7 +14,6 @@
 from lentilrun.standins import timeloop
 
 if TYPE_CHECKING:
-    from lentilrun.coordination.table import Row
     from lentilrun.standins.timeloop import TimeLoop
 
 
@@ -32,9 +31,6 @@
             self._check()
         return made
 
-    async def read(self, key: str) -> Row:
-        return await super().read(key)
-
 
 def test_a_late_claim_is_freed() -> None:
     """The holder never sent it, so the next try gets the claim."""
