--- /dev/null
+++ b/src/lentilrun/gateway/admission.py
@@ -0,0 +1,116 @@
+"""Whether a request is let in: configuration, route, key, quota."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from ..platform import dialect
+from .call import Call
+from .call import Reason
+from .call import Refusal
+
+if TYPE_CHECKING:
+    from ..decisions.facts import Configuration
+    from ..decisions.facts import Route
+    from ..decisions.facts import Workspace
+    from ..platform.dialect import Asked
+    from .call import Incoming
+    from .quotas import Quotas
+    from .view import View
+
+_BAD_REQUEST = 400
+_UNAUTHORIZED = 401
+_NOT_FOUND = 404
+_TOO_LARGE = 413
+_TOO_MANY = 429
+_UNAVAILABLE = 503
+_UNCONFIGURED_RETRY_S = 0.5
+_PATIENCE_S = 30.0
+
+
+class Admission:
+    """Turns what came into a call, or raises ``Refusal``."""
+
+    def __init__(self, view: View, quotas: Quotas) -> None:
+        self._view = view
+        self._quotas = quotas
+
+    def admit(self, incoming: Incoming) -> Call:
+        """Return the call that a request makes, charged to its quota."""
+        configuration = self._view.configuration
+        if configuration is None:
+            raise Refusal(
+                _UNAVAILABLE, Reason.NOT_CONFIGURED, _UNCONFIGURED_RETRY_S
+            )
+        asked = dialect.read_request(incoming.headers)
+        path = incoming.uri.partition('?')[0]
+        route = configuration.find_route(asked.host, path)
+        if route is None:
+            raise Refusal(_NOT_FOUND, Reason.UNKNOWN_ROUTE)
+        workspace = self._authorize(configuration, route, asked)
+        if not asked.request_id:
+            raise Refusal(_BAD_REQUEST, Reason.BAD_REQUEST)
+        if len(incoming.body) > configuration.limits.body_bytes:
+            raise Refusal(_TOO_LARGE, Reason.BODY_TOO_LARGE)
+        call = self._make_call(incoming, route, workspace, asked)
+        self._charge(call)
+        return call
+
+    def _authorize(
+        self, configuration: Configuration, route: Route, asked: Asked
+    ) -> Workspace | None:
+        workspace = configuration.keys.get(asked.key)
+        if workspace is None and configuration.keys and not route.is_open:
+            raise Refusal(_UNAUTHORIZED, Reason.KEY_REFUSED)
+        return workspace
+
+    def _make_call(
+        self,
+        incoming: Incoming,
+        route: Route,
+        workspace: Workspace | None,
+        asked: Asked,
+    ) -> Call:
+        patience = route.timeout
+        if asked.patience is not None:
+            patience = min(patience, asked.patience)
+        elif not patience:
+            patience = _PATIENCE_S
+        return Call(
+            asked.request_id,
+            incoming,
+            route,
+            workspace,
+            asked.prompt,
+            asked.last_event,
+            incoming.arrived + patience,
+            _count_charge(workspace, asked),
+            _make_fingerprint(incoming, asked),
+        )
+
+    def _charge(self, call: Call) -> None:
+        if call.workspace is None or not call.workspace.rate:
+            return
+        delay = self._quotas.charge(call.workspace, call.charge)
+        if delay:
+            raise Refusal(_TOO_MANY, Reason.QUOTA, delay)
+
+
+def _count_charge(workspace: Workspace | None, asked: Asked) -> float:
+    if workspace is None:
+        return 0.0
+    if asked.prompt is None:
+        return float(workspace.plain_tokens)
+    return float(asked.prompt.input_tokens + asked.prompt.output_tokens)
+
+
+def _make_fingerprint(incoming: Incoming, asked: Asked) -> bytes:
+    """Return a digest that is the same when a request is sent again."""
+    digest = hashlib.blake2b(digest_size=8)
+    digest.update(f'{asked.host}\n{incoming.uri}\n{asked.key}\n'.encode())
+    digest.update(incoming.body)
+    return digest.digest()
+
+
+__all__ = ['Admission']
--- /dev/null
+++ b/src/lentilrun/gateway/dispatch.py
@@ -0,0 +1,483 @@
+"""Sending of a call to targets: one, or more where that is safe."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..decisions.placement import choose
+from ..decisions.placement import Need
+from ..decisions.retries import RetryBudget
+from ..platform import dialect
+from ..platform.dialect import Passing
+from ..web.client import InterruptedExchangeError
+from ..web.client import NotSentError
+from ..web.client import Request
+from .call import Reason
+from .call import Refusal
+from .relay import AnswerReceiver
+from .relay import Progress
+
+if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
+    from ..coordination.clock import Clock
+    from ..decisions.facts import KeptStore
+    from ..decisions.facts import Service
+    from ..decisions.placement import Choice
+    from ..platform.node import Bounds
+    from ..web.client import Client
+    from .call import Call
+    from .call import Reply
+    from .crashes import Crashes
+    from .logs import Log
+    from .peers import Peers
+    from .targets import Targets
+    from .targets import TargetState
+    from .view import View
+
+_UNAVAILABLE = 503
+_BAD_GATEWAY = 502
+_GATEWAY_TIMEOUT = 504
+_SERVER_ERROR = 500
+# With less time than this left no target is asked any more.
+_LEAST_TIME_S = 0.03
+# How long a call may wait for a target to become usable, as a share of
+# the time that it has left.
+_WAIT_SHARE = 0.6
+_RETRY_AFTER_S = 0.25
+# A target that refused for want of room is left alone for this long.
+_FULL_S = 0.08
+# From this age of newer weights on, answers on older ones lose worth.
+_FRESH_WEIGHTS_S = 1.5
+# Requests that start on older weights so long before the limit may still
+# wait there.
+_VERSION_MARGIN_S = 1.2
+# The least tokens for which fetching beats reading again.
+_FETCH_TOKENS = 256
+
+
+class Fate(enum.StrEnum):
+    """How an attempt ended."""
+
+    DELIVERED = 'delivered'
+    NOT_SENT = 'not_sent'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    BROKEN = 'broken'
+
+
+class Attempted(NamedTuple):
+    """An attempt's end; the receiver holds an answer that failed."""
+
+    fate: Fate
+    receiver: AnswerReceiver
+
+
+class Taken(NamedTuple):
+    """A target that was chosen, and what the choice was made from."""
+
+    state: TargetState
+    service: Service
+    choice: Choice
+    weights: int | None
+    salt: str
+
+
+class Parts(NamedTuple):
+    """What dispatching works with."""
+
+    clock: Clock
+    bounds: Bounds
+    client: Client
+    view: View
+    targets: Targets
+    peers: Peers
+    crashes: Crashes
+    log: Log
+
+
+class Dispatcher:
+    """Runs calls at targets and relays their answers."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._budgets: dict[str, RetryBudget] = {}
+        self._changed = asyncio.Event()
+        parts.targets.on_change.append(self._notify)
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def run(self, call: Call, reply: Reply) -> None:
+        """Run a call; raises ``Refusal`` if nothing was delivered."""
+        run = _Run(self, self._parts, call, reply)
+        await run.run()
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the retry budget of a service."""
+        found = self._budgets.get(service)
+        if found is None:
+            bounds = self._parts.bounds
+            found = RetryBudget(
+                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+            )
+            self._budgets[service] = found
+        return found
+
+    async def wait_for_change(self, timeout: float) -> None:
+        """Wait until targets may have become usable."""
+        try:
+            async with asyncio.timeout(timeout):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class _Run:
+    """One call on its way."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        parts: Parts,
+        call: Call,
+        reply: Reply,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._parts = parts
+        self._call = call
+        self._reply = reply
+        self._progress = Progress(call.last_event)
+        self._avoid: set[str] = set()
+        self._sent = 0
+        self._may_have_run = 0
+        self._service = self._pick_service()
+        self._budget = dispatcher.budget(self._service)
+
+    def _pick_service(self) -> str:
+        splits = self._call.route.splits
+        if len(splits) == 1:
+            return splits[0].service
+        weights = [s.weight for s in splits]
+        return random.choices(splits, weights)[0].service
+
+    def _left(self) -> float:
+        return self._call.deadline - self._parts.clock.now()
+
+    async def run(self) -> None:
+        now = self._parts.clock.now()
+        self._budget.note_request(now)
+        if self._parts.crashes.is_quarantined(self._call.fingerprint):
+            raise Refusal(_UNAVAILABLE, Reason.QUARANTINED, 1.0)
+        while True:
+            taken = await self._acquire()
+            if self._sent and not self._spend_retry():
+                raise self._give_up(Reason.RETRIES_SPENT)
+            attempted = await self._attempt(taken)
+            self._log_attempt(taken, attempted)
+            if attempted.fate is Fate.DELIVERED:
+                return
+            if attempted.fate is Fate.NOT_SENT:
+                self._avoid.add(taken.state.target.incarnation)
+                continue
+            self._sent += 1
+            if attempted.fate is Fate.NOT_RUN:
+                continue
+            self._may_have_run += 1
+            self._avoid.add(taken.state.target.incarnation)
+            if not self._may_repeat():
+                await self._end(attempted)
+                return
+
+    def _may_repeat(self) -> bool:
+        call = self._call
+        if not call.route.is_idempotent():
+            return False
+        if self._may_have_run >= call.route.max_attempts:
+            return False
+        if self._parts.crashes.is_quarantined(call.fingerprint):
+            return False
+        return self._left() > _LEAST_TIME_S
+
+    def _spend_retry(self) -> bool:
+        now = self._parts.clock.now()
+        return self._budget.spend(now, self._parts.peers.members())
+
+    async def _end(self, attempted: Attempted) -> None:
+        """End a call whose last attempt failed after it was sent."""
+        receiver = attempted.receiver
+        if attempted.fate is Fate.FAILED and not self._progress.has_begun:
+            await receiver.deliver()
+            return
+        raise self._give_up(Reason.TARGET_FAILED)
+
+    def _give_up(self, reason: Reason) -> Refusal:
+        if not self._may_have_run:
+            return Refusal(_UNAVAILABLE, reason, _RETRY_AFTER_S)
+        if self._left() <= _LEAST_TIME_S:
+            return Refusal(_GATEWAY_TIMEOUT, Reason.DEADLINE)
+        return Refusal(_BAD_GATEWAY, reason)
+
+    async def _acquire(self) -> Taken:
+        """Return a target once one can take the call."""
+        clock = self._parts.clock
+        until = clock.now() + _WAIT_SHARE * self._left()
+        while True:
+            if self._left() <= _LEAST_TIME_S:
+                raise self._give_up(Reason.DEADLINE)
+            taken = self._choose()
+            if taken is not None:
+                if taken.choice.wait > self._left():
+                    raise self._give_up(Reason.OVERLOADED)
+                return taken
+            if clock.now() >= until:
+                raise self._give_up(Reason.NO_TARGET)
+            await self._dispatcher.wait_for_change(
+                min(_FULL_S, until - clock.now())
+            )
+
+    def _choose(self) -> Taken | None:
+        configuration = self._parts.view.configuration
+        if configuration is None:
+            return None
+        service = configuration.services.get(self._service)
+        if service is None:
+            return None
+        call = self._call
+        prompt = call.prompt if service.engine is not None else None
+        states = self._find_usable(service)
+        if not states:
+            return None
+        need = Need(0, 0)
+        if prompt is not None:
+            need = Need(prompt.input_tokens, prompt.output_tokens)
+        salts = [self._make_salt(s) for s in states]
+        found = choose(
+            self._parts.targets.make_candidates(
+                states, service, salts, prompt
+            ),
+            need,
+        )
+        if found is None:
+            return None
+        state = self._parts.targets.states[found.name]
+        salt = self._make_salt(state)
+        return Taken(state, service, found, self._weights(state), salt)
+
+    def _weights(self, state: TargetState) -> int | None:
+        prompt = self._call.prompt
+        if prompt is None or not state.versions:
+            return None
+        return state.versions.get(prompt.model)
+
+    def _make_salt(self, state: TargetState) -> str:
+        weights = self._weights(state)
+        if weights is None:
+            return ''
+        workspace = self._call.workspace
+        if workspace is not None and workspace.is_isolated:
+            return f'{weights}/{workspace.name}'
+        return str(weights)
+
+    def _find_usable(self, service: Service) -> list[TargetState]:
+        states = self._parts.targets.usable(service.name, self._avoid)
+        if not states and self._avoid and not self._may_have_run:
+            states = self._parts.targets.usable(service.name)
+        states = [s for s in states if self._has_room(s, service)]
+        prompt = self._call.prompt
+        if service.engine is None or prompt is None:
+            return states
+        states = [s for s in states if prompt.model in s.versions]
+        return self._keep_fresh(states, prompt.model)
+
+    def _has_room(self, state: TargetState, service: Service) -> bool:
+        members = self._parts.peers.members()
+        return state.running < max(2, service.max_connections // members)
+
+    def _keep_fresh(
+        self, states: list[TargetState], model: str
+    ) -> list[TargetState]:
+        """Leave out targets whose weights are too old to begin on."""
+        wanted = self._parts.view.wanted.get(model)
+        if wanted is None:
+            return states
+        age = self._parts.clock.now() - wanted.since
+        if age < _FRESH_WEIGHTS_S:
+            return states
+        fresh = [s for s in states if s.versions[model] >= wanted.version]
+        if fresh or age > self._parts.bounds.version - _VERSION_MARGIN_S:
+            return fresh
+        return states
+
+    async def _attempt(self, taken: Taken) -> Attempted:
+        call = self._call
+        state = taken.state
+        load = _Load(state, call, taken.choice.cached)
+        receiver = AnswerReceiver(
+            call.request_id, self._reply, self._progress, load.note_read
+        )
+        request = Request(
+            call.incoming.method,
+            call.incoming.uri,
+            self._make_headers(taken),
+            call.incoming.body,
+            max(_LEAST_TIME_S, self._left()),
+        )
+        with load:
+            fate = await self._exchange(taken, request, receiver)
+        self._note_fate(taken, fate, receiver)
+        if fate is Fate.DELIVERED:
+            await receiver.deliver()
+        return Attempted(fate, receiver)
+
+    async def _exchange(
+        self, taken: Taken, request: Request, receiver: AnswerReceiver
+    ) -> Fate:
+        target = taken.state.target
+        try:
+            await self._parts.client.exchange(
+                target.address, request, receiver
+            )
+        except NotSentError:
+            return Fate.NOT_SENT
+        except InterruptedExchangeError:
+            return Fate.BROKEN
+        answer = receiver.answer
+        if answer is None or receiver.is_cut():
+            return Fate.BROKEN
+        if answer.not_run:
+            return Fate.NOT_RUN
+        if not receiver.is_usable():
+            return Fate.BROKEN
+        if answer.status >= _SERVER_ERROR:
+            return Fate.FAILED
+        return Fate.DELIVERED
+
+    def _make_headers(self, taken: Taken) -> HTTPHeaders:
+        call = self._call
+        workspace = call.workspace
+        store = self._find_store(taken)
+        passing = Passing(
+            workspace.name if workspace is not None else '',
+            self._left(),
+            taken.state.target.incarnation,
+            call.urgency(),
+            taken.weights,
+            taken.salt,
+            store.address if store is not None else None,
+            store.address if store is not None else None,
+        )
+        headers = dialect.make_request(call.incoming.headers, passing)
+        if self._progress.last_event > call.last_event:
+            dialect.resume_after(headers, self._progress.last_event)
+        return headers
+
+    def _find_store(self, taken: Taken) -> KeptStore | None:
+        """Return where to fetch shared parts that the target lacks."""
+        configuration = self._parts.view.configuration
+        prompt = self._call.prompt
+        if prompt is None or taken.weights is None or configuration is None:
+            return None
+        if not configuration.kept_stores:
+            return None
+        shared = sum(p.tokens for p in prompt.parts[:-1])
+        if shared - taken.state.cached(taken.salt, prompt) < _FETCH_TOKENS:
+            return None
+        return configuration.kept_stores[0]
+
+    def _note_fate(
+        self, taken: Taken, fate: Fate, receiver: AnswerReceiver
+    ) -> None:
+        targets = self._parts.targets
+        state = taken.state
+        answer = receiver.answer
+        prompt = self._call.prompt
+        if answer is not None and answer.weights and prompt is not None:
+            state.note_version(prompt.model, answer.weights)
+        if fate is Fate.NOT_SENT:
+            targets.note_unreachable(state)
+        elif fate is Fate.NOT_RUN:
+            self._note_not_run(state, receiver)
+        elif fate is Fate.DELIVERED:
+            targets.note_good(state)
+            if prompt is not None and taken.service.engine is not None:
+                memory = taken.service.engine.memory_tokens
+                state.note_parts(taken.salt, prompt, memory)
+        else:
+            targets.note_bad(state)
+            if fate is Fate.BROKEN:
+                self._parts.crashes.note(self._call.fingerprint)
+
+    def _note_not_run(
+        self, state: TargetState, receiver: AnswerReceiver
+    ) -> None:
+        answer = receiver.answer
+        target = state.target
+        if (
+            answer is not None
+            and answer.misdirected
+            and answer.incarnation not in ('', target.incarnation)
+        ):
+            self._parts.targets.remove(target.incarnation)
+            self._parts.client.forget(target.address)
+            return
+        self._avoid.add(target.incarnation)
+        now = self._parts.clock.now()
+        state.blocked_until = max(state.blocked_until, now + _FULL_S)
+
+    def _log_attempt(self, taken: Taken, attempted: Attempted) -> None:
+        answer = attempted.receiver.answer
+        view = self._parts.view
+        configuration = view.configuration
+        self._parts.log.write(
+            'attempt',
+            id=self._call.request_id,
+            route=self._call.route.name,
+            target=taken.state.target.incarnation,
+            fate=attempted.fate,
+            status=answer.status if answer is not None else None,
+            wait=round(taken.choice.wait, 4),
+            cached=int(taken.choice.cached),
+            weights=taken.weights,
+            sent=self._sent,
+            left=round(self._left(), 3),
+            events=self._progress.last_event,
+            configuration=configuration.version if configuration else None,
+        )
+
+
+class _Load:
+    """A call's load on a target, as this VM counts it."""
+
+    def __init__(self, state: TargetState, call: Call, cached: float) -> None:
+        self._state = state
+        self._held = 0.0
+        self._unread = 0.0
+        if call.prompt is not None:
+            prompt = call.prompt
+            self._held = float(prompt.input_tokens + prompt.output_tokens)
+            self._unread = max(0.0, prompt.input_tokens - cached)
+
+    def __enter__(self) -> _Load:
+        self._state.running += 1
+        self._state.held += self._held
+        self._state.unread += self._unread
+        return self
+
+    def note_read(self) -> None:
+        """Note that the prompt was read."""
+        self._state.unread -= self._unread
+        self._unread = 0.0
+
+    def __exit__(self, *given: object) -> None:
+        self.note_read()
+        self._state.running -= 1
+        self._state.held -= self._held
+
+
+__all__ = ['Dispatcher', 'Fate', 'Parts']
--- /dev/null
+++ b/src/lentilrun/gateway/fleet.py
@@ -0,0 +1,95 @@
+"""How a VM finds the others: rows of their own in the store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..config.ini import Address
+from ..errors import ConflictError
+from ..errors import PlatformError
+from ..platform.rows import Write
+
+if TYPE_CHECKING:
+    from ..platform.rows import Rows
+    from ..platform.rows import RowStore
+    from .logs import Log
+    from .peers import Peers
+
+FLEET_TABLE = 'fleet'
+_PREFIX = 'vm/'
+_READ_PAUSE_S = 15.0
+_RETRY_PAUSE_S = 0.5
+
+
+class _VmRow(NamedTuple):
+    host: str
+    port: int
+
+
+_decoder = msgspec.json.Decoder(_VmRow)
+
+
+class Fleet:
+    """Writes this VM's row and reads those of the others."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        peers: Peers,
+        node: str,
+        address: Address,
+        log: Log,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._node = node
+        self._address = address
+        self._log = log
+
+    async def run(self) -> None:
+        """Join the fleet and look for new members for ever."""
+        while True:
+            try:
+                await self._refresh()
+            except (ConflictError, PlatformError) as error:
+                self._log.write('fleet_unread', error=error)
+                await asyncio.sleep(_RETRY_PAUSE_S)
+            else:
+                await asyncio.sleep(_READ_PAUSE_S)
+
+    async def _refresh(self) -> None:
+        found = await self._store.read(FLEET_TABLE)
+        own = self._take(found)
+        value = msgspec.json.encode(_VmRow(*self._address))
+        if own is None or own[1] != value:
+            version = own[0] if own is not None else 0
+            key = _PREFIX + self._node
+            write = Write(FLEET_TABLE, key, value, version)
+            await self._store.write([write])
+            self._peers.speak()
+
+    def _take(self, found: Rows) -> tuple[int, bytes] | None:
+        """Take the members; return the version and value of this VM's."""
+        own = None
+        for row in found.rows:
+            if not row.key.startswith(_PREFIX):
+                continue
+            node = row.key.removeprefix(_PREFIX)
+            if node == self._node:
+                own = (row.version, row.value)
+                continue
+            try:
+                vm = _decoder.decode(row.value)
+            except msgspec.MsgspecError as error:
+                self._log.write('row_unreadable', key=row.key, error=error)
+                continue
+            if node not in self._peers.known:
+                self._peers.add(node, Address(vm.host, vm.port))
+        return own
+
+
+__all__ = ['Fleet', 'FLEET_TABLE']
--- /dev/null
+++ b/src/lentilrun/gateway/node.py
@@ -0,0 +1,211 @@
+"""A daemon on the users' platform: all its parts, put together."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from tornado.httpserver import HTTPServer
+
+from ..config.ini import Address
+from ..coordination.clock import SystemClock
+from ..platform import documents
+from ..platform.rows import RowStore
+from ..web.client import Client
+from .admission import Admission
+from .crashes import Crashes
+from .dispatch import Dispatcher
+from .dispatch import Parts
+from .fleet import Fleet
+from .follower import Follower
+from .logs import Log
+from .news import News
+from .peers import Peers
+from .quotas import Quotas
+from .server import CallerPort
+from .server import Handling
+from .server import ReadinessPort
+from .targets import Targets
+from .view import View
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+    from types import TracebackType
+
+    from ..platform.node import NodeSettings
+    from .call import Call
+    from .call import Incoming
+    from .call import Refusal
+    from .call import Reply
+
+_TARGET_CONNECT_S = 0.4
+_STORE_CONNECT_S = 0.5
+_MAX_IDLE = 8
+_MAX_HEADER_BYTES = 64 * 1024
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+# Longer than any limit that operators set: callers close, not the router.
+_IDLE_S = 120.0
+_BACKLOG = 1024
+# Readiness goes first, so that new callers go elsewhere.
+_NOTICE_S = 2.5
+_GRACE_MARGIN_S = 1.0
+_LEAVING_POLL_S = 0.1
+_NOT_RUN = frozenset((408, 421, 429, 503))
+
+
+class _Handling(Handling):
+    """Admits and dispatches calls."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def admit(self, incoming: Incoming) -> Call:
+        """Return a call, or raise ``Refusal``."""
+        return self._node.admission.admit(incoming)
+
+    async def run(self, call: Call, reply: Reply) -> None:
+        """Run a call; raises ``Refusal`` if it was not answered."""
+        await self._node.dispatcher.run(call, reply)
+
+    def note_end(self, call: Call, refusal: Refusal | None) -> None:
+        """Give back the charge of a call that has not run."""
+        if refusal is None or refusal.status not in _NOT_RUN:
+            return
+        if call.workspace is not None and call.workspace.rate:
+            self._node.quotas.refund(call.workspace, call.charge)
+
+
+class Node:
+    """Owns the parts of a daemon; serves from entry to ``leave``."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.log = Log(self.clock, settings.name)
+        self.target_client = Client(_TARGET_CONNECT_S, _MAX_IDLE)
+        self.store_client = Client(_STORE_CONNECT_S, _MAX_IDLE)
+        self.store = RowStore(self.store_client, settings.store)
+        self.targets = Targets(self.clock, settings.data_centre)
+        self.view = View(self.clock, self.targets, self.log)
+        self.quotas = Quotas(self.clock, settings.bounds.quota_slack)
+        self.view.on_configuration.append(self.quotas.configure)
+        self.crashes = Crashes(self.clock)
+        self._build_fleet()
+        self._build_entry()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stack = contextlib.AsyncExitStack()
+
+    def _build_fleet(self) -> None:
+        settings = self.settings
+        address = Address(settings.host, settings.peer_port)
+        self.peers = Peers(settings.name, address, self.clock, self.log)
+        self.news = News(
+            settings.name,
+            address,
+            self.clock,
+            self.peers,
+            self.targets,
+            self.quotas,
+            self.crashes,
+        )
+        self.fleet = Fleet(
+            self.store, self.peers, settings.name, address, self.log
+        )
+        self.operators = Follower(
+            self.store,
+            documents.OPERATOR_TABLE,
+            self.view.take_operator_row,
+            self.clock,
+            self.log,
+        )
+        self.registrations = Follower(
+            self.store,
+            documents.TARGET_TABLE,
+            self.view.take_target_row,
+            self.clock,
+            self.log,
+        )
+
+    def _build_entry(self) -> None:
+        self.admission = Admission(self.view, self.quotas)
+        self.dispatcher = Dispatcher(
+            Parts(
+                self.clock,
+                self.settings.bounds,
+                self.target_client,
+                self.view,
+                self.targets,
+                self.peers,
+                self.crashes,
+                self.log,
+            )
+        )
+        self.port = CallerPort(_Handling(self), self.clock, self.log)
+        self.callers = HTTPServer(
+            self.port,
+            idle_connection_timeout=_IDLE_S,
+            body_timeout=_IDLE_S,
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_BODY_BYTES,
+        )
+        self.readiness = HTTPServer(ReadinessPort(self.is_ready))
+
+    def is_ready(self) -> bool:
+        """Return whether new callers are welcome."""
+        return (
+            not self.port.is_leaving
+            and self.view.configuration is not None
+            and self.registrations.is_current()
+        )
+
+    async def __aenter__(self) -> Node:
+        self._stack.enter_context(self.target_client)
+        self._stack.enter_context(self.store_client)
+        await self._stack.enter_async_context(self.peers)
+        entry, readiness = self.settings.entry, self.settings.readiness
+        self.callers.listen(entry.port, entry.host, backlog=_BACKLOG)
+        self.readiness.listen(readiness.port, readiness.host)
+        for job in (self.operators, self.registrations, self.fleet):
+            self._start(job.run())
+        self._start(self.peers.run())
+        self.log.write('started', entry=str(entry))
+        return self
+
+    def _start(self, job: Coroutine[None, None, None]) -> None:
+        task = asyncio.ensure_future(job)
+        task.add_done_callback(self._note_job_end)
+        self._tasks.append(task)
+
+    def _note_job_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        self.log.write('job_failed', error=repr(task.exception()))
+
+    async def leave(self) -> None:
+        """Finish what is under way, and welcome nobody new."""
+        began = self.clock.now()
+        self.log.write('leaving', open=len(self.port.open))
+        self.port.is_leaving = True
+        await asyncio.sleep(_NOTICE_S)
+        self.callers.stop()
+        until = began + self.settings.bounds.grace - _GRACE_MARGIN_S
+        while self.port.open and self.clock.now() < until:
+            await asyncio.sleep(_LEAVING_POLL_S)
+        self.news.is_leaving = True
+        self.peers.speak()
+        self.log.write('stopped', open=len(self.port.open))
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._stack.aclose()
+
+
+__all__ = ['Node']
--- /dev/null
+++ b/src/lentilrun/gateway/relay.py
@@ -0,0 +1,138 @@
+"""Relaying of a target's answer: whole, or event by event."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+
+from ..platform import dialect
+from ..platform.dialect import Answer
+from ..web.client import Receiver
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from tornado.httputil import HTTPHeaders
+
+    from .call import Reply
+
+_EVENT_END = b'\n\n'
+_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_OK = 200
+_SUCCESS_END = 300
+_MAX_EVENT_BYTES = 4 * 1024 * 1024
+
+
+class Progress:
+    """What the caller has of a stream, over all attempts."""
+
+    def __init__(self, last_event: int) -> None:
+        self.last_event = last_event
+        self.has_begun = False
+
+    def keep_new(self, events: bytes) -> bytes:
+        """Return the events that the caller has not seen."""
+        numbers = [int(n) for n in _EVENT_ID.findall(events)]
+        if not numbers or numbers[0] > self.last_event:
+            self.last_event = max([self.last_event, *numbers])
+            return events
+        kept = []
+        for event in events.split(_EVENT_END)[:-1]:
+            found = _EVENT_ID.search(event)
+            if found is None or int(found[1]) > self.last_event:
+                kept.append(event + _EVENT_END)
+        self.last_event = max([self.last_event, *numbers])
+        return b''.join(kept)
+
+
+class AnswerReceiver(Receiver):
+    """Takes the answer to one attempt; relays a stream as it comes."""
+
+    def __init__(
+        self,
+        request_id: str,
+        reply: Reply,
+        progress: Progress,
+        note_first: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self.answer: Answer | None = None
+        self.skipped = 0
+        self._request_id = request_id
+        self._reply = reply
+        self._progress = progress
+        self._note_first = note_first
+        self._relays = False
+        self._rest = b''
+
+    def owns(self, headers: HTTPHeaders) -> bool:
+        """Return whether an answer belongs to the request."""
+        if dialect.is_answer_to(headers, self._request_id):
+            return True
+        self.skipped += 1
+        return False
+
+    def begin(
+        self, status: int, headers: HTTPHeaders
+    ) -> Awaitable[None] | None:
+        """Take the head of the answer."""
+        super().begin(status, headers)
+        answer = dialect.read_answer(status, headers)
+        self.answer = answer
+        self._relays = (
+            status == _OK
+            and answer.is_stream
+            and answer.is_signed
+            and not answer.is_encoded
+        )
+        return None
+
+    def take(self, chunk: bytes) -> Awaitable[None] | None:
+        """Relay whole events, or collect a plain answer."""
+        if not self._relays:
+            return super().take(chunk)
+        data = self._rest + chunk
+        end = data.rfind(_EVENT_END)
+        if end < 0:
+            self._rest = data
+            if len(data) > _MAX_EVENT_BYTES:
+                self.stop()
+            return None
+        end += len(_EVENT_END)
+        self._rest = data[end:]
+        events = self._progress.keep_new(data[:end])
+        return self._relay(events) if events else None
+
+    async def _relay(self, events: bytes) -> None:
+        self._note_first()
+        if not self._progress.has_begun:
+            self._progress.has_begun = True
+            headers = dialect.make_answer(self.headers)
+            await self._reply.begin(self.status, headers)
+        await self._reply.write(events)
+
+    def is_cut(self) -> bool:
+        """Return whether a stream ended within an event."""
+        return bool(self._rest)
+
+    def is_usable(self) -> bool:
+        """Return whether the answer may be handed on as it is."""
+        answer = self.answer
+        if answer is None:
+            return False
+        if _OK <= answer.status < _SUCCESS_END:
+            return answer.is_signed and not answer.is_encoded
+        return not answer.is_encoded
+
+    async def deliver(self) -> None:
+        """Hand the whole answer to the caller."""
+        if self._progress.has_begun:
+            await self._reply.finish()
+            return
+        headers = dialect.make_answer(self.headers)
+        body = self.response().body
+        await self._reply.send(self.status, headers, body)
+
+
+__all__ = ['AnswerReceiver', 'Progress']
--- /dev/null
+++ b/src/lentilrun/gateway/server.py
@@ -0,0 +1,244 @@
+"""The port for callers, and the one that tells whether to send any."""
+
+from __future__ import annotations
+
+import asyncio
+from http.client import responses
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPConnection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from ..platform import dialect
+from .call import Incoming
+from .call import Reason
+from .call import Refusal
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..coordination.clock import Clock
+    from .call import Call
+    from .logs import Log
+
+_INTERNAL_ERROR = 500
+_BAD_GATEWAY = 502
+_OK = 200
+_UNAVAILABLE = 503
+_NO_BODY = frozenset((204, 304))
+
+
+class Handling:
+    """What the port does with a request; told by its owner."""
+
+    def admit(self, incoming: Incoming) -> Call:
+        """Return a call, or raise ``Refusal``."""
+        raise NotImplementedError
+
+    async def run(self, call: Call, reply: _Reply) -> None:
+        """Run a call; raises ``Refusal`` if it was not answered."""
+        raise NotImplementedError
+
+    def note_end(self, call: Call, refusal: Refusal | None) -> None:
+        """Take note of how a call ended."""
+        raise NotImplementedError
+
+
+class _Reply:
+    """The way back to one caller."""
+
+    def __init__(
+        self, connection: HTTP1Connection, is_leaving: Callable[[], bool]
+    ) -> None:
+        self._connection = connection
+        self._is_leaving = is_leaving
+        self.has_begun = False
+
+    def _start(
+        self, status: int, headers: HTTPHeaders, body: bytes | None
+    ) -> asyncio.Future[None]:
+        self.has_begun = True
+        if self._is_leaving():
+            headers['Connection'] = 'close'
+        reason = responses.get(status, 'Unknown')
+        line = ResponseStartLine('HTTP/1.1', status, reason)
+        return self._connection.write_headers(line, headers, body)
+
+    async def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Send the head of a stream."""
+        await self._start(status, headers, None)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a stream."""
+        await self._connection.write(data)
+
+    async def finish(self) -> None:
+        """End a stream as complete."""
+        self._connection.finish()
+
+    async def send(
+        self, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Send a whole answer."""
+        if status not in _NO_BODY:
+            headers['Content-Length'] = str(len(body))
+        written = self._start(status, headers, body or None)
+        self._connection.finish()
+        await written
+
+    def abort(self) -> None:
+        """Break off, so that nothing looks complete."""
+        self._connection.close()
+
+
+class _Message(HTTPMessageDelegate):
+    """Reads one request and answers it."""
+
+    def __init__(self, port: CallerPort, connection: HTTP1Connection) -> None:
+        self._port = port
+        self._connection = connection
+        self._line = RequestStartLine('', '', '')
+        self._headers = HTTPHeaders()
+        self._chunks: list[bytes] = []
+        self._arrived = 0.0
+        self._task: asyncio.Task[None] | None = None
+        self.may_cancel = True
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        self._line = start_line
+        self._headers = headers
+        self._arrived = self._port.clock.now()
+
+    def data_received(self, chunk: bytes) -> None:
+        self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        incoming = Incoming(
+            self._line.method,
+            self._line.path,
+            self._headers,
+            b''.join(self._chunks),
+            self._arrived,
+        )
+        reply = _Reply(self._connection, lambda: self._port.is_leaving)
+        made = self._port.answer(incoming, reply, self)
+        self._task = asyncio.ensure_future(made)
+        self._port.open.add(self._task)
+        self._task.add_done_callback(self._port.open.discard)
+
+    def on_connection_close(self) -> None:
+        if self._task is not None and self.may_cancel:
+            self._task.cancel()
+
+
+class CallerPort(HTTPServerConnectionDelegate):
+    """Answers callers; ``open`` holds the requests under way."""
+
+    def __init__(self, handling: Handling, clock: Clock, log: Log) -> None:
+        self._handling = handling
+        self._log = log
+        self.clock = clock
+        self.is_leaving = False
+        self.open: set[asyncio.Task[None]] = set()
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        assert isinstance(request_conn, HTTP1Connection)
+        return _Message(self, request_conn)
+
+    async def answer(
+        self, incoming: Incoming, reply: _Reply, message: _Message
+    ) -> None:
+        """Answer one request."""
+        try:
+            call = self._handling.admit(incoming)
+        except Refusal as refusal:
+            await self._refuse(incoming, reply, refusal)
+            return
+        message.may_cancel = call.may_cancel()
+        failure = await self._run(call, reply)
+        self._handling.note_end(call, failure)
+        if failure is not None:
+            await self._refuse(incoming, reply, failure)
+
+    async def _run(self, call: Call, reply: _Reply) -> Refusal | None:
+        try:
+            await self._handling.run(call, reply)
+        except Refusal as refusal:
+            return refusal
+        except StreamClosedError:
+            self._log.write('caller_gone', id=call.request_id)
+        except asyncio.CancelledError:
+            self._log.write('caller_gone', id=call.request_id)
+            raise
+        except Exception as error:
+            self._log.write(
+                'request_error', id=call.request_id, error=repr(error)
+            )
+            return Refusal(_BAD_GATEWAY, Reason.INTERNAL)
+        return None
+
+    async def _refuse(
+        self, incoming: Incoming, reply: _Reply, refusal: Refusal
+    ) -> None:
+        request_id = dialect.read_request(incoming.headers).request_id
+        self._log.write(
+            'refused',
+            id=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after=refusal.retry_after,
+            seconds=round(self.clock.now() - incoming.arrived, 3),
+        )
+        if reply.has_begun:
+            reply.abort()
+            return
+        headers = dialect.make_refusal(request_id, refusal.retry_after)
+        body = msgspec.json.encode({'error': refusal.reason})
+        try:
+            await reply.send(refusal.status, headers, body)
+        except StreamClosedError:
+            self._log.write('caller_gone', id=request_id)
+
+
+class _Question(HTTPMessageDelegate):
+    def __init__(
+        self, port: ReadinessPort, connection: HTTPConnection
+    ) -> None:
+        self._port = port
+        self._connection = connection
+
+    def finish(self) -> None:
+        status = _OK if self._port.is_ready() else _UNAVAILABLE
+        line = ResponseStartLine('HTTP/1.1', status, responses[status])
+        headers = HTTPHeaders({'Content-Length': '0'})
+        self._connection.write_headers(line, headers)
+        self._connection.finish()
+
+
+class ReadinessPort(HTTPServerConnectionDelegate):
+    """Tells whether new callers are welcome."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self.is_ready = is_ready
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        return _Question(self, request_conn)
+
+
+__all__ = ['CallerPort', 'Handling', 'ReadinessPort']
--- /dev/null
+++ b/src/lentilrun/gateway/targets.py
@@ -0,0 +1,234 @@
+"""The targets that a VM knows: their load, health and cached parts."""
+
+from __future__ import annotations
+
+import collections
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..decisions.placement import Candidate
+from ..decisions.placement import guess_share
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from ..coordination.clock import Clock
+    from ..decisions.facts import Prompt
+    from ..decisions.facts import Service
+    from ..decisions.facts import Target
+
+# The share of an engine's memory that may hold parts of old requests.
+_CACHE_SHARE = 0.7
+_BLOCK_BASE_S = 0.15
+_BLOCK_MAX_S = 2.5
+# Outcomes lose half of their weight in this time.
+_HALF_LIFE_S = 2.0
+# Outcomes that are assumed to have been good, so that one failure of a
+# target that is seldom asked does not shut it out.
+_ASSUMED_GOOD = 4.0
+# What a peer says of a load holds for so long.
+_PEER_LOAD_S = 1.5
+
+
+class PeerLoad(NamedTuple):
+    """What a peer runs at a target; ``heard`` by the clock, in seconds."""
+
+    running: int
+    unread: float
+    held: float
+    good: float
+    bad: float
+    heard: float
+
+
+class TargetState:
+    """One start of a target as this VM sees it; sizes in tokens."""
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.versions = dict(target.versions)
+        self.running = 0
+        self.unread = 0.0
+        self.held = 0.0
+        self.peers: dict[str, PeerLoad] = {}
+        self.failures = 0
+        self.blocked_until = float('-inf')
+        self.loading_until = float('-inf')
+        self.is_loaded_by_us = False
+        self.good = 0.0
+        self.bad = 0.0
+        self._weighed = 0.0
+        self._parts: collections.OrderedDict[tuple[str, str], int] = (
+            collections.OrderedDict()
+        )
+        self._part_tokens = 0
+
+    def weigh_outcomes(self, now: float) -> None:
+        """Let old outcomes fade."""
+        factor = 0.5 ** ((now - self._weighed) / _HALF_LIFE_S)
+        self.good *= factor
+        self.bad *= factor
+        self._weighed = now
+
+    def failing(self) -> float:
+        """Return the share of answers of all VMs that failed lately."""
+        loads = self.peers.values()
+        good = self.good + sum(p.good for p in loads)
+        bad = self.bad + sum(p.bad for p in loads)
+        return bad / (good + bad + _ASSUMED_GOOD)
+
+    def cached(self, salt: str, prompt: Prompt) -> float:
+        """Return the tokens of a prompt that are thought to be cached."""
+        tokens = 0
+        for part in prompt.parts:
+            if (salt, part.identity) not in self._parts:
+                break
+            tokens += part.tokens
+        return float(tokens)
+
+    def note_parts(self, salt: str, prompt: Prompt, memory: int) -> None:
+        """Note that the target read the shared parts of a prompt."""
+        for part in prompt.parts[:-1]:
+            key = (salt, part.identity)
+            if key not in self._parts:
+                self._parts[key] = part.tokens
+                self._part_tokens += part.tokens
+            self._parts.move_to_end(key)
+        while self._part_tokens > memory * _CACHE_SHARE:
+            _, tokens = self._parts.popitem(last=False)
+            self._part_tokens -= tokens
+
+    def forget_parts(self) -> None:
+        """Note that the target's cache is empty."""
+        self._parts.clear()
+        self._part_tokens = 0
+
+    def note_version(self, model: str, version: int) -> bool:
+        """Note a version that the target has; return if it is newer."""
+        if version <= self.versions.get(model, 0):
+            return False
+        self.versions[model] = version
+        self.loading_until = float('-inf')
+        self.forget_parts()
+        return True
+
+
+class Targets:
+    """All targets by incarnation."""
+
+    def __init__(self, clock: Clock, data_centre: str) -> None:
+        self._clock = clock
+        self._data_centre = data_centre
+        self.states: dict[str, TargetState] = {}
+        self.on_change: list[Callable[[], None]] = []
+
+    def changed(self) -> None:
+        """Tell all that wait for a target."""
+        for call in self.on_change:
+            call()
+
+    def put(self, target: Target) -> None:
+        """Take what a target says of itself."""
+        state = self.states.get(target.incarnation)
+        if state is None or state.target.born != target.born:
+            self.states[target.incarnation] = TargetState(target)
+        else:
+            state.target = target
+            for model, version in target.versions.items():
+                state.note_version(model, version)
+        self.changed()
+
+    def remove(self, incarnation: str) -> TargetState | None:
+        """Forget a target that is gone."""
+        return self.states.pop(incarnation, None)
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Return the targets of a service."""
+        found = self.states.values()
+        return [s for s in found if s.target.service == service]
+
+    def usable(
+        self, service: str, avoid: Iterable[str] = ()
+    ) -> list[TargetState]:
+        """Return the targets that may get a request now."""
+        now = self._clock.now()
+        return [
+            s
+            for s in self.of_service(service)
+            if not s.target.is_draining
+            and s.blocked_until <= now
+            and s.loading_until <= now
+            and s.target.incarnation not in avoid
+        ]
+
+    def note_good(self, state: TargetState) -> None:
+        """Note an answer that came whole."""
+        state.weigh_outcomes(self._clock.now())
+        state.good += 1.0
+        state.failures = 0
+        state.blocked_until = float('-inf')
+
+    def note_bad(self, state: TargetState) -> None:
+        """Note an answer that failed."""
+        state.weigh_outcomes(self._clock.now())
+        state.bad += 1.0
+
+    def note_unreachable(self, state: TargetState) -> None:
+        """Keep requests off a target for a while, longer each time."""
+        self.note_bad(state)
+        pause = min(_BLOCK_MAX_S, _BLOCK_BASE_S * 2.0**state.failures)
+        state.failures += 1
+        state.blocked_until = self._clock.now() + pause
+
+    def make_candidates(
+        self,
+        states: list[TargetState],
+        service: Service,
+        salts: list[str],
+        prompt: Prompt | None,
+    ) -> list[Candidate]:
+        """Return targets as a request sees them, each under its salt."""
+        guesses: dict[str, float] = {}
+        shared = 0
+        if prompt is not None and len(prompt.parts) > 1:
+            shared = sum(p.tokens for p in prompt.parts[:-1])
+            names = [s.target.incarnation for s in states]
+            guesses = guess_share(prompt.parts[-2].identity, names)
+        return [
+            self._make_candidate(
+                s,
+                service,
+                0.0
+                if prompt is None
+                else max(
+                    s.cached(salt, prompt),
+                    shared * guesses.get(s.target.incarnation, 0.0),
+                ),
+            )
+            for s, salt in zip(states, salts, strict=True)
+        ]
+
+    def _make_candidate(
+        self, state: TargetState, service: Service, cached: float
+    ) -> Candidate:
+        now = self._clock.now()
+        state.weigh_outcomes(now)
+        loads = [
+            p for p in state.peers.values() if now - p.heard < _PEER_LOAD_S
+        ]
+        engine = service.engine
+        return Candidate(
+            state.target.incarnation,
+            state.target.data_centre == self._data_centre,
+            engine.slots if engine is not None else state.target.slots,
+            state.running + sum(p.running for p in loads),
+            state.unread + sum(p.unread for p in loads),
+            state.held + sum(p.held for p in loads),
+            engine.memory_tokens if engine is not None else 0,
+            cached,
+            state.failing(),
+        )
+
+
+__all__ = ['PeerLoad', 'Targets', 'TargetState']
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import re
+import socket
+import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -12,8 +15,8 @@
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
-from tornado.tcpclient import TCPClient
 
 from ..errors import LentilrunError
 
@@ -22,14 +25,26 @@
     from collections.abc import Callable
     from types import TracebackType
 
-    from tornado.iostream import IOStream
-
     from ..config.ini import Address
 
 _CONNECT_TIMEOUT = 1.0
 _MAX_HEADER = 64 * 1024
 _MAX_BODY = 64 * 1024 * 1024
 _MAX_IDLE = 64
+_PIECE_BYTES = 64 * 1024
+_MAX_FOREIGN_ANSWERS = 4
+# Sent bytes that stay unacknowledged for so long end a connection, and so
+# does a far end that leaves probes unanswered: a VM without power or
+# behind a partition says nothing.
+_UNACKNOWLEDGED_MS = 1000
+_PROBE_IDLE_S = 1
+_PROBE_PAUSE_S = 1
+_PROBES = 2
+# Far ends say for how long they keep an idle connection; it is given up
+# this much earlier, as a request may cross their closing.
+_KEEP_MARGIN_S = 0.7
+_KEPT_BY_DEFAULT_S = 60.0
+_KEPT = re.compile(r'timeout=(\d+)')
 
 
 class NotSentError(LentilrunError):
@@ -45,7 +60,7 @@
 
     method: str
     path: str
-    headers: dict[str, str]
+    headers: dict[str, str] | HTTPHeaders
     body: bytes
     timeout: float
 
@@ -70,6 +85,13 @@
         self._chunks: list[bytes] = []
         self.stop: Callable[[], None] = lambda: None
 
+    def owns(self, headers: HTTPHeaders) -> bool:
+        """Return whether an answer belongs to the request.
+
+        One that does not is skipped, and the next one is read.
+        """
+        return True
+
     def begin(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -88,11 +110,20 @@
         return Response(self.status, self.headers, b''.join(self._chunks))
 
 
+def _read_kept(headers: HTTPHeaders) -> float:
+    """Return for how long the far end keeps an idle connection."""
+    found = _KEPT.search(headers.get('Keep-Alive', ''))
+    return float(found[1]) if found else _KEPT_BY_DEFAULT_S
+
+
 class _Delegate(HTTPMessageDelegate):
-    def __init__(self, receiver: Receiver) -> None:
+    def __init__(self, stream: IOStream, receiver: Receiver) -> None:
+        self._stream = stream
         self._receiver = receiver
+        self.is_foreign = False
         self.finished = False
         self.keep_alive = False
+        self.kept = 0.0
 
     def headers_received(
         self,
@@ -106,22 +137,81 @@
             headers.get('Transfer-Encoding', '').lower() == 'chunked'
         )
         asked = headers.get('Connection', '').lower()
+        self.kept = _read_kept(headers)
         self.keep_alive = framed and asked != 'close'
+        self.is_foreign = not self._receiver.owns(headers)
+        if self.is_foreign:
+            return None
         return self._receiver.begin(start_line.code, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.is_foreign:
+            return None
         return self._receiver.take(chunk)
 
     def finish(self) -> None:
         self.finished = True
+        if self._stream.writing():
+            # The answer came before the request was read to its end: the
+            # rest of the body would be taken for the next request.
+            self.keep_alive = False
+            self._stream.close()
+
+
+class _Connection(HTTP1Connection):
+    """Reads answers without a length as they arrive."""
+
+    async def _read_body_until_close(
+        self, delegate: HTTPMessageDelegate
+    ) -> None:
+        while True:
+            try:
+                chunk = await self.stream.read_bytes(
+                    _PIECE_BYTES, partial=True
+                )
+            except StreamClosedError:
+                break
+            taken = delegate.data_received(chunk)
+            if taken is not None:
+                await taken
+        if self.stream.error is not None:
+            # A reset is no end: the answer may not be whole.
+            raise StreamClosedError(self.stream.error)
+
+
+class _Idle(NamedTuple):
+    """A connection without a request; ``until`` in monotonic seconds."""
+
+    stream: IOStream
+    until: float
+
+
+def _make_socket() -> socket.socket:
+    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    made.setblocking(False)
+    tcp = socket.IPPROTO_TCP
+    made.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    made.setsockopt(tcp, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(tcp, socket.TCP_KEEPIDLE, _PROBE_IDLE_S)
+    made.setsockopt(tcp, socket.TCP_KEEPINTVL, _PROBE_PAUSE_S)
+    made.setsockopt(tcp, socket.TCP_KEEPCNT, _PROBES)
+    return made
 
 
 class Client:
     """A pool of connections by address; closes them all on exit."""
 
-    def __init__(self) -> None:
-        self._tcp = TCPClient()
-        self._idle: dict[Address, list[IOStream]] = {}
+    def __init__(
+        self,
+        connect_timeout: float = _CONNECT_TIMEOUT,
+        max_idle: int = _MAX_IDLE,
+    ) -> None:
+        """Keep ``max_idle`` connections an address; times in seconds."""
+        self._connect_timeout = connect_timeout
+        self._max_idle = max_idle
+        self._idle: dict[Address, list[_Idle]] = {}
+        self.connections_made = 0
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER, max_body_size=_MAX_BODY
         )
@@ -135,39 +225,50 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for streams in self._idle.values():
-            for stream in streams:
-                stream.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self.forget(address)
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to an address."""
+        for idle in self._idle.pop(address, []):
+            idle.stream.close()
 
     def _reuse(self, address: Address) -> IOStream | None:
-        streams = self._idle.get(address, [])
-        while streams:
-            stream = streams.pop()
+        idle = self._idle.get(address, [])
+        while idle:
+            stream, until = idle.pop()
             stream.set_close_callback(None)
-            if not stream.closed():
+            if stream.closed():
+                continue
+            # Bytes that came without a request belong to none.
+            if until > time.monotonic() and not stream._read_buffer_size:
                 return stream
+            stream.close()
         return None
 
-    def _keep(self, address: Address, stream: IOStream) -> None:
-        streams = self._idle.setdefault(address, [])
-        if len(streams) >= _MAX_IDLE:
+    def _keep(self, address: Address, stream: IOStream, kept: float) -> None:
+        idle = self._idle.setdefault(address, [])
+        if len(idle) >= self._max_idle or kept <= _KEEP_MARGIN_S:
             stream.close()
             return
         # A close callback makes the stream watch for the far end closing.
         stream.set_close_callback(lambda: None)
-        streams.append(stream)
+        until = time.monotonic() + kept - _KEEP_MARGIN_S
+        idle.append(_Idle(stream, until))
 
     async def _connect(self, address: Address, timeout: float) -> IOStream:
-        limit = min(_CONNECT_TIMEOUT, timeout)
+        limit = min(self._connect_timeout, timeout)
+        stream = IOStream(_make_socket(), max_buffer_size=_MAX_BODY)
+        self.connections_made += 1
         try:
             async with asyncio.timeout(limit):
-                stream = await self._tcp.connect(
-                    address.host, address.port, max_buffer_size=_MAX_BODY
-                )
+                await stream.connect((address.host, address.port))
         except (OSError, TimeoutError, StreamClosedError) as error:
+            stream.close()
             raise NotSentError(f'no connection to {address}') from error
-        stream.set_nodelay(True)
+        except asyncio.CancelledError:
+            stream.close()
+            raise
         return stream
 
     async def exchange(
@@ -187,11 +288,12 @@
         if stream is None:
             stream = await self._connect(address, request.timeout)
         receiver.stop = stream.close
-        delegate = _Delegate(receiver)
-        kept = False
+        keeping = 0.0
         try:
             async with asyncio.timeout(request.timeout):
-                kept = await self._converse(stream, address, request, delegate)
+                keeping = await self._converse(
+                    stream, address, request, receiver
+                )
         except (StreamClosedError, OSError) as error:
             text = f'{address} closed the connection'
             raise InterruptedExchangeError(text) from error
@@ -199,30 +301,50 @@
             text = f'{address} gave no answer in time'
             raise InterruptedExchangeError(text) from error
         finally:
-            if not kept:
+            if not keeping:
                 stream.close()
-        if not delegate.finished:
-            raise InterruptedExchangeError(f'{address} cut the answer off')
-        if delegate.keep_alive:
-            self._keep(address, stream)
-        else:
-            stream.close()
+        if keeping:
+            self._keep(address, stream, keeping)
 
     async def _converse(
         self,
         stream: IOStream,
         address: Address,
         request: Request,
-        delegate: _Delegate,
-    ) -> bool:
-        connection = HTTP1Connection(stream, True, self._parameters)
+        receiver: Receiver,
+    ) -> float:
+        """Return for how long the connection may be kept, in seconds."""
+        connection = _Connection(stream, True, self._parameters)
+        self._write(connection, address, request)
+        for _ in range(_MAX_FOREIGN_ANSWERS):
+            delegate = _Delegate(stream, receiver)
+            try:
+                kept = await connection.read_response(delegate)
+            except StreamClosedError:
+                if not delegate.finished or delegate.is_foreign:
+                    raise
+                return 0.0
+            if not delegate.finished:
+                break
+            if not delegate.is_foreign:
+                return delegate.kept if kept and delegate.keep_alive else 0.0
+            if not kept:
+                break
+            connection = _Connection(stream, True, self._parameters)
+            connection.finish()
+        raise InterruptedExchangeError(f'{address} cut the answer off')
+
+    @staticmethod
+    def _write(
+        connection: HTTP1Connection, address: Address, request: Request
+    ) -> None:
         headers = HTTPHeaders(request.headers)
-        headers['Host'] = str(address)
-        headers['Content-Length'] = str(len(request.body))
+        headers.setdefault('Host', str(address))
+        if request.body or request.method not in ('GET', 'HEAD'):
+            headers['Content-Length'] = str(len(request.body))
         start = RequestStartLine(request.method, request.path, 'HTTP/1.1')
-        connection.write_headers(start, headers, request.body)
+        connection.write_headers(start, headers, request.body or None)
         connection.finish()
-        return await connection.read_response(delegate)
 
     async def fetch(
         self, address: Address, request: Request, reuse: bool = True
