Gather long answers, count quotas by window, empty engines before loads

Cause: engines that wait for long answers took up to 4 s each to take new weights, so requests began on weights over 8 s old; long prompts paused the answers beside them; quotas refused what the users still owe. Change: placement weighs pauses and the time an engine stays in use; engines that are soon empty load first; quotas count a sliding window.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -1,8 +1,11 @@
-"""Which target takes a request: the least estimated time to an answer.
-
-The load that this answers: long prompts that share parts, sent to a few
-engines whose memory holds the shared parts of a few requests each, while
-short requests must not wait behind the reading of long prompts.
+"""Which target takes a request: the least estimated cost, in seconds.
+
+The load that this answers: requests with long prompts and short answers
+beside requests with short prompts and long answers, on the same engines.
+While an engine reads a long prompt, the answers that it makes pause; and
+an engine can take new weights only once its longest answer is made. So
+long answers gather on a few engines, long prompts on the others, and each
+shared part of a prompt is read once.
 """
 
 from __future__ import annotations
@@ -17,6 +20,12 @@
 
 # Prompt tokens that an engine reads a second.
 READ_RATE = 35_000.0
+# Time that an engine takes for a token of an answer, in seconds.
+TOKEN_S = 0.0055
+# Answers are this share of the most that their requests allow.
+_ANSWER_SHARE = 0.3
+# An answer that is expected to take longer counts as long, in seconds.
+LONG_S = 0.7
 # Time of a request at a target while nothing else runs, in seconds.
 _MODEL_SERVICE_S = 0.35
 _PLAIN_SERVICE_S = 0.025
@@ -27,6 +36,14 @@
 # What a failed answer costs, as a time in seconds.
 _FAILURE_S = 1.5
 _DECODE_S_PER_RUNNING = 0.0006
+# Cost for each long answer that pauses while so many tokens are read; it
+# grows with the square of the tokens.
+_PAUSE_S = 0.02
+_PAUSE_TOKENS = 5000.0
+# Cost of a second by which an engine is in use for longer.
+_LONGER_SHARE = 0.02
+# Cost of beginning on weights that were replaced, in seconds.
+_STALE_S = 0.15
 # How sure it is that the first place by hash holds a shared part.
 _FIRST_PLACE = 0.6
 
@@ -34,18 +51,22 @@
 class Candidate(NamedTuple):
     """A target as a request sees it; all sizes in tokens.
 
-    ``running`` counts the requests of all VMs there, ``unread`` their
-    prompt tokens still to be read and ``held`` the memory that they
-    take. ``cached`` is what it is thought to hold of the prompt.
-    ``failing`` is the share of answers that failed lately.
+    ``running`` counts the requests of all VMs there, ``long_running``
+    those with long answers, ``unread`` their prompt tokens still to be
+    read and ``held`` the memory that they take; they are all done after
+    ``busy_for`` seconds. ``cached`` is what it is thought to hold of the
+    prompt. ``failing`` is the share of answers that failed lately.
     """
 
     name: str
     is_near: bool
+    is_stale: bool
     slots: int
     running: int
+    long_running: int
     unread: float
     held: float
+    busy_for: float
     memory: int
     cached: float
     failing: float
@@ -57,6 +78,10 @@
     input_tokens: int
     output_tokens: int
 
+    def answer_time(self) -> float:
+        """Return the time that the answer is expected to take, in s."""
+        return self.output_tokens * _ANSWER_SHARE * TOKEN_S
+
 
 class Choice(NamedTuple):
     """A target, the time to its answer in seconds, and what it holds."""
@@ -88,19 +113,33 @@
     return _PLAIN_SERVICE_S * (0.3 * min(1.0, filled) + queued)
 
 
+def _estimate_harm(candidate: Candidate, need: Need) -> float:
+    """Return what the request costs others, in seconds."""
+    to_read = max(0.0, need.input_tokens - candidate.cached)
+    paused = (to_read / _PAUSE_TOKENS) ** 2 * _PAUSE_S
+    harm = paused * candidate.long_running
+    longer = max(0.0, need.answer_time() - candidate.busy_for)
+    return harm + longer * _LONGER_SHARE
+
+
+def estimate_cost(candidate: Candidate, need: Need) -> float:
+    """Return what a request costs at a target, in seconds."""
+    cost = estimate_wait(candidate, need)
+    cost += _estimate_harm(candidate, need)
+    cost += candidate.failing * _FAILURE_S
+    if candidate.is_stale:
+        cost += _STALE_S
+    if not candidate.is_near:
+        cost += _FAR_S
+    return cost
+
+
 def choose(candidates: Iterable[Candidate], need: Need) -> Choice | None:
     """Return the target with the least cost, or nothing without any."""
-    best: Choice | None = None
-    least = float('inf')
-    for candidate in candidates:
-        wait = estimate_wait(candidate, need)
-        cost = wait + candidate.failing * _FAILURE_S
-        if not candidate.is_near:
-            cost += _FAR_S
-        if cost < least:
-            least = cost
-            best = Choice(candidate.name, wait, candidate.cached)
-    return best
+    best = min(candidates, key=lambda c: estimate_cost(c, need), default=None)
+    if best is None:
+        return None
+    return Choice(best.name, estimate_wait(best, need), best.cached)
 
 
 def _score(part: str, name: str) -> bytes:
@@ -123,8 +162,10 @@
     'Candidate',
     'Choice',
     'choose',
+    'estimate_cost',
     'estimate_wait',
     'guess_share',
+    'LONG_S',
     'Need',
     'READ_RATE',
 ]
--- /dev/null
+++ b/src/lentilrun/decisions/upgrades.py
@@ -0,0 +1,69 @@
+"""Which engines take new weights next, and who sees to it.
+
+The load that this answers: new weights are named every few seconds while
+requests come. An engine that empties or loads serves nobody, and one that
+keeps old weights serves at a lower worth. So the engines that are soon
+empty go first, and those with long answers go once others can take over.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Sequence
+
+# The share of the engines that may be out of service for new weights.
+_SHARE_OUT = 0.45
+# An engine that is empty within this time goes at once, in seconds.
+_SOON_S = 1.2
+# Others go once weights are so old, in seconds, or some engine has them.
+_PATIENCE_S = 1.0
+# Once weights are this old, as a share of the limit, an engine takes the
+# order while it still runs requests: it finishes them first.
+_FORCED_SHARE = 0.45
+# How long others wait for the VM before them to begin, in seconds.
+_TURN_S = 0.8
+
+
+class Engine(NamedTuple):
+    """An engine as an upgrade sees it; ``busy_for`` in seconds."""
+
+    name: str
+    version: int
+    is_out: bool
+    busy_for: float
+
+
+def pick_wave(engines: Sequence[Engine], wanted: int, age: float) -> list[str]:
+    """Return the engines to take out of service now.
+
+    ``age`` is the time since the weights were named, in seconds.
+    """
+    most = max(1, int(len(engines) * _SHARE_OUT))
+    room = most - sum(e.is_out for e in engines)
+    old = [e for e in engines if not e.is_out and e.version < wanted]
+    has_new = any(e.version >= wanted for e in engines)
+    if not has_new and age < _PATIENCE_S:
+        old = [e for e in old if e.busy_for < _SOON_S]
+    old.sort(key=lambda e: (e.busy_for, e.name))
+    return [e.name for e in old[: max(0, room)]]
+
+
+def find_patience(age: float, limit: float) -> float:
+    """Return how long an engine may be left to become empty, in s.
+
+    ``limit`` is the age at which nothing may begin on old weights.
+    """
+    return max(0.0, limit * _FORCED_SHARE - age)
+
+
+def find_turn(own: str, heard: Iterable[str]) -> float:
+    """Return how long a VM leaves new work to those before it, in s."""
+    before = sum(name < own for name in heard)
+    return before * _TURN_S
+
+
+__all__ = ['Engine', 'find_patience', 'find_turn', 'pick_wave']
--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -16,6 +16,7 @@
     from ..decisions.facts import Workspace
     from ..platform.dialect import Asked
     from .call import Incoming
+    from .logs import Log
     from .quotas import Quotas
     from .view import View
 
@@ -32,8 +33,9 @@
 class Admission:
     """Turns what came into a call, or raises ``Refusal``."""
 
-    def __init__(self, view: View, quotas: Quotas) -> None:
+    def __init__(self, view: View, quotas: Quotas, log: Log) -> None:
         self._view = view
+        self._log = log
         self._quotas = quotas
 
     def admit(self, incoming: Incoming) -> Call:
@@ -94,6 +96,15 @@
             return
         delay = self._quotas.charge(call.workspace, call.charge)
         if delay:
+            self._log.write(
+                'quota_exceeded',
+                id=call.request_id,
+                workspace=call.workspace.name,
+                rate=call.workspace.rate,
+                burst=call.workspace.burst,
+                used=round(self._quotas.used(call.workspace)),
+                charge=call.charge,
+            )
             raise Refusal(_TOO_MANY, Reason.QUOTA, delay)
 
 
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -9,7 +9,9 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.placement import choose
+from ..decisions.placement import LONG_S
 from ..decisions.placement import Need
+from ..decisions.placement import READ_RATE
 from ..decisions.retries import RetryBudget
 from ..platform import dialect
 from ..platform.dialect import Passing
@@ -56,8 +58,6 @@
 # Requests that start on older weights so long before the limit may still
 # wait there.
 _VERSION_MARGIN_S = 1.2
-# The least tokens for which fetching beats reading again.
-_FETCH_TOKENS = 256
 
 
 class Fate(enum.StrEnum):
@@ -83,6 +83,7 @@
     state: TargetState
     service: Service
     choice: Choice
+    need: Need
     weights: int | None
     salt: str
 
@@ -178,8 +179,9 @@
             taken = await self._acquire()
             if self._sent and not self._spend_retry():
                 raise self._give_up(Reason.RETRIES_SPENT)
+            began = self._parts.clock.now()
             attempted = await self._attempt(taken)
-            self._log_attempt(taken, attempted)
+            self._log_attempt(taken, attempted, began)
             if attempted.fate is Fate.DELIVERED:
                 return
             if attempted.fate is Fate.NOT_SENT:
@@ -259,7 +261,7 @@
         salts = [self._make_salt(s) for s in states]
         found = choose(
             self._parts.targets.make_candidates(
-                states, service, salts, prompt
+                states, service, salts, prompt, self._find_stale()
             ),
             need,
         )
@@ -267,7 +269,19 @@
             return None
         state = self._parts.targets.states[found.name]
         salt = self._make_salt(state)
-        return Taken(state, service, found, self._weights(state), salt)
+        weights = self._weights(state)
+        return Taken(state, service, found, need, weights, salt)
+
+    def _find_stale(self) -> int:
+        """Return the version below which weights cost an answer worth."""
+        prompt = self._call.prompt
+        if prompt is None:
+            return 0
+        wanted = self._parts.view.wanted.get(prompt.model)
+        if wanted is None:
+            return 0
+        age = self._parts.clock.now() - wanted.since
+        return wanted.version if age > _FRESH_WEIGHTS_S else 0
 
     def _weights(self, state: TargetState) -> int | None:
         prompt = self._call.prompt
@@ -307,17 +321,18 @@
         if wanted is None:
             return states
         age = self._parts.clock.now() - wanted.since
-        if age < _FRESH_WEIGHTS_S:
+        if age < self._parts.bounds.version - _VERSION_MARGIN_S:
             return states
-        fresh = [s for s in states if s.versions[model] >= wanted.version]
-        if fresh or age > self._parts.bounds.version - _VERSION_MARGIN_S:
-            return fresh
-        return states
+        return [s for s in states if s.versions[model] >= wanted.version]
 
     async def _attempt(self, taken: Taken) -> Attempted:
         call = self._call
         state = taken.state
-        load = _Load(state, call, taken.choice.cached)
+        now = self._parts.clock.now()
+        load = _Load(state, taken.need, taken.choice.cached, now)
+        if call.prompt is not None and taken.service.engine is not None:
+            memory = taken.service.engine.memory_tokens
+            state.note_parts(taken.salt, call.prompt, memory)
         receiver = AnswerReceiver(
             call.request_id, self._reply, self._progress, load.note_read
         )
@@ -385,9 +400,6 @@
             return None
         if not configuration.kept_stores:
             return None
-        shared = sum(p.tokens for p in prompt.parts[:-1])
-        if shared - taken.state.cached(taken.salt, prompt) < _FETCH_TOKENS:
-            return None
         return configuration.kept_stores[0]
 
     def _note_fate(
@@ -405,9 +417,6 @@
             self._note_not_run(state, receiver)
         elif fate is Fate.DELIVERED:
             targets.note_good(state)
-            if prompt is not None and taken.service.engine is not None:
-                memory = taken.service.engine.memory_tokens
-                state.note_parts(taken.salt, prompt, memory)
         else:
             targets.note_bad(state)
             if fate is Fate.BROKEN:
@@ -430,7 +439,9 @@
         now = self._parts.clock.now()
         state.blocked_until = max(state.blocked_until, now + _FULL_S)
 
-    def _log_attempt(self, taken: Taken, attempted: Attempted) -> None:
+    def _log_attempt(
+        self, taken: Taken, attempted: Attempted, began: float
+    ) -> None:
         answer = attempted.receiver.answer
         view = self._parts.view
         configuration = view.configuration
@@ -443,30 +454,41 @@
             status=answer.status if answer is not None else None,
             wait=round(taken.choice.wait, 4),
             cached=int(taken.choice.cached),
+            tokens=_count_tokens(self._call),
             weights=taken.weights,
             sent=self._sent,
             left=round(self._left(), 3),
             events=self._progress.last_event,
+            seconds=round(self._parts.clock.now() - began, 3),
             configuration=configuration.version if configuration else None,
         )
 
 
+def _count_tokens(call: Call) -> tuple[int, int] | None:
+    """Return the tokens that a call reads and may make, for the log."""
+    if call.prompt is None:
+        return None
+    return call.prompt.input_tokens, call.prompt.output_tokens
+
+
 class _Load:
     """A call's load on a target, as this VM counts it."""
 
-    def __init__(self, state: TargetState, call: Call, cached: float) -> None:
+    def __init__(
+        self, state: TargetState, need: Need, cached: float, now: float
+    ) -> None:
         self._state = state
-        self._held = 0.0
-        self._unread = 0.0
-        if call.prompt is not None:
-            prompt = call.prompt
-            self._held = float(prompt.input_tokens + prompt.output_tokens)
-            self._unread = max(0.0, prompt.input_tokens - cached)
+        self._held = float(need.input_tokens + need.output_tokens)
+        self._unread = max(0.0, need.input_tokens - cached)
+        self._is_long = need.answer_time() > LONG_S
+        self._end = now + self._unread / READ_RATE + need.answer_time()
 
     def __enter__(self) -> _Load:
         self._state.running += 1
+        self._state.long_running += self._is_long
         self._state.held += self._held
         self._state.unread += self._unread
+        self._state.ends[id(self)] = self._end
         return self
 
     def note_read(self) -> None:
@@ -477,7 +499,9 @@
     def __exit__(self, *given: object) -> None:
         self.note_read()
         self._state.running -= 1
+        self._state.long_running -= self._is_long
         self._state.held -= self._held
+        del self._state.ends[id(self)]
 
 
 __all__ = ['Dispatcher', 'Fate', 'Parts']
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -51,7 +51,7 @@
 
     def make(self) -> Beat:
         """Return what this VM knows now."""
-        self._quotas.reserve(self._peers.members(), self._peers.silent())
+        self._quotas.note_told()
         return Beat(
             self._node,
             self._address.host,
@@ -62,8 +62,8 @@
             self._list_loading(),
             self._list_versions(),
             self._crashes.export(),
-            {n: float(round(t)) for n, t in self._quotas.used.items()},
-            {n: float(round(t)) for n, t in self._quotas.levels().items()},
+            {n: float(round(t)) for n, t in self._quotas.told.items()},
+            {n: float(round(t)) for n, t in self._quotas.uses().items()},
             {},
         )
 
@@ -73,7 +73,7 @@
         for name, state in self._targets.states.items():
             state.weigh_outcomes(now)
             if state.running or state.bad > _LEAST_OUTCOME:
-                found.append(_make_load(name, state))
+                found.append(_make_load(name, state, now))
         return found
 
     def _list_loading(self) -> list[LoadingNews]:
@@ -103,18 +103,20 @@
             else:
                 state.peers[beat.node] = PeerLoad(
                     load.running,
+                    load.long_running,
                     load.unread,
                     load.held,
+                    now + load.busy_for,
                     load.good,
                     load.bad,
                     now,
                 )
         self._take_targets(beat)
         self._crashes.take(beat.node, beat.crashes)
-        self._quotas.take_usage(beat.node, beat.used)
-        if self._peers.is_young() and not self._has_adopted and beat.levels:
+        self._quotas.take_usage(beat.node, beat.told)
+        if self._peers.is_young() and not self._has_adopted and beat.used:
             self._has_adopted = True
-            self._quotas.adopt(beat.levels)
+            self._quotas.adopt(beat.used)
 
     def _take_targets(self, beat: Beat) -> None:
         states = self._targets.states
@@ -138,12 +140,14 @@
             state.peers.pop(node, None)
 
 
-def _make_load(name: str, state: TargetState) -> LoadNews:
+def _make_load(name: str, state: TargetState, now: float) -> LoadNews:
     return LoadNews(
         name,
         state.running,
+        state.long_running,
         float(round(state.unread)),
         float(round(state.held)),
+        round(max([now, *state.ends.values()]) - now, 2),
         round(state.good, 2),
         round(state.bad, 2),
     )
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -10,6 +10,7 @@
 
 from ..config.ini import Address
 from ..coordination.clock import SystemClock
+from ..decisions.quota import Allowance
 from ..platform import documents
 from ..platform.rows import RowStore
 from ..web.client import Client
@@ -17,6 +18,7 @@
 from .crashes import Crashes
 from .dispatch import Dispatcher
 from .dispatch import Parts
+from .duty import DutyLease
 from .fleet import Fleet
 from .follower import Follower
 from .logs import Log
@@ -27,6 +29,7 @@
 from .server import Handling
 from .server import ReadinessPort
 from .targets import Targets
+from .upgrades import Upgrades
 from .view import View
 
 if TYPE_CHECKING:
@@ -54,6 +57,13 @@
 _NOT_RUN = frozenset((408, 421, 429, 503))
 
 
+def _make_allowance(settings: NodeSettings) -> Allowance:
+    bounds = settings.bounds
+    return Allowance(
+        bounds.quota_window, bounds.quota_overage, bounds.quota_slack
+    )
+
+
 class _Handling(Handling):
     """Admits and dispatches calls."""
 
@@ -88,11 +98,10 @@
         self.store = RowStore(self.store_client, settings.store)
         self.targets = Targets(self.clock, settings.data_centre)
         self.view = View(self.clock, self.targets, self.log)
-        self.quotas = Quotas(self.clock, settings.bounds.quota_slack)
-        self.view.on_configuration.append(self.quotas.configure)
         self.crashes = Crashes(self.clock)
         self._build_fleet()
         self._build_entry()
+        self._build_duties()
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
@@ -100,6 +109,8 @@
         settings = self.settings
         address = Address(settings.host, settings.peer_port)
         self.peers = Peers(settings.name, address, self.clock, self.log)
+        self.quotas = Quotas(self.clock, self.peers, _make_allowance(settings))
+        self.view.on_configuration.append(self.quotas.configure)
         self.news = News(
             settings.name,
             address,
@@ -128,7 +139,7 @@
         )
 
     def _build_entry(self) -> None:
-        self.admission = Admission(self.view, self.quotas)
+        self.admission = Admission(self.view, self.quotas, self.log)
         self.dispatcher = Dispatcher(
             Parts(
                 self.clock,
@@ -151,6 +162,27 @@
         )
         self.readiness = HTTPServer(ReadinessPort(self.is_ready))
 
+    def _build_duties(self) -> None:
+        settings = self.settings
+        lease = DutyLease(
+            self.store,
+            self.clock,
+            settings.name,
+            settings.bounds.lease_gap,
+            self.log,
+        )
+        self.upgrades = Upgrades(
+            settings.name,
+            self.clock,
+            self.target_client,
+            self.view,
+            self.targets,
+            self.peers,
+            lease,
+            settings.bounds.version,
+            self.log,
+        )
+
     def is_ready(self) -> bool:
         """Return whether new callers are welcome."""
         return (
@@ -166,9 +198,14 @@
         entry, readiness = self.settings.entry, self.settings.readiness
         self.callers.listen(entry.port, entry.host, backlog=_BACKLOG)
         self.readiness.listen(readiness.port, readiness.host)
-        for job in (self.operators, self.registrations, self.fleet):
+        for job in (
+            self.operators,
+            self.registrations,
+            self.fleet,
+            self.peers,
+            self.upgrades,
+        ):
             self._start(job.run())
-        self._start(self.peers.run())
         self.log.write('started', entry=str(entry))
         return self
 
@@ -187,6 +224,7 @@
         began = self.clock.now()
         self.log.write('leaving', open=len(self.port.open))
         self.port.is_leaving = True
+        self.upgrades.is_leaving = True
         await asyncio.sleep(_NOTICE_S)
         self.callers.stop()
         until = began + self.settings.bounds.grace - _GRACE_MARGIN_S
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -33,12 +33,17 @@
 
 
 class LoadNews(NamedTuple):
-    """What the sender runs at a target; tokens, decayed outcomes."""
+    """What the sender runs at a target; tokens, decayed outcomes.
+
+    ``busy_for`` is the time until it is done there, in seconds.
+    """
 
     incarnation: str
     running: int
+    long_running: int
     unread: float
     held: float
+    busy_for: float
     good: float
     bad: float
 
@@ -66,7 +71,11 @@
 
 
 class Beat(NamedTuple):
-    """One message; ``used`` and ``levels`` in tokens by workspace."""
+    """One message; tokens by workspace.
+
+    ``told`` is what the sender let in since its start, ``used`` what it
+    knows that all VMs let in lately.
+    """
 
     node: str
     host: str
@@ -77,8 +86,8 @@
     loading: list[LoadingNews]
     versions: list[VersionNews]
     crashes: list[CrashNews]
+    told: dict[str, float]
     used: dict[str, float]
-    levels: dict[str, float]
     positions: dict[str, int]
 
 
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -4,107 +4,113 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.quota import Bucket
-from ..decisions.quota import share_of_silent
+from ..decisions.quota import UsageWindow
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
     from ..decisions.facts import Configuration
     from ..decisions.facts import Workspace
-
-# What a bucket may be overdrawn by, as a share of the slack that the users
-# give: reports of other VMs lag, and one request is charged as a whole.
-_SLACK_SHARE = 0.25
+    from ..decisions.quota import Allowance
+    from .peers import Peers
 
 
 class Quotas:
-    """Buckets by workspace, fed with the use of all VMs."""
+    """Use by workspace, fed with that of all VMs; sizes in tokens.
+
+    ``told`` holds what this process let in since its start.
+    """
 
-    def __init__(self, clock: Clock, slack: float) -> None:
-        """Allow ``slack`` tokens beyond the limit of all VMs together."""
+    def __init__(
+        self, clock: Clock, peers: Peers, allowance: Allowance
+    ) -> None:
         self._clock = clock
-        self._floor = -slack * _SLACK_SHARE
-        self._buckets: dict[str, Bucket] = {}
+        self._peers = peers
+        self._allowance = allowance
+        self._windows: dict[str, UsageWindow] = {}
         self._seen: dict[tuple[str, str], float] = {}
-        self._reserved_at = clock.now()
-        self.used: dict[str, float] = {}
+        self.told: dict[str, float] = {}
 
     def configure(self, configuration: Configuration) -> None:
         """Take the rates of a configuration."""
-        now = self._clock.now()
         for name, workspace in configuration.workspaces.items():
-            bucket = self._buckets.get(name)
-            if bucket is None:
-                made = Bucket(workspace.rate, workspace.burst, now)
-                self._buckets[name] = made
+            window = self._windows.get(name)
+            if window is None:
+                self._windows[name] = UsageWindow(
+                    workspace.rate,
+                    workspace.burst,
+                    self._allowance,
+                    self._clock.now(),
+                )
             else:
-                bucket.refill(now)
-                bucket.change(workspace.rate, workspace.burst)
-        for name in list(self._buckets):
+                window.change(workspace.rate, workspace.burst)
+        for name in list(self._windows):
             if name not in configuration.workspaces:
-                del self._buckets[name]
+                del self._windows[name]
 
     def charge(self, workspace: Workspace, tokens: float) -> float:
         """Charge a request, or return the delay after which it fits."""
-        bucket = self._buckets[workspace.name]
-        bucket.refill(self._clock.now())
-        delay = bucket.find_delay(self._floor)
+        delay = self._windows[workspace.name].find_delay(
+            tokens,
+            self._peers.members(),
+            self._peers.silent(),
+            self._clock.now(),
+        )
         if not delay:
             self._use(workspace.name, tokens)
         return delay
 
     def refund(self, workspace: Workspace, tokens: float) -> None:
         """Give back what a request that has not run was charged."""
-        if workspace.name in self._buckets:
+        if workspace.name in self._windows:
             self._use(workspace.name, -tokens)
 
     def _use(self, name: str, tokens: float) -> None:
-        self._buckets[name].charge(tokens)
-        self.used[name] = self.used.get(name, 0.0) + tokens
+        window = self._windows[name]
+        window.add(tokens, self._clock.now())
+        window.untold = max(0.0, window.untold + tokens)
+        self.told[name] = self.told.get(name, 0.0) + tokens
+
+    def note_told(self) -> None:
+        """Note that the others were told of all use until now."""
+        for window in self._windows.values():
+            window.untold = 0.0
+
+    def used(self, workspace: Workspace) -> float:
+        """Return what all VMs let in during the window."""
+        return self._windows[workspace.name].used
+
+    def uses(self) -> dict[str, float]:
+        """Return what all VMs let in during the window, by workspace."""
+        now = self._clock.now()
+        for window in self._windows.values():
+            window.drop_old(now)
+        return {n: w.used for n, w in self._windows.items()}
 
-    def take_usage(self, peer: str, used: dict[str, float]) -> None:
-        """Charge what a peer used since its last message.
+    def take_usage(self, peer: str, told: dict[str, float]) -> None:
+        """Count what a peer let in since its last message.
 
-        ``used`` holds tokens since the start of the peer's process.
+        ``told`` holds tokens since the start of the peer's process.
         """
-        for name, tokens in used.items():
+        now = self._clock.now()
+        for name, tokens in told.items():
             before = self._seen.get((peer, name))
             self._seen[peer, name] = tokens
-            bucket = self._buckets.get(name)
-            if before is not None and bucket is not None:
-                bucket.charge(tokens - before)
+            window = self._windows.get(name)
+            if before is not None and window is not None:
+                window.add(tokens - before, now)
 
     def forget(self, peer: str) -> None:
         """Forget a peer's process that has ended."""
         for key in [k for k in self._seen if k[0] == peer]:
             del self._seen[key]
 
-    def levels(self) -> dict[str, float]:
-        """Return the tokens in each bucket."""
-        now = self._clock.now()
-        for bucket in self._buckets.values():
-            bucket.refill(now)
-        return {n: b.level for n, b in self._buckets.items()}
-
-    def adopt(self, levels: dict[str, float]) -> None:
-        """Take the levels of a peer, as a process that just started."""
-        for name, level in levels.items():
-            bucket = self._buckets.get(name)
-            if bucket is not None:
-                bucket.refill(self._clock.now())
-                bucket.level = min(bucket.burst, level)
-
-    def reserve(self, members: int, silent: int) -> None:
-        """Charge the share of VMs that have said nothing lately."""
+    def adopt(self, uses: dict[str, float]) -> None:
+        """Take the counts of a peer, as a process that just started."""
         now = self._clock.now()
-        elapsed = now - self._reserved_at
-        self._reserved_at = now
-        if not silent:
-            return
-        for bucket in self._buckets.values():
-            bucket.refill(now)
-            share = share_of_silent(bucket.rate, members, silent)
-            bucket.charge(share * elapsed)
+        for name, tokens in uses.items():
+            window = self._windows.get(name)
+            if window is not None:
+                window.replace(tokens, now)
 
 
 __all__ = ['Quotas']
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -32,11 +32,16 @@
 
 
 class PeerLoad(NamedTuple):
-    """What a peer runs at a target; ``heard`` by the clock, in seconds."""
+    """What a peer runs at a target; times by the clock, in seconds.
+
+    ``busy_until`` is when its last request there is expected to end.
+    """
 
     running: int
+    long_running: int
     unread: float
     held: float
+    busy_until: float
     good: float
     bad: float
     heard: float
@@ -49,8 +54,10 @@
         self.target = target
         self.versions = dict(target.versions)
         self.running = 0
+        self.long_running = 0
         self.unread = 0.0
         self.held = 0.0
+        self.ends: dict[int, float] = {}
         self.peers: dict[str, PeerLoad] = {}
         self.failures = 0
         self.blocked_until = float('-inf')
@@ -64,6 +71,20 @@
         )
         self._part_tokens = 0
 
+    def busy_for(self, now: float) -> float:
+        """Return after how long all requests are done, in seconds."""
+        peers = self.peers.values()
+        ends = [p.busy_until for p in peers if now - p.heard < _PEER_LOAD_S]
+        until = max([*ends, *self.ends.values()], default=now)
+        return max(0.0, until - now)
+
+    def count_running(self, now: float) -> int:
+        """Return the requests of all VMs that it runs."""
+        peers = self.peers.values()
+        return self.running + sum(
+            p.running for p in peers if now - p.heard < _PEER_LOAD_S
+        )
+
     def weigh_outcomes(self, now: float) -> None:
         """Let old outcomes fade."""
         factor = 0.5 ** ((now - self._weighed) / _HALF_LIFE_S)
@@ -187,8 +208,12 @@
         service: Service,
         salts: list[str],
         prompt: Prompt | None,
+        stale_below: int,
     ) -> list[Candidate]:
-        """Return targets as a request sees them, each under its salt."""
+        """Return targets as a request sees them, each under its salt.
+
+        Weights below ``stale_below`` were replaced.
+        """
         guesses: dict[str, float] = {}
         shared = 0
         if prompt is not None and len(prompt.parts) > 1:
@@ -199,18 +224,18 @@
             self._make_candidate(
                 s,
                 service,
-                0.0
-                if prompt is None
-                else max(
-                    s.cached(salt, prompt),
-                    shared * guesses.get(s.target.incarnation, 0.0),
-                ),
+                _find_cached(s, salt, prompt, shared, guesses),
+                _is_stale(s, prompt, stale_below),
             )
             for s, salt in zip(states, salts, strict=True)
         ]
 
     def _make_candidate(
-        self, state: TargetState, service: Service, cached: float
+        self,
+        state: TargetState,
+        service: Service,
+        cached: float,
+        is_stale: bool,
     ) -> Candidate:
         now = self._clock.now()
         state.weigh_outcomes(now)
@@ -221,14 +246,38 @@
         return Candidate(
             state.target.incarnation,
             state.target.data_centre == self._data_centre,
+            is_stale,
             engine.slots if engine is not None else state.target.slots,
             state.running + sum(p.running for p in loads),
+            state.long_running + sum(p.long_running for p in loads),
             state.unread + sum(p.unread for p in loads),
             state.held + sum(p.held for p in loads),
+            state.busy_for(now),
             engine.memory_tokens if engine is not None else 0,
             cached,
             state.failing(),
         )
 
 
+def _find_cached(
+    state: TargetState,
+    salt: str,
+    prompt: Prompt | None,
+    shared: int,
+    guesses: dict[str, float],
+) -> float:
+    if prompt is None:
+        return 0.0
+    guess = shared * guesses.get(state.target.incarnation, 0.0)
+    return max(state.cached(salt, prompt), guess)
+
+
+def _is_stale(
+    state: TargetState, prompt: Prompt | None, stale_below: int
+) -> bool:
+    if prompt is None:
+        return False
+    return state.versions.get(prompt.model, 0) < stale_below
+
+
 __all__ = ['PeerLoad', 'Targets', 'TargetState']
