Join the fleet before reading it

Cause: VMs that started together read the fleet before the others had joined, so all raced for the lease. Change: the own row is written first.

--- a/src/lentilrun/gateway/fleet.py
+++ b/src/lentilrun/gateway/fleet.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from ..config.ini import Address
-from ..errors import ConflictError
 from ..errors import PlatformError
 from ..platform.rows import Write
 
@@ -51,37 +50,35 @@
         self._log = log
 
     async def run(self) -> None:
-        """Join the fleet and look for new members for ever."""
+        """Join the fleet and look for new members for ever.
+
+        The own row is written before the others are read: of two VMs
+        that join at once, one sees the other's.
+        """
+        has_joined = False
         while True:
             try:
-                await self._refresh()
-            except (ConflictError, PlatformError) as error:
+                if not has_joined:
+                    await self._join()
+                    has_joined = True
+                self._take(await self._store.read(FLEET_TABLE))
+            except PlatformError as error:
                 self._log.write('fleet_unread', error=error)
                 await asyncio.sleep(_RETRY_PAUSE_S)
-            else:
-                await asyncio.sleep(_READ_PAUSE_S)
+                continue
+            self._peers.speak()
+            await asyncio.sleep(_READ_PAUSE_S)
 
-    async def _refresh(self) -> None:
-        found = await self._store.read(FLEET_TABLE)
-        own = self._take(found)
+    async def _join(self) -> None:
         value = msgspec.json.encode(_VmRow(*self._address))
-        if own is None or own[1] != value:
-            version = own[0] if own is not None else 0
-            key = _PREFIX + self._node
-            write = Write(FLEET_TABLE, key, value, version)
-            await self._store.write([write])
-            self._peers.speak()
+        key = _PREFIX + self._node
+        await self._store.write([Write(FLEET_TABLE, key, value, None)])
 
-    def _take(self, found: Rows) -> tuple[int, bytes] | None:
-        """Take the members; return the version and value of this VM's."""
-        own = None
+    def _take(self, found: Rows) -> None:
         for row in found.rows:
             if not row.key.startswith(_PREFIX):
                 continue
             node = row.key.removeprefix(_PREFIX)
-            if node == self._node:
-                own = (row.version, row.value)
-                continue
             try:
                 vm = _decoder.decode(row.value)
             except msgspec.MsgspecError as error:
@@ -89,7 +86,6 @@
                 continue
             if node not in self._peers.known:
                 self._peers.add(node, Address(vm.host, vm.port))
-        return own
 
 
 __all__ = ['Fleet', 'FLEET_TABLE']
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -67,13 +67,13 @@
     """A row to write; ``value`` is nothing for one to remove.
 
     ``expected`` is the version that it must have, 0 if it must not
-    exist.
+    exist, and nothing if any will do.
     """
 
     table: str
     key: str
     value: bytes | None
-    expected: int
+    expected: int | None
 
 
 class _WireRow(msgspec.Struct, rename='kebab'):
@@ -184,7 +184,9 @@
         body = msgspec.json.encode(
             {
                 'expected': [
-                    {**_name(w), 'row-version': w.expected} for w in writes
+                    {**_name(w), 'row-version': w.expected}
+                    for w in writes
+                    if w.expected is not None
                 ],
                 'puts': [
                     {**_name(w), 'value': base64.b64encode(w.value).decode()}
