Leave without a cut; keep heavy use over a restart of all VMs

Cause: LOST: a leaving VM took requests on kept connections until it ended. QUOTA: when all VMs are killed at once nobody knows what was let in. Ruled out: refusing everything for a window after a restart (loses more). Change: after the notice a leaving VM closes idle connections and refuses new requests truly; the first VM writes down the use of workspaces above half of their owed use, by second, and starting VMs take it from there and from their peers.

--- a/src/lentilrun/decisions/quota.py
+++ b/src/lentilrun/decisions/quota.py
@@ -9,15 +9,19 @@
 
 from __future__ import annotations
 
-import collections
+import math
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 
-# Use is counted in pieces of this length, in seconds.
-_PIECE_S = 0.25
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+# Use is counted in slots of this length, in seconds.
+_SLOT_S = 0.25
 # How much of what the users allow beyond the limit is made use of.
 _SLACK_SHARE = 0.6
 # What may have been let in before a restart that all VMs went through, as
-# a share of the rate and burst in a window.
+# a share of the rate and burst in a window. Use beyond it is written down.
 _UNKNOWN_SHARE = 0.5
 
 
@@ -33,55 +37,76 @@
 
 
 class UsageWindow:
-    """What all VMs let in for one workspace lately; sizes in tokens."""
+    """What all VMs let in for one workspace lately; sizes in tokens.
+
+    ``untold`` is what this VM let in since its last message.
+    """
 
-    def __init__(
-        self, rate: float, burst: float, allowance: Allowance, now: float
-    ) -> None:
+    def __init__(self, allowance: Allowance) -> None:
         self._allowance = allowance
-        self._pieces: collections.deque[tuple[float, float]] = (
-            collections.deque()
-        )
+        self._slots: dict[int, float] = {}
         self.used = 0.0
         self.untold = 0.0
-        self.rate = rate
-        self.burst = burst
-        self.add(_UNKNOWN_SHARE * self._owed(), now)
+        self.rate = 0.0
+        self.burst = 0.0
 
     def change(self, rate: float, burst: float) -> None:
         """Take another rate, in tokens a second, and burst."""
         self.rate = rate
         self.burst = burst
 
-    def _owed(self) -> float:
+    def owed(self) -> float:
+        """Return what rate and burst give in a window."""
         return self.rate * self._allowance.window + self.burst
 
     def limit(self) -> float:
         """Return what may be let in during any window."""
-        owed = self._owed()
+        owed = self.owed()
         extra = owed * self._allowance.overage + self._allowance.slack
         return owed + extra * _SLACK_SHARE
 
     def add(self, tokens: float, now: float) -> None:
         """Count tokens that were let in, or taken back."""
+        slot = int(now / _SLOT_S)
+        self._slots[slot] = self._slots.get(slot, 0.0) + tokens
         self.used += tokens
-        if self._pieces and now - self._pieces[-1][0] < _PIECE_S:
-            began, before = self._pieces[-1]
-            self._pieces[-1] = (began, before + tokens)
-        else:
-            self._pieces.append((now, tokens))
 
     def drop_old(self, now: float) -> None:
         """Forget what lies before the window."""
-        oldest = now - self._allowance.window - _PIECE_S
-        while self._pieces and self._pieces[0][0] < oldest:
-            self.used -= self._pieces.popleft()[1]
+        oldest = int((now - self._allowance.window) / _SLOT_S) - 1
+        for slot in [s for s in self._slots if s < oldest]:
+            self.used -= self._slots.pop(slot)
 
-    def replace(self, tokens: float, now: float) -> None:
-        """Take what another VM counted as the whole use until now."""
-        self._pieces.clear()
+    def export(self, now: float) -> list[int]:
+        """Return the use of each second before ``now``, newest first."""
+        self.drop_old(now)
+        seconds = [0.0] * (math.ceil(self._allowance.window) + 1)
+        for slot, tokens in self._slots.items():
+            age = now - slot * _SLOT_S
+            index = min(len(seconds) - 1, max(0, int(age)))
+            seconds[index] += tokens
+        while seconds and not round(seconds[-1]):
+            seconds.pop()
+        return [round(s) for s in seconds]
+
+    def adopt(self, seconds: Sequence[float], until: float) -> None:
+        """Take another VM's counts up to a time, if they are higher."""
+        if sum(seconds) <= self.used:
+            return
+        self._slots.clear()
         self.used = 0.0
-        self.add(tokens, now)
+        for index, tokens in enumerate(seconds):
+            self.add(tokens, until - index)
+
+    def assume_unknown(self, now: float) -> None:
+        """Count what may have been let in before all VMs restarted."""
+        length = math.ceil(self._allowance.window)
+        share = _UNKNOWN_SHARE * self.owed() / length
+        self.adopt([share] * length, now)
+
+    def is_heavy(self) -> bool:
+        """Return whether the use must outlive a restart of all VMs."""
+        return self.used > _UNKNOWN_SHARE * self.owed() > 0.0
 
     def find_delay(
         self, tokens: float, members: int, silent: int, now: float
@@ -97,11 +122,11 @@
         excess = self.used + assumed + tokens - limit
         if excess <= 0.0:
             return 0.0
-        for began, piece in self._pieces:
-            excess -= piece
+        for slot in sorted(self._slots):
+            excess -= self._slots[slot]
             if excess <= 0.0:
-                window = self._allowance.window + _PIECE_S
-                return max(_PIECE_S, began + window - now)
+                ends = (slot + 2) * _SLOT_S + self._allowance.window
+                return max(_SLOT_S, ends - now)
         return self._allowance.window
 
 
--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -71,6 +71,7 @@
     OVERLOADED = 'overloaded'
     QUARANTINED = 'quarantined'
     RETRIES_SPENT = 'retries_spent'
+    LEAVING = 'leaving'
     DEADLINE = 'deadline'
     TARGET_FAILED = 'target_failed'
     INTERNAL = 'internal'
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from tornado.iostream import StreamClosedError
+
 from ..decisions.placement import choose
 from ..decisions.placement import LONG_S
 from ..decisions.placement import Need
@@ -360,7 +362,9 @@
             )
         except NotSentError:
             return Fate.NOT_SENT
-        except InterruptedExchangeError:
+        except InterruptedExchangeError as error:
+            if receiver.caller_gone:
+                raise StreamClosedError from error
             return Fate.BROKEN
         answer = receiver.answer
         if answer is None or receiver.is_cut():
--- a/src/lentilrun/gateway/duty.py
+++ b/src/lentilrun/gateway/duty.py
@@ -63,11 +63,6 @@
         self._row = _NOBODY
         self._version = 0
         self._until = float('-inf')
-        self._ahead = 0.0
-
-    def _read_store(self, now: float) -> float:
-        """Return what the store's clock shows at least, in seconds."""
-        return now + self._ahead
 
     @property
     def fence(self) -> int:
@@ -89,10 +84,9 @@
         sent = self._clock.now()
         if self.is_held():
             # The store's clock has moved on by at least this much.
-            await self._write(self._row, self._read_store(sent), sent)
+            await self._write(self._row, self._store.read_clock(), sent)
             return 0.0
         found = await self._store.read(FLEET_TABLE)
-        self._ahead = found.now - self._clock.now()
         self._note_row(found)
         row = self._row
         if row.holder != self._name:
--- a/src/lentilrun/gateway/fleet.py
+++ b/src/lentilrun/gateway/fleet.py
@@ -17,6 +17,7 @@
     from ..platform.rows import RowStore
     from .logs import Log
     from .peers import Peers
+    from .usage import UsageKeeper
 
 FLEET_TABLE = 'fleet'
 _PREFIX = 'vm/'
@@ -41,8 +42,10 @@
         peers: Peers,
         node: str,
         address: Address,
+        usage: UsageKeeper,
         log: Log,
     ) -> None:
+        self._usage = usage
         self._store = store
         self._peers = peers
         self._node = node
@@ -60,12 +63,15 @@
             try:
                 if not has_joined:
                     await self._join()
-                    has_joined = True
-                self._take(await self._store.read(FLEET_TABLE))
+                found = await self._store.read(FLEET_TABLE)
             except PlatformError as error:
                 self._log.write('fleet_unread', error=error)
                 await asyncio.sleep(_RETRY_PAUSE_S)
                 continue
+            self._take(found)
+            if not has_joined:
+                has_joined = True
+                self._usage.take(found)
             self._peers.speak()
             await asyncio.sleep(_READ_PAUSE_S)
 
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -44,7 +44,6 @@
         self._quotas = quotas
         self._crashes = crashes
         self.is_leaving = False
-        self._has_adopted = False
         peers.make_beat = self.make
         peers.on_beat.append(self.take)
         peers.on_restart.append(self._forget)
@@ -63,7 +62,7 @@
             self._list_versions(),
             self._crashes.export(),
             {n: float(round(t)) for n, t in self._quotas.told.items()},
-            {n: float(round(t)) for n, t in self._quotas.uses().items()},
+            self._quotas.export(),
             {},
         )
 
@@ -114,8 +113,7 @@
         self._take_targets(beat)
         self._crashes.take(beat.node, beat.crashes)
         self._quotas.take_usage(beat.node, beat.told)
-        if self._peers.is_young() and not self._has_adopted and beat.used:
-            self._has_adopted = True
+        if self._peers.is_young():
             self._quotas.adopt(beat.used)
 
     def _take_targets(self, beat: Beat) -> None:
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -30,6 +30,7 @@
 from .server import ReadinessPort
 from .targets import Targets
 from .upgrades import Upgrades
+from .usage import UsageKeeper
 from .view import View
 
 if TYPE_CHECKING:
@@ -95,7 +96,7 @@
         self.log = Log(self.clock, settings.name)
         self.target_client = Client(_TARGET_CONNECT_S, _MAX_IDLE)
         self.store_client = Client(_STORE_CONNECT_S, _MAX_IDLE)
-        self.store = RowStore(self.store_client, settings.store)
+        self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
         self.view = View(self.clock, self.targets, self.log)
         self.crashes = Crashes(self.clock)
@@ -120,8 +121,16 @@
             self.quotas,
             self.crashes,
         )
+        self.usage = UsageKeeper(
+            settings.name, self.store, self.peers, self.quotas, self.log
+        )
         self.fleet = Fleet(
-            self.store, self.peers, settings.name, address, self.log
+            self.store,
+            self.peers,
+            settings.name,
+            address,
+            self.usage,
+            self.log,
         )
         self.operators = Follower(
             self.store,
@@ -204,6 +213,7 @@
             self.fleet,
             self.peers,
             self.upgrades,
+            self.usage,
         ):
             self._start(job.run())
         self.log.write('started', entry=str(entry))
@@ -227,6 +237,7 @@
         self.upgrades.is_leaving = True
         await asyncio.sleep(_NOTICE_S)
         self.callers.stop()
+        self.port.close()
         until = began + self.settings.bounds.grace - _GRACE_MARGIN_S
         while self.port.open and self.clock.now() < until:
             await asyncio.sleep(_LEAVING_POLL_S)
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -74,7 +74,7 @@
     """One message; tokens by workspace.
 
     ``told`` is what the sender let in since its start, ``used`` what it
-    knows that all VMs let in lately.
+    knows that all VMs let in during each second, newest first.
     """
 
     node: str
@@ -87,7 +87,7 @@
     versions: list[VersionNews]
     crashes: list[CrashNews]
     told: dict[str, float]
-    used: dict[str, float]
+    used: dict[str, list[int]]
     positions: dict[str, int]
 
 
@@ -162,8 +162,16 @@
 
     def silent(self) -> int:
         """Return the number of VMs that have said nothing lately."""
+        return len(self.known) - len(self.heard())
+
+    def heard(self) -> list[str]:
+        """Return the VMs that were heard lately."""
         now = self._clock.now()
-        return sum(now - p.heard > _SILENT_S for p in self.known.values())
+        return [n for n, p in self.known.items() if now - p.heard <= _SILENT_S]
+
+    def is_first(self, node: str) -> bool:
+        """Return whether no VM before ``node`` was heard lately."""
+        return all(node < name for name in self.heard())
 
     def is_young(self) -> bool:
         """Return whether this process just started."""
@@ -179,11 +187,14 @@
 
     def speak(self) -> None:
         """Tell all VMs what this one knows."""
-        if self._transport is None or self.make_beat is None:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self.make_beat is None:
             return
         data = _encoder.encode(self.make_beat())
         for peer in self.known.values():
-            self._transport.sendto(data, peer.address)
+            transport.sendto(data, peer.address)
 
     def _forget_silent(self) -> None:
         now = self._clock.now()
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -14,6 +14,10 @@
     from .peers import Peers
 
 
+# Use is written down about as often, in seconds.
+_UNWRITTEN_S = 1.2
+
+
 class Quotas:
     """Use by workspace, fed with that of all VMs; sizes in tokens.
 
@@ -28,21 +32,25 @@
         self._allowance = allowance
         self._windows: dict[str, UsageWindow] = {}
         self._seen: dict[tuple[str, str], float] = {}
+        self._is_configured = False
         self.told: dict[str, float] = {}
 
+    def _window(self, name: str) -> UsageWindow:
+        window = self._windows.get(name)
+        if window is None:
+            window = UsageWindow(self._allowance)
+            self._windows[name] = window
+        return window
+
     def configure(self, configuration: Configuration) -> None:
         """Take the rates of a configuration."""
+        now = self._clock.now()
         for name, workspace in configuration.workspaces.items():
-            window = self._windows.get(name)
-            if window is None:
-                self._windows[name] = UsageWindow(
-                    workspace.rate,
-                    workspace.burst,
-                    self._allowance,
-                    self._clock.now(),
-                )
-            else:
-                window.change(workspace.rate, workspace.burst)
+            window = self._window(name)
+            window.change(workspace.rate, workspace.burst)
+            if not self._is_configured:
+                window.assume_unknown(now)
+        self._is_configured = True
         for name in list(self._windows):
             if name not in configuration.workspaces:
                 del self._windows[name]
@@ -79,12 +87,11 @@
         """Return what all VMs let in during the window."""
         return self._windows[workspace.name].used
 
-    def uses(self) -> dict[str, float]:
-        """Return what all VMs let in during the window, by workspace."""
+    def export(self) -> dict[str, list[int]]:
+        """Return the use of each second lately, by workspace."""
         now = self._clock.now()
-        for window in self._windows.values():
-            window.drop_old(now)
-        return {n: w.used for n, w in self._windows.items()}
+        uses = {n: w.export(now) for n, w in self._windows.items()}
+        return {n: u for n, u in uses.items() if u}
 
     def take_usage(self, peer: str, told: dict[str, float]) -> None:
         """Count what a peer let in since its last message.
@@ -104,13 +111,25 @@
         for key in [k for k in self._seen if k[0] == peer]:
             del self._seen[key]
 
-    def adopt(self, uses: dict[str, float]) -> None:
-        """Take the counts of a peer, as a process that just started."""
+    def adopt(self, uses: dict[str, list[int]], age: float = 0.0) -> None:
+        """Take counts of others, as a process that just started.
+
+        ``age`` is the time since they were made, in seconds. For the time
+        since then the use of their last second is assumed to go on.
+        """
         now = self._clock.now()
-        for name, tokens in uses.items():
-            window = self._windows.get(name)
-            if window is not None:
-                window.replace(tokens, now)
+        unknown = min(age, _UNWRITTEN_S)
+        for name, seconds in uses.items():
+            window = self._window(name)
+            window.adopt([seconds[0] * unknown, *seconds], now - age + unknown)
+            window.drop_old(now)
+
+    def heavy(self) -> dict[str, list[int]]:
+        """Return the use that must outlive a restart of all VMs."""
+        now = self._clock.now()
+        return {
+            n: w.export(now) for n, w in self._windows.items() if w.is_heavy()
+        }
 
 
 __all__ = ['Quotas']
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -5,6 +5,8 @@
 import re
 from typing import TYPE_CHECKING
 
+from tornado.iostream import StreamClosedError
+
 from ..platform import dialect
 from ..platform.dialect import Answer
 from ..web.client import Receiver
@@ -59,6 +61,7 @@
         super().__init__()
         self.answer: Answer | None = None
         self.skipped = 0
+        self.caller_gone = False
         self._request_id = request_id
         self._reply = reply
         self._progress = progress
@@ -106,6 +109,13 @@
 
     async def _relay(self, events: bytes) -> None:
         self._note_first()
+        try:
+            await self._send(events)
+        except StreamClosedError:
+            self.caller_gone = True
+            self.stop()
+
+    async def _send(self, events: bytes) -> None:
         if not self._progress.has_begun:
             self._progress.has_begun = True
             headers = dialect.make_answer(self.headers)
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -8,6 +8,7 @@
 
 import msgspec
 from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -32,6 +33,7 @@
 _BAD_GATEWAY = 502
 _OK = 200
 _UNAVAILABLE = 503
+_LEAVING_RETRY_S = 0.1
 _NO_BODY = frozenset((204, 304))
 
 
@@ -79,9 +81,15 @@
         """Send a piece of a stream."""
         await self._connection.write(data)
 
+    def _end(self) -> None:
+        # The caller is told not to send more, but may not have seen it.
+        if self._is_leaving():
+            self._connection._disconnect_on_finish = True
+        self._connection.finish()
+
     async def finish(self) -> None:
         """End a stream as complete."""
-        self._connection.finish()
+        self._end()
 
     async def send(
         self, status: int, headers: HTTPHeaders, body: bytes
@@ -90,7 +98,7 @@
         if status not in _NO_BODY:
             headers['Content-Length'] = str(len(body))
         written = self._start(status, headers, body or None)
-        self._connection.finish()
+        self._end()
         await written
 
     def abort(self) -> None:
@@ -101,8 +109,14 @@
 class _Message(HTTPMessageDelegate):
     """Reads one request and answers it."""
 
-    def __init__(self, port: CallerPort, connection: HTTP1Connection) -> None:
+    def __init__(
+        self,
+        port: CallerPort,
+        caller: HTTP1ServerConnection,
+        connection: HTTP1Connection,
+    ) -> None:
         self._port = port
+        self._caller = caller
         self._connection = connection
         self._line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
@@ -117,6 +131,7 @@
         headers: HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, RequestStartLine)
+        self._port.note_busy(self._caller)
         self._line = start_line
         self._headers = headers
         self._arrived = self._port.clock.now()
@@ -136,7 +151,11 @@
         made = self._port.answer(incoming, reply, self)
         self._task = asyncio.ensure_future(made)
         self._port.open.add(self._task)
-        self._task.add_done_callback(self._port.open.discard)
+        self._task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._port.open.discard(task)
+        self._port.note_idle(self._caller)
 
     def on_connection_close(self) -> None:
         if self._task is not None and self.may_cancel:
@@ -151,19 +170,47 @@
         self._log = log
         self.clock = clock
         self.is_leaving = False
+        self.is_closed = False
         self.open: set[asyncio.Task[None]] = set()
+        self._idle: set[HTTP1ServerConnection] = set()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
+        assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(request_conn, HTTP1Connection)
-        return _Message(self, request_conn)
+        self.note_idle(server_conn)
+        return _Message(self, server_conn, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a caller's connection."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self._idle.discard(server_conn)
+
+    def note_busy(self, caller: HTTP1ServerConnection) -> None:
+        """Note that a connection has a request under way."""
+        self._idle.discard(caller)
+
+    def note_idle(self, caller: HTTP1ServerConnection) -> None:
+        """Note that a connection has no request."""
+        if self.is_closed:
+            return
+        self._idle.add(caller)
+
+    def close(self) -> None:
+        """Close idle connections and take no more requests."""
+        self.is_closed = True
+        for caller in list(self._idle):
+            caller.stream.close()
+        self._idle.clear()
 
     async def answer(
         self, incoming: Incoming, reply: _Reply, message: _Message
     ) -> None:
         """Answer one request."""
         try:
+            if self.is_closed:
+                raise Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
             call = self._handling.admit(incoming)
         except Refusal as refusal:
             await self._refuse(incoming, reply, refusal)
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -121,12 +121,8 @@
 
     def _find_patience(self) -> float:
         """Return the time until which the work is left to others."""
-        now = self._clock.now()
-        heard = [
-            n for n, p in self._peers.known.items() if now - p.heard < 1.0
-        ]
         assert self._work_since is not None
-        turn = self._work_since + find_turn(self._node, heard)
+        turn = self._work_since + find_turn(self._node, self._peers.heard())
         return max(turn, self._active_at + _ACTIVE_S)
 
     def _find_work(self) -> dict[str, list[str]]:
--- /dev/null
+++ b/src/lentilrun/gateway/usage.py
@@ -0,0 +1,87 @@
+"""Keeps heavy use in the store, over a restart of all VMs."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..errors import PlatformError
+from ..platform.rows import Write
+from .fleet import FLEET_TABLE
+
+if TYPE_CHECKING:
+    from ..platform.rows import Rows
+    from ..platform.rows import RowStore
+    from .logs import Log
+    from .peers import Peers
+    from .quotas import Quotas
+
+_KEY = 'usage'
+_PAUSE_S = 1.0
+
+
+class _UsageRow(NamedTuple):
+    """Tokens by workspace and second before ``written``, newest first.
+
+    ``written`` is by the store's clock, in seconds.
+    """
+
+    uses: dict[str, list[int]]
+    written: float
+
+
+_decoder = msgspec.json.Decoder(_UsageRow)
+
+
+class UsageKeeper:
+    """Writes heavy use down, as the first VM of those that are heard."""
+
+    def __init__(
+        self,
+        node: str,
+        store: RowStore,
+        peers: Peers,
+        quotas: Quotas,
+        log: Log,
+    ) -> None:
+        self._node = node
+        self._store = store
+        self._peers = peers
+        self._quotas = quotas
+        self._log = log
+
+    async def run(self) -> None:
+        """Write for ever."""
+        while True:
+            await asyncio.sleep(_PAUSE_S)
+            heavy = self._quotas.heavy()
+            if not heavy or not self._peers.is_first(self._node):
+                continue
+            row = _UsageRow(heavy, self._store.read_clock())
+            value = msgspec.json.encode(row)
+            try:
+                await self._store.write(
+                    [Write(FLEET_TABLE, _KEY, value, None)]
+                )
+            except PlatformError as error:
+                self._log.write('usage_unwritten', error=error)
+
+    def take(self, found: Rows) -> None:
+        """Take what was written before this process started."""
+        for row in found.rows:
+            if row.key != _KEY:
+                continue
+            try:
+                kept = _decoder.decode(row.value)
+            except msgspec.MsgspecError as error:
+                self._log.write('row_unreadable', key=row.key, error=error)
+                continue
+            age = max(0.0, found.now - kept.written)
+            self._log.write('usage_taken', uses=kept.uses, age=age)
+            self._quotas.adopt(kept.uses, age)
+
+
+__all__ = ['UsageKeeper']
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -21,6 +21,7 @@
     from collections.abc import Sequence
 
     from ..config.ini import Address
+    from ..coordination.clock import Clock
     from ..web.client import Client
     from ..web.client import Response
 
@@ -117,11 +118,17 @@
 class RowStore:
     """Reads, follows and writes rows; every call is priced."""
 
-    def __init__(self, client: Client, address: Address) -> None:
+    def __init__(self, client: Client, address: Address, clock: Clock) -> None:
         self._client = client
         self._address = address
+        self._clock = clock
+        self._ahead = 0.0
         self.calls = 0
 
+    def read_clock(self) -> float:
+        """Return what the store's clock shows at least, in seconds."""
+        return self._clock.now() + self._ahead
+
     async def _send(
         self, method: str, path: str, body: bytes, timeout: float
     ) -> Response:
@@ -142,6 +149,7 @@
             if start:
                 query['from'] = start
             page, has_more = await self._read_page(query)
+            self._ahead = page.now - self._clock.now()
             rows += page.rows
             if not has_more or not page.rows:
                 return Rows(tuple(rows), page.version, page.now)
