Speak the platform's protocol in stand-ins, and test the path against them

A retry of a call that may run again goes to the same target if there is no other (seen red: a safe request with one replica got 502 after a reset).

--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -302,7 +302,7 @@
 
     def _find_usable(self, service: Service) -> list[TargetState]:
         states = self._parts.targets.usable(service.name, self._avoid)
-        if not states and self._avoid and not self._may_have_run:
+        if not states and self._avoid:
             states = self._parts.targets.usable(service.name)
         states = [s for s in states if self._has_room(s, service)]
         prompt = self._call.prompt
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -90,10 +90,13 @@
 class Node:
     """Owns the parts of a daemon; serves from entry to ``leave``."""
 
-    def __init__(self, settings: NodeSettings) -> None:
+    def __init__(
+        self, settings: NodeSettings, log_file: int | None = None
+    ) -> None:
+        """Log to a file descriptor, or to standard output."""
         self.settings = settings
         self.clock = SystemClock()
-        self.log = Log(self.clock, settings.name)
+        self.log = Log(self.clock, settings.name, log_file)
         self.target_client = Client(_TARGET_CONNECT_S, _MAX_IDLE)
         self.store_client = Client(_STORE_CONNECT_S, _MAX_IDLE)
         self.store = RowStore(self.store_client, settings.store, self.clock)
--- /dev/null
+++ b/src/lentilrun/standins/rowstore.py
@@ -0,0 +1,218 @@
+"""A stand-in for the platform's store of rows, with faults to order."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import time
+from typing import Any
+from typing import NamedTuple
+
+import msgspec
+from tornado.web import Application
+from tornado.web import RequestHandler
+
+_OK = 200
+_GONE = 410
+_PRECONDITION_FAILED = 412
+_UNAVAILABLE = 503
+_OPERATOR_TABLES = frozenset(('op', 'servers'))
+_FORBIDDEN = 403
+
+
+class StoredRow(NamedTuple):
+    """A row; ``value`` is nothing once it was removed."""
+
+    table: str
+    part: str
+    key: str
+    value: bytes | None
+    version: int
+
+
+class RowStoreFaults:
+    """What goes wrong: set by tests while the store runs.
+
+    ``is_down`` refuses calls, ``hangs`` leaves them without an answer,
+    ``loses_answers`` carries writes out and closes their connections.
+    """
+
+    def __init__(self) -> None:
+        self.is_down = False
+        self.hangs = False
+        self.loses_answers = False
+
+
+class RowStoreState:
+    """All rows and the changes of each table since the last compaction."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.rows: dict[tuple[str, str, str], StoredRow] = {}
+        self.changes: list[StoredRow] = []
+        self.compacted = 0
+        self.calls = 0
+        self.faults = RowStoreFaults()
+        self.changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes | None) -> int:
+        """Write or remove one row, as the operator or a target does."""
+        self.version += 1
+        self._apply(table, '', key, value)
+        self.notify()
+        return self.version
+
+    def _apply(
+        self, table: str, part: str, key: str, value: bytes | None
+    ) -> None:
+        row = StoredRow(table, part, key, value, self.version)
+        if value is None:
+            self.rows.pop((table, part, key), None)
+        else:
+            self.rows[table, part, key] = row
+        self.changes.append(row)
+
+    def notify(self) -> None:
+        """Wake those that follow a table."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self) -> None:
+        """Drop the history."""
+        self.changes.clear()
+        self.compacted = self.version
+
+    def read_version(self, name: dict[str, Any]) -> int:
+        """Return the version of a row, 0 if it does not exist."""
+        found = self.rows.get((name['table'], name['part'], name['key']))
+        return found.version if found is not None else 0
+
+    def commit(self, body: dict[str, Any]) -> bool:
+        """Apply a transaction, if what it expects holds."""
+        for name in body['expected']:
+            if self.read_version(name) != name['row-version']:
+                return False
+        self.version += 1
+        for put in body['puts']:
+            value = base64.b64decode(put['value'])
+            self._apply(put['table'], put['part'], put['key'], value)
+        for name in body['remove']:
+            self._apply(name['table'], name['part'], name['key'], None)
+        self.notify()
+        return True
+
+    def since(self, table: str, after: int) -> list[StoredRow]:
+        """Return the last change of each row of a table after a version."""
+        found: dict[tuple[str, str], StoredRow] = {}
+        for row in self.changes:
+            if row.table == table and row.version > after:
+                found[row.part, row.key] = row
+        return sorted(found.values(), key=lambda r: r.version)
+
+
+def _encode_row(row: StoredRow) -> dict[str, Any]:
+    found: dict[str, Any] = {
+        'table': row.table,
+        'part': row.part,
+        'key': row.key,
+        'row-version': row.version,
+    }
+    if row.value is None:
+        found['deleted'] = True
+    else:
+        found['value'] = base64.b64encode(row.value).decode()
+    return found
+
+
+class _Handler(RequestHandler):
+    def initialize(self, state: RowStoreState) -> None:
+        self.state = state
+
+    async def prepare(self) -> None:
+        self.state.calls += 1
+        if self.state.faults.is_down:
+            self.set_status(_UNAVAILABLE)
+            self.finish()
+        elif self.state.faults.hangs:
+            await asyncio.Event().wait()
+
+    def answer(self, status: int, rows: list[StoredRow]) -> None:
+        self.set_status(status)
+        self.set_header('Content-Type', 'application/json')
+        body = {
+            'rows': [_encode_row(r) for r in rows],
+            'has-more': False,
+            'row-version': self.state.version,
+            'now-ms': int(time.monotonic() * 1e3),
+        }
+        self.finish(msgspec.json.encode(body))
+
+
+class _GetHandler(_Handler):
+    def get(self) -> None:
+        table = self.get_argument('table')
+        part = self.get_argument('part', '')
+        first = self.get_argument('from', '')
+        rows = [
+            r
+            for r in self.state.rows.values()
+            if r.table == table and r.part == part and r.key >= first
+        ]
+        self.answer(_OK, sorted(rows, key=lambda r: r.key))
+
+
+class _FeedHandler(_Handler):
+    async def get(self) -> None:
+        state = self.state
+        table = self.get_argument('table')
+        after = int(self.get_argument('after'))
+        wait = int(self.get_argument('wait-ms')) / 1e3
+        if after < state.compacted:
+            self.answer(_GONE, [])
+            return
+        until = time.monotonic() + wait
+        while not (rows := state.since(table, after)):
+            if after < state.compacted:
+                break
+            left = until - time.monotonic()
+            if left <= 0.0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await state.changed.wait()
+            except TimeoutError:
+                break
+        if after < state.compacted and not rows:
+            self.answer(_GONE, [])
+            return
+        self.answer(_OK, rows)
+
+
+class _TransactionHandler(_Handler):
+    def post(self) -> None:
+        body = msgspec.json.decode(self.request.body)
+        names = [*body['puts'], *body['remove']]
+        if any(n['table'] in _OPERATOR_TABLES for n in names):
+            self.answer(_FORBIDDEN, [])
+            return
+        is_done = self.state.commit(body)
+        if self.state.faults.loses_answers:
+            self.request.connection.stream.close()  # type: ignore
+            return
+        self.answer(_OK if is_done else _PRECONDITION_FAILED, [])
+
+
+def make_application(state: RowStoreState) -> Application:
+    """Return the web application of the store."""
+    given = {'state': state}
+    return Application(
+        [
+            ('/lentilrun/rows-get', _GetHandler, given),
+            ('/lentilrun/rows-feed', _FeedHandler, given),
+            ('/lentilrun/rows-tx', _TransactionHandler, given),
+        ],
+        log_function=lambda handler: None,
+    )
+
+
+__all__ = ['make_application', 'RowStoreFaults', 'RowStoreState', 'StoredRow']
--- /dev/null
+++ b/tests/gateway/deployments.py
@@ -0,0 +1,288 @@
+"""A deployment in one process: store, replicas, VMs and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import os
+import socket
+from typing import Any
+from typing import NamedTuple
+
+from lentilrun.config.ini import Address
+from lentilrun.gateway.node import Node
+from lentilrun.platform.node import Bounds
+from lentilrun.platform.node import NodeSettings
+from lentilrun.standins import replica
+from lentilrun.standins import rowstore
+import msgspec
+from tornado.httpserver import HTTPServer
+
+MODEL = 'model'
+KEY = 'key-1'
+HOST = 'example'
+PLAIN_PATH = '/plain/x'
+UNSAFE_PATH = '/once/x'
+STREAM_PATH = '/talk/x'
+ONE_RUN_PATH = '/chat/x'
+_LOOPBACK = '127.0.0.1'
+
+BOUNDS = Bounds(
+    drain=2.0,
+    grace=8.0,
+    config=2.0,
+    retry_ratio=0.2,
+    retry_slack=56.0,
+    retry_window=10.0,
+    quota_window=8.0,
+    quota_overage=0.1,
+    quota_slack=72_000.0,
+    lease_gap=0.4,
+    version=8.0,
+)
+
+
+class Answered(NamedTuple):
+    """What a caller got; ``is_whole`` if it ended as it should."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+def find_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as made:
+        made.bind((_LOOPBACK, 0))
+        return int(made.getsockname()[1])
+
+
+def _make_route(prefix: str, kind: str, service: str, **more: Any) -> Any:
+    return {
+        'name': prefix.strip('/'),
+        'host': HOST,
+        'prefix': prefix,
+        'kind': kind,
+        'timeout-ms': 3000,
+        'target-latency-ms': 500,
+        'service': service,
+        'max-attempts': 2,
+        **more,
+    }
+
+
+def make_configuration(version: int, **more: Any) -> dict[str, Any]:
+    """Return a configuration as the operator writes it."""
+    engine = {'slots': 8, 'kv-capacity': 60000, 'models': [{'name': MODEL}]}
+    found: dict[str, Any] = {
+        'version': version,
+        'routes': [
+            _make_route('/plain/', 'safe', 'app'),
+            _make_route('/once/', 'unsafe', 'app'),
+            _make_route('/talk/', 'streaming', 'llm', resumable=True),
+            _make_route('/chat/', 'streaming', 'llm'),
+        ],
+        'services': [
+            {'name': 'llm', 'max-connections': 100, 'engine': engine},
+            {'name': 'app', 'max-connections': 100},
+        ],
+        'limits': {'max-body-bytes': 1 << 20},
+        'tenants': [
+            {
+                'name': 'workspace',
+                'api-keys': [KEY],
+                'plain-tokens': 200,
+                'rate-per-s': 50000,
+                'burst': 50000,
+            }
+        ],
+    }
+    found.update(more)
+    return found
+
+
+class Deployment:
+    """Owns everything; nodes and replicas start on request."""
+
+    def __init__(self) -> None:
+        self.store = rowstore.RowStoreState()
+        self.replicas: dict[str, replica.ReplicaState] = {}
+        self.addresses: dict[str, str] = {}
+        self.nodes: dict[str, Node] = {}
+        self._stack = contextlib.AsyncExitStack()
+        self._ids = itertools.count(1)
+        self._servers: dict[str, HTTPServer] = {}
+        self._null = os.open(os.devnull, os.O_WRONLY)
+
+    async def __aenter__(self) -> Deployment:
+        self._store_port = find_port()
+        server = HTTPServer(rowstore.make_application(self.store))
+        server.listen(self._store_port, _LOOPBACK)
+        self._servers['store'] = server
+        self.configure(make_configuration(1))
+        self.name_weights(1)
+        return self
+
+    async def __aexit__(self, *given: object) -> None:
+        await self._stack.aclose()
+        for server in self._servers.values():
+            server.stop()
+            await server.close_all_connections()
+        os.close(self._null)
+
+    def configure(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration."""
+        value = msgspec.json.encode(configuration)
+        self.store.put('op', 'config', value)
+
+    def name_weights(self, version: int) -> None:
+        """Name a version of the model's weights."""
+        value = {'model': MODEL, 'version': version}
+        self.store.put('op', f'version/{MODEL}', msgspec.json.encode(value))
+
+    def add_replica(self, name: str, service: str) -> replica.ReplicaState:
+        """Start a replica and register it."""
+        models = {MODEL: 1} if service == 'llm' else {}
+        state = replica.ReplicaState(name, models)
+        port = find_port()
+        server = HTTPServer(replica.make_application(state))
+        server.listen(port, _LOOPBACK)
+        self.replicas[name] = state
+        self.addresses[name] = f'{_LOOPBACK}:{port}'
+        self._servers[name] = server
+        self.register(name, service)
+        return state
+
+    def register(self, name: str, service: str, state: str = 'ready') -> None:
+        """Write a replica's entry."""
+        versions = self.replicas[name].versions
+        value = {
+            'service': service,
+            'address': self.addresses[name],
+            'zone': 'a',
+            'slots': 8,
+            'state': state,
+            'models': [{'name': n, 'version': v} for n, v in versions.items()],
+        }
+        self.store.put('servers', name, msgspec.json.encode(value))
+
+    async def stop_replica(self, name: str) -> None:
+        """End a replica without a word."""
+        server = self._servers.pop(name)
+        server.stop()
+        await server.close_all_connections()
+
+    async def start_node(self, name: str) -> Node:
+        """Start a VM and wait until it is ready."""
+        settings = NodeSettings(
+            name,
+            _LOOPBACK,
+            'a',
+            Address(_LOOPBACK, find_port()),
+            Address(_LOOPBACK, find_port()),
+            find_port(socket.SOCK_DGRAM),
+            Address(_LOOPBACK, self._store_port),
+            BOUNDS,
+        )
+        node = await self._stack.enter_async_context(
+            Node(settings, self._null)
+        )
+        self.nodes[name] = node
+        await wait_until(node.is_ready)
+        return node
+
+    async def ask(
+        self,
+        node: Node,
+        path: str,
+        body: bytes = b'',
+        tokens: str = '',
+        **headers: str,
+    ) -> Answered:
+        """Send a request as a caller and return the answer."""
+        return await ask(
+            node.settings.entry, self.make_request(path, body, tokens, headers)
+        )
+
+    def make_request(
+        self, path: str, body: bytes, tokens: str, headers: dict[str, str]
+    ) -> bytes:
+        """Return a request as it goes over the wire."""
+        lines = {
+            'Host': HOST,
+            'X-Request-Id': f'request-{next(self._ids)}',
+            'X-Deadline-Ms': '2500',
+            'Api-Key': KEY,
+        }
+        if tokens:
+            lines['X-Model'] = MODEL
+            lines['X-Token-Usage'] = tokens
+            lines['X-Prefix-Hash'] = 'aa:500,bb:300,cc:200'
+        lines.update({k.replace('_', '-'): v for k, v in headers.items()})
+        lines['Content-Length'] = str(len(body))
+        method = 'POST' if body else 'GET'
+        head = ''.join(f'{k}: {v}\r\n' for k, v in lines.items())
+        return f'{method} {path} HTTP/1.1\r\n{head}\r\n'.encode() + body
+
+
+def plan_fault(deployment: Deployment, fault: str, times: int) -> None:
+    """Let the next requests to any replica meet a fault."""
+    plan = replica.ReplicaPlan()
+    plan.fault = fault
+    plan.faults = times
+    for state in deployment.replicas.values():
+        state.plan = plan
+
+
+async def wait_until(is_true: Any, timeout: float = 5.0) -> None:
+    """Wait until a condition holds; fails if it does not in time."""
+    async with asyncio.timeout(timeout):
+        while not is_true():
+            await asyncio.sleep(0.01)
+
+
+async def ask(address: Address, request: bytes) -> Answered:
+    """Send bytes over a new connection and read one answer."""
+    reader, writer = await asyncio.open_connection(*address)
+    try:
+        writer.write(request)
+        return await read_answer(reader)
+    finally:
+        writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answered:
+    """Read one answer."""
+    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    line, *fields = head.strip().split('\r\n')
+    headers = {}
+    for field in fields:
+        name, _, value = field.partition(': ')
+        headers[name] = value
+    status = int(line.split()[1])
+    if 'Content-Length' in headers:
+        body = await reader.readexactly(int(headers['Content-Length']))
+        return Answered(status, headers, body, True)
+    chunks = []
+    while True:
+        try:
+            size = int(await reader.readuntil(b'\r\n'), 16)
+            chunk = await reader.readexactly(size + 2)
+        except asyncio.IncompleteReadError:
+            return Answered(status, headers, b''.join(chunks), False)
+        if not size:
+            return Answered(status, headers, b''.join(chunks), True)
+        chunks.append(chunk[:-2])
+
+
+__all__ = [
+    'Answered',
+    'ask',
+    'Deployment',
+    'make_configuration',
+    'plan_fault',
+    'read_answer',
+    'wait_until',
+]
--- /dev/null
+++ b/tests/gateway/test_upgrades.py
@@ -0,0 +1,82 @@
+"""New weights reach all engines, by the orders of one VM at a time."""
+
+from __future__ import annotations
+
+import asyncio
+
+from deployments import Deployment
+from deployments import MODEL
+from deployments import wait_until
+
+
+def _versions(deployment: Deployment) -> set[int]:
+    return {s.versions[MODEL] for s in deployment.replicas.values()}
+
+
+def test_all_engines_load_once() -> None:
+    """Each engine gets one order, under one fencing number."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for number in range(5):
+                deployment.add_replica(f'e{number}', 'llm')
+            for name in ('vm1', 'vm2', 'vm3'):
+                await deployment.start_node(name)
+            await wait_until(
+                lambda: all(
+                    len(n.peers.heard()) == 2
+                    for n in deployment.nodes.values()
+                )
+            )
+            deployment.name_weights(2)
+            await wait_until(lambda: _versions(deployment) == {2})
+            orders = [s.orders for s in deployment.replicas.values()]
+            assert [len(o) for o in orders] == [1] * 5
+            assert {o[0]['fencing-token'] for o in orders} == {1}
+
+    asyncio.run(body())
+
+
+def test_another_vm_takes_over_after_the_gap() -> None:
+    """When the ordering VM is gone, the next waits out its lease."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('e1', 'llm')
+            first = await deployment.start_node('vm1')
+            second = await deployment.start_node('vm2')
+            await wait_until(lambda: first.peers.heard() == ['vm2'])
+            deployment.name_weights(2)
+            await wait_until(lambda: _versions(deployment) == {2})
+            first.upgrades.is_leaving = True
+            ended = second.clock.now()
+            deployment.name_weights(3)
+            await wait_until(lambda: _versions(deployment) == {3}, 6.0)
+            holders = [o['holder'] for o in deployment.replicas['e1'].orders]
+            assert holders == ['vm1', 'vm2']
+            assert second.clock.now() - ended > 0.4
+
+    asyncio.run(body())
+
+
+def test_requests_see_only_their_weights() -> None:
+    """While engines load, every request still finds one."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for number in range(4):
+                deployment.add_replica(f'e{number}', 'llm')
+            node = await deployment.start_node('vm1')
+            deployment.name_weights(2)
+            answers = []
+            for _ in range(40):
+                found = await deployment.ask(node, '/talk/x', b'x', '900,9')
+                answers.append(found.status)
+                await asyncio.sleep(0.02)
+            assert answers == [200] * 40
+            for state in deployment.replicas.values():
+                for run in state.runs:
+                    salt = run.headers['X-Cache-Salt']
+                    assert salt == run.headers['X-Expected-Version']
+
+    asyncio.run(body())
--- /dev/null
+++ b/tests/gateway/test_view.py
@@ -0,0 +1,121 @@
+"""What VMs believe follows the store, and never goes back."""
+
+from __future__ import annotations
+
+import asyncio
+
+from deployments import Deployment
+from deployments import make_configuration
+from deployments import wait_until
+import msgspec
+import pytest
+
+
+def test_configuration_is_in_force_and_stays() -> None:
+    """A newer version is in force; an older one never is again."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            deployment.configure(make_configuration(5, tenants=[]))
+            view = node.view
+            await wait_until(lambda: view.configuration.version == 5)
+            deployment.configure(make_configuration(3))
+            deployment.configure(make_configuration(6))
+            await wait_until(lambda: view.configuration.version == 6)
+
+    asyncio.run(body())
+
+
+def test_withdrawn_key_is_refused() -> None:
+    """A key that no configuration has any more gets 401."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            assert (await deployment.ask(node, '/plain/x')).status == 200
+            other = [{'name': 'workspace', 'api-keys': ['key-2']}]
+            deployment.configure(make_configuration(2, tenants=other))
+            await wait_until(lambda: node.view.configuration.version == 2)
+            assert (await deployment.ask(node, '/plain/x')).status == 401
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize('is_compacted', [False, True])
+def test_gone_target_is_forgotten(is_compacted: bool) -> None:
+    """An entry that was removed is gone, also if the history is lost."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('a1', 'app')
+            deployment.add_replica('a2', 'app')
+            node = await deployment.start_node('vm1')
+            assert set(node.targets.states) == {'a1', 'a2'}
+            deployment.store.put('servers', 'a2', None)
+            if is_compacted:
+                deployment.store.compact()
+            await wait_until(lambda: set(node.targets.states) == {'a1'})
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'\xff',
+        b'{}',
+        b'{"service":"app","address":7}',
+        b'{"service":"app","address":"127.0.0.1:1","state":"odd"}',
+    ],
+)
+def test_odd_entries_name_no_target(value: bytes) -> None:
+    """What another writer left is passed over; the others hold."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.store.put('servers', 'ghost', value)
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            assert set(node.targets.states) == {'a1'}
+
+    asyncio.run(body())
+
+
+def test_lapsed_entries_outlive_an_outage() -> None:
+    """Entries that lapsed while the store was away may come back."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            deployment.store.faults.is_down = True
+            await asyncio.sleep(2.6)
+            deployment.store.put('servers', 'a1', None)
+            deployment.store.faults.is_down = False
+            await asyncio.sleep(0.9)
+            assert (await deployment.ask(node, '/plain/x')).status == 200
+            deployment.register('a1', 'app')
+            await asyncio.sleep(2.5)
+            assert set(node.targets.states) == {'a1'}
+
+    asyncio.run(body())
+
+
+def test_odd_configuration_leaves_the_last_in_force() -> None:
+    """A row that can't be read changes nothing."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            deployment.store.put('op', 'config', b'{"version":')
+            deployment.store.put(
+                'op', 'version/model', msgspec.json.encode({'model': 3})
+            )
+            await asyncio.sleep(0.1)
+            assert (await deployment.ask(node, '/plain/x')).status == 200
+
+    asyncio.run(body())
