Count the age of weights from the first newer version

Change: the view remembers when each version was named; placement, waves and patience go by the time since an engine's own weights were replaced. An engine is no longer emptied by a VM whose lease lapsed.

--- a/src/lentilrun/decisions/upgrades.py
+++ b/src/lentilrun/decisions/upgrades.py
@@ -29,35 +29,40 @@
 
 
 class Engine(NamedTuple):
-    """An engine as an upgrade sees it; ``busy_for`` in seconds."""
+    """An engine as an upgrade sees it; times in seconds.
+
+    It is empty after ``busy_for``; its weights were replaced
+    ``stale_for`` ago.
+    """
 
     name: str
     version: int
     is_out: bool
     busy_for: float
+    stale_for: float
 
 
-def pick_wave(engines: Sequence[Engine], wanted: int, age: float) -> list[str]:
-    """Return the engines to take out of service now.
-
-    ``age`` is the time since the weights were named, in seconds.
-    """
+def pick_wave(engines: Sequence[Engine], wanted: int) -> list[str]:
+    """Return the engines to take out of service now."""
     most = max(1, int(len(engines) * _SHARE_OUT))
     room = most - sum(e.is_out for e in engines)
     old = [e for e in engines if not e.is_out and e.version < wanted]
-    has_new = any(e.version >= wanted for e in engines)
-    if not has_new and age < _PATIENCE_S:
-        old = [e for e in old if e.busy_for < _SOON_S]
-    old.sort(key=lambda e: (e.busy_for, e.name))
+    if not any(e.version >= wanted for e in engines):
+        old = [e for e in old if _is_due(e)]
+    old.sort(key=lambda e: (e.busy_for - e.stale_for, e.name))
     return [e.name for e in old[: max(0, room)]]
 
 
-def find_patience(age: float, limit: float) -> float:
+def _is_due(engine: Engine) -> bool:
+    return engine.busy_for < _SOON_S or engine.stale_for > _PATIENCE_S
+
+
+def find_patience(stale_for: float, limit: float) -> float:
     """Return how long an engine may be left to become empty, in s.
 
-    ``limit`` is the age at which nothing may begin on old weights.
+    Nothing may begin on weights that were replaced ``limit`` ago.
     """
-    return max(0.0, limit * _FORCED_SHARE - age)
+    return max(0.0, limit * _FORCED_SHARE - stale_for)
 
 
 def find_turn(own: str, heard: Iterable[str]) -> float:
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -263,7 +263,7 @@
         salts = [self._make_salt(s) for s in states]
         found = choose(
             self._parts.targets.make_candidates(
-                states, service, salts, prompt, self._find_stale()
+                states, service, salts, prompt, self._find_stale(states)
             ),
             need,
         )
@@ -274,16 +274,20 @@
         weights = self._weights(state)
         return Taken(state, service, found, need, weights, salt)
 
-    def _find_stale(self) -> int:
-        """Return the version below which weights cost an answer worth."""
+    def _find_stale(self, states: list[TargetState]) -> frozenset[str]:
+        """Return the targets whose weights cost an answer worth."""
+        return frozenset(
+            s.target.incarnation
+            for s in states
+            if self._stale_for(s) > _FRESH_WEIGHTS_S
+        )
+
+    def _stale_for(self, state: TargetState) -> float:
+        weights = self._weights(state)
         prompt = self._call.prompt
-        if prompt is None:
-            return 0
-        wanted = self._parts.view.wanted.get(prompt.model)
-        if wanted is None:
-            return 0
-        age = self._parts.clock.now() - wanted.since
-        return wanted.version if age > _FRESH_WEIGHTS_S else 0
+        if weights is None or prompt is None:
+            return 0.0
+        return self._parts.view.stale_for(prompt.model, weights)
 
     def _weights(self, state: TargetState) -> int | None:
         prompt = self._call.prompt
@@ -308,25 +312,18 @@
         prompt = self._call.prompt
         if service.engine is None or prompt is None:
             return states
-        states = [s for s in states if prompt.model in s.versions]
-        return self._keep_fresh(states, prompt.model)
+        # Weights that are too old to begin on are as good as none.
+        oldest = self._parts.bounds.version - _VERSION_MARGIN_S
+        return [
+            s
+            for s in states
+            if prompt.model in s.versions and self._stale_for(s) < oldest
+        ]
 
     def _has_room(self, state: TargetState, service: Service) -> bool:
         members = self._parts.peers.members()
         return state.running < max(2, service.max_connections // members)
 
-    def _keep_fresh(
-        self, states: list[TargetState], model: str
-    ) -> list[TargetState]:
-        """Leave out targets whose weights are too old to begin on."""
-        wanted = self._parts.view.wanted.get(model)
-        if wanted is None:
-            return states
-        age = self._parts.clock.now() - wanted.since
-        if age < self._parts.bounds.version - _VERSION_MARGIN_S:
-            return states
-        return [s for s in states if s.versions[model] >= wanted.version]
-
     async def _attempt(self, taken: Taken) -> Attempted:
         call = self._call
         state = taken.state
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -208,11 +208,11 @@
         service: Service,
         salts: list[str],
         prompt: Prompt | None,
-        stale_below: int,
+        stale: frozenset[str],
     ) -> list[Candidate]:
         """Return targets as a request sees them, each under its salt.
 
-        Weights below ``stale_below`` were replaced.
+        ``stale`` names those whose weights were replaced.
         """
         guesses: dict[str, float] = {}
         shared = 0
@@ -225,7 +225,7 @@
                 s,
                 service,
                 _find_cached(s, salt, prompt, shared, guesses),
-                _is_stale(s, prompt, stale_below),
+                s.target.incarnation in stale,
             )
             for s, salt in zip(states, salts, strict=True)
         ]
@@ -272,12 +272,4 @@
     return max(state.cached(salt, prompt), guess)
 
 
-def _is_stale(
-    state: TargetState, prompt: Prompt | None, stale_below: int
-) -> bool:
-    if prompt is None:
-        return False
-    return state.versions.get(prompt.model, 0) < stale_below
-
-
 __all__ = ['PeerLoad', 'Targets', 'TargetState']
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -136,12 +136,12 @@
                     s.versions[model],
                     self._is_out(n, s),
                     s.busy_for(now),
+                    self._view.stale_for(model, s.versions[model]),
                 )
                 for n, s in self._targets.states.items()
                 if model in s.versions and not s.target.is_draining
             ]
-            age = now - wanted.since
-            names = pick_wave(seen, wanted.version, age)
+            names = pick_wave(seen, wanted.version)
             if names or self._loads:
                 found[model] = names
         return found
@@ -202,10 +202,12 @@
         until = self._clock.now() + _EMPTY_LIMIT_S
         while self._clock.now() < until:
             now = self._clock.now()
-            wanted = self._view.wanted[model]
+            stale = self._view.stale_for(model, state.versions[model])
             if not state.count_running(now):
                 return
-            if not find_patience(now - wanted.since, self._limit):
+            if not find_patience(stale, self._limit):
+                return
+            if not self._lease.is_held():
                 return
             state.loading_until = now + _CORDON_S
             await asyncio.sleep(_WORK_PAUSE_S)
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -19,11 +19,44 @@
     from .targets import Targets
 
 
-class Wanted(NamedTuple):
-    """A version of weights; ``since`` by the clock, in seconds."""
+# Versions of a model's weights whose naming is remembered.
+_REMEMBERED = 32
+# How long ago a version was named that a process finds when it starts.
+_FOUND_AGE_S = 5.0
+
+
+class Naming(NamedTuple):
+    """A version of weights that was named; ``at`` by the clock, in s."""
 
     version: int
-    since: float
+    at: float
+
+
+class Wanted:
+    """The versions of one model's weights, as they were named."""
+
+    def __init__(self, first: Naming) -> None:
+        self._namings = [first]
+
+    @property
+    def version(self) -> int:
+        """Return the newest version."""
+        return self._namings[-1].version
+
+    def add(self, naming: Naming) -> bool:
+        """Take a version; return whether it is newer than all others."""
+        if naming.version <= self.version:
+            return False
+        self._namings.append(naming)
+        del self._namings[:-_REMEMBERED]
+        return True
+
+    def replaced_at(self, version: int) -> float | None:
+        """Return when a newer version was named first, if it was."""
+        for naming in self._namings:
+            if naming.version > version:
+                return naming.at
+        return None
 
 
 class View:
@@ -70,15 +103,27 @@
             return
         found = documents.decode_weights(row.value)
         known = self.wanted.get(found.model)
-        if known is not None and found.version <= known.version:
+        now = self._clock.now()
+        if known is None:
+            first = Naming(found.version, now - _FOUND_AGE_S)
+            self.wanted[found.model] = Wanted(first)
+        elif not known.add(Naming(found.version, now)):
             return
-        self.wanted[found.model] = Wanted(found.version, self._clock.now())
         self._log.write(
             'weights_wanted', model=found.model, version=found.version
         )
         for call in self.on_weights:
             call()
 
+    def stale_for(self, model: str, version: int) -> float:
+        """Return the time since a version was replaced, in seconds.
+
+        It is 0 for the newest.
+        """
+        wanted = self.wanted.get(model)
+        at = wanted.replaced_at(version) if wanted is not None else None
+        return 0.0 if at is None else self._clock.now() - at
+
     def take_target_row(self, row: Row) -> None:
         """Take a row that a target wrote of itself."""
         if row.is_deleted:
@@ -109,4 +154,4 @@
     return before.born != now.born or before.is_draining != now.is_draining
 
 
-__all__ = ['View', 'Wanted']
+__all__ = ['Naming', 'View', 'Wanted']
