Serve counters and latency histograms

Cause: on-call engineers have logs and metrics only. Change: the metrics of the product are fed by the gateway and served at the deploy file's address.

--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -15,6 +15,8 @@
 from ..decisions.placement import Need
 from ..decisions.placement import READ_RATE
 from ..decisions.retries import RetryBudget
+from ..metrics.registry import Count
+from ..metrics.registry import Timing
 from ..platform import dialect
 from ..platform.dialect import Passing
 from ..web.client import InterruptedExchangeError
@@ -36,6 +38,7 @@
     from ..web.client import Client
     from .call import Call
     from .call import Reply
+    from ..metrics.registry import Metrics
     from .crashes import Crashes
     from .logs import Log
     from .peers import Peers
@@ -100,6 +103,7 @@
     targets: Targets
     peers: Peers
     crashes: Crashes
+    metrics: Metrics
     log: Log
 
 
@@ -184,6 +188,7 @@
             began = self._parts.clock.now()
             attempted = await self._attempt(taken)
             self._log_attempt(taken, attempted, began)
+            self._parts.metrics.add(Count.ATTEMPTS, attempted.fate)
             if attempted.fate is Fate.DELIVERED:
                 return
             if attempted.fate is Fate.NOT_SENT:
@@ -210,7 +215,10 @@
 
     def _spend_retry(self) -> bool:
         now = self._parts.clock.now()
-        return self._budget.spend(now, self._parts.peers.members())
+        if not self._budget.spend(now, self._parts.peers.members()):
+            return False
+        self._parts.metrics.add(Count.RETRIES, self._service)
+        return True
 
     async def _end(self, attempted: Attempted) -> None:
         """End a call whose last attempt failed after it was sent."""
@@ -333,7 +341,10 @@
             memory = taken.service.engine.memory_tokens
             state.note_parts(taken.salt, call.prompt, memory)
         receiver = AnswerReceiver(
-            call.request_id, self._reply, self._progress, load.note_read
+            call.request_id,
+            self._reply,
+            self._progress,
+            lambda: self._note_first(load),
         )
         request = Request(
             call.incoming.method,
@@ -349,6 +360,12 @@
             await receiver.deliver()
         return Attempted(fate, receiver)
 
+    def _note_first(self, load: _Load) -> None:
+        load.note_read()
+        if not self._progress.has_begun:
+            spent = self._parts.clock.now() - self._call.incoming.arrived
+            self._parts.metrics.time(Timing.FIRST_TOKEN, spent)
+
     async def _exchange(
         self, taken: Taken, request: Request, receiver: AnswerReceiver
     ) -> Fate:
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -11,10 +11,14 @@
 from ..config.ini import Address
 from ..coordination.clock import SystemClock
 from ..decisions.quota import Allowance
+from ..metrics.registry import Count
+from ..metrics.registry import Metrics
+from ..metrics.registry import Timing
 from ..platform import documents
 from ..platform.rows import RowStore
 from ..web.client import Client
 from .admission import Admission
+from .call import Refusal
 from .crashes import Crashes
 from .dispatch import Dispatcher
 from .dispatch import Parts
@@ -27,6 +31,7 @@
 from .quotas import Quotas
 from .server import CallerPort
 from .server import Handling
+from .server import MetricsPort
 from .server import ReadinessPort
 from .targets import Targets
 from .upgrades import Upgrades
@@ -40,7 +45,6 @@
     from ..platform.node import NodeSettings
     from .call import Call
     from .call import Incoming
-    from .call import Refusal
     from .call import Reply
 
 _TARGET_CONNECT_S = 0.4
@@ -73,7 +77,11 @@
 
     def admit(self, incoming: Incoming) -> Call:
         """Return a call, or raise ``Refusal``."""
-        return self._node.admission.admit(incoming)
+        try:
+            return self._node.admission.admit(incoming)
+        except Refusal as refusal:
+            self._node.metrics.add(Count.REFUSALS, refusal.reason)
+            raise
 
     async def run(self, call: Call, reply: Reply) -> None:
         """Run a call; raises ``Refusal`` if it was not answered."""
@@ -81,7 +89,14 @@
 
     def note_end(self, call: Call, refusal: Refusal | None) -> None:
         """Give back the charge of a call that has not run."""
-        if refusal is None or refusal.status not in _NOT_RUN:
+        metrics = self._node.metrics
+        metrics.add(Count.REQUESTS, call.route.name)
+        spent = self._node.clock.now() - call.incoming.arrived
+        metrics.time(Timing.REQUEST, spent)
+        if refusal is None:
+            return
+        metrics.add(Count.REFUSALS, refusal.reason)
+        if refusal.status not in _NOT_RUN:
             return
         if call.workspace is not None and call.workspace.rate:
             self._node.quotas.refund(call.workspace, call.charge)
@@ -97,6 +112,7 @@
         self.settings = settings
         self.clock = SystemClock()
         self.log = Log(self.clock, settings.name, log_file)
+        self.metrics = Metrics()
         self.target_client = Client(_TARGET_CONNECT_S, _MAX_IDLE)
         self.store_client = Client(_STORE_CONNECT_S, _MAX_IDLE)
         self.store = RowStore(self.store_client, settings.store, self.clock)
@@ -161,6 +177,7 @@
                 self.targets,
                 self.peers,
                 self.crashes,
+                self.metrics,
                 self.log,
             )
         )
@@ -173,6 +190,29 @@
             max_body_size=_MAX_BODY_BYTES,
         )
         self.readiness = HTTPServer(ReadinessPort(self.is_ready))
+        self.metrics_server = HTTPServer(MetricsPort(self.metrics))
+        self._watch_gauges()
+
+    def _watch_gauges(self) -> None:
+        watch = self.metrics.watch
+        watch('open_requests', lambda: float(len(self.port.open)))
+        watch('peers_heard', lambda: float(len(self.peers.heard())))
+        watch('targets', lambda: float(len(self.targets.states)))
+        watch('store_calls', lambda: float(self.store.calls))
+        watch('configuration', self._read_version)
+        watch('store_age_seconds', self._read_age)
+        watch('log_lines_left_out', lambda: float(self.log.left_out))
+
+    def _read_version(self) -> float:
+        found = self.view.configuration
+        return float(found.version) if found is not None else 0.0
+
+    def _read_age(self) -> float:
+        return self.clock.now() - self.operators.heard
+
+    def serve_metrics(self, address: Address) -> None:
+        """Serve the metrics at an address; raises ``OSError``."""
+        self.metrics_server.listen(address.port, address.host)
 
     def _build_duties(self) -> None:
         settings = self.settings
--- a/src/lentilrun/gateway/run.py
+++ b/src/lentilrun/gateway/run.py
@@ -8,6 +8,7 @@
 import sys
 from typing import TYPE_CHECKING
 
+from ..config.ini import Address
 from ..platform import node as node_settings
 from .node import Node
 
@@ -15,14 +16,18 @@
     from ..platform.node import NodeSettings
 
 EXIT_INVALID = 2
+# Set in the deploy file beside the address where metrics are fetched.
+METRICS_VARIABLE = 'METRICS_PORT'
 
 
-async def _serve(settings: NodeSettings) -> None:
+async def _serve(settings: NodeSettings, metrics_port: int) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     async with Node(settings) as node:
+        if metrics_port:
+            node.serve_metrics(Address(settings.host, metrics_port))
         loop.add_signal_handler(
             signal.SIGHUP, lambda: node.log.write('reload_asked')
         )
@@ -38,7 +43,11 @@
     except node_settings.BadSettingsError as error:
         sys.stderr.write(f'{error.code}: {error}\n')
         return EXIT_INVALID
-    asyncio.run(_serve(settings))
+    port = os.environ.get(METRICS_VARIABLE, '0')
+    if not port.isdecimal():
+        sys.stderr.write(f'invalid_file: {METRICS_VARIABLE} is no port\n')
+        return EXIT_INVALID
+    asyncio.run(_serve(settings, int(port)))
     return 0
 
 
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -26,6 +26,7 @@
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
+    from ..metrics.registry import Metrics
     from .call import Call
     from .logs import Log
 
@@ -262,17 +263,21 @@
 
 
 class _Question(HTTPMessageDelegate):
+    """Answers any request with what ``answer`` returns."""
+
     def __init__(
-        self, port: ReadinessPort, connection: HTTPConnection
+        self,
+        connection: HTTPConnection,
+        answer: Callable[[], tuple[int, bytes]],
     ) -> None:
-        self._port = port
         self._connection = connection
+        self._answer = answer
 
     def finish(self) -> None:
-        status = _OK if self._port.is_ready() else _UNAVAILABLE
+        status, body = self._answer()
         line = ResponseStartLine('HTTP/1.1', status, responses[status])
-        headers = HTTPHeaders({'Content-Length': '0'})
-        self._connection.write_headers(line, headers)
+        headers = HTTPHeaders({'Content-Length': str(len(body))})
+        self._connection.write_headers(line, headers, body)
         self._connection.finish()
 
 
@@ -280,12 +285,27 @@
     """Tells whether new callers are welcome."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self.is_ready = is_ready
+        self._is_ready = is_ready
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        return _Question(request_conn, self._answer)
+
+    def _answer(self) -> tuple[int, bytes]:
+        return (_OK if self._is_ready() else _UNAVAILABLE), b''
+
+
+class MetricsPort(HTTPServerConnectionDelegate):
+    """Tells the metrics of this process."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        return _Question(self, request_conn)
+        return _Question(request_conn, lambda: (_OK, self._metrics.render()))
 
 
-__all__ = ['CallerPort', 'Handling', 'ReadinessPort']
+__all__ = ['CallerPort', 'Handling', 'MetricsPort', 'ReadinessPort']
