Expect only the first hub to speak; count a workspace's first use

Cause: two findings of the test of hubs: a VM took the second hub for silent though that one speaks to hubs only, and the first use that a VM told of a workspace was not counted by the others. Change: hubs are expected to speak by their place; a workspace that was not told of before counts from zero.

--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -185,7 +185,7 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._started = clock.now()
-        self._spoke = float('-inf')
+        self._expected: dict[str, float] = {}
         self._hurry = asyncio.Event()
         self.incarnation = secrets.randbits(48)
         self.known: dict[str, Peer] = {}
@@ -349,17 +349,36 @@
 
     def _suspect_silent(self) -> None:
         """Pass over hubs that fell silent, and forget who is long gone."""
+        if self.is_mesh():
+            self._forget_silent()
+            return
         now = self._clock.now()
-        hubs = {n for found in self.find_hubs().values() for n in found}
-        for node, peer in list(self.known.items()):
-            near = peer.member.data_centre == self.own.data_centre
-            if not self.is_hub() and not near:
-                continue
-            quiet = now - max(peer.heard, peer.known)
-            if quiet > _SILENT_S and node in hubs and not self.is_mesh():
+        expected = self._find_expected()
+        for name in expected:
+            since = self._expected.setdefault(name, now)
+            peer = self.known[name]
+            if now - max(peer.heard, since) > _SILENT_S:
                 peer.suspect_until = now + _SUSPECT_S
-                peer.known = now
-            elif quiet > _FORGOTTEN_S and self.is_mesh():
+                self._log.write('hub_suspected', peer=name)
+        for name in [n for n in self._expected if n not in expected]:
+            del self._expected[name]
+
+    def _find_expected(self) -> set[str]:
+        """Return the hubs that should speak to this VM."""
+        own = self.own
+        expected = set()
+        for data_centre, names in self.find_hubs().items():
+            is_near = data_centre == own.data_centre
+            if own.name in names:
+                expected.update(names)
+            elif is_near or self.is_hub():
+                expected.update(names[:1])
+        return expected - {own.name}
+
+    def _forget_silent(self) -> None:
+        now = self._clock.now()
+        for node, peer in list(self.known.items()):
+            if now - max(peer.heard, peer.known) > _FORGOTTEN_S:
                 self._drop(node, 'silent')
 
     def _drop(self, node: str, why: str) -> None:
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -35,7 +35,7 @@
         self._peers = peers
         self._allowance = allowance
         self._windows: dict[str, UsageWindow] = {}
-        self._seen: dict[tuple[str, str], float] = {}
+        self._seen: dict[str, dict[str, float]] = {}
         self._is_configured = False
         self._learned: dict[str, dict[str, float]] = {}
         self._told: dict[str, float] = {}
@@ -112,20 +112,21 @@
         ``told`` holds tokens since the start of the peer's process.
         """
         now = self._clock.now()
+        seen = self._seen.get(peer)
+        self._seen[peer] = dict(told)
+        if seen is None:
+            return
+        learned = self._learned.setdefault(peer, {})
         for name, tokens in told.items():
-            before = self._seen.get((peer, name))
-            self._seen[peer, name] = tokens
-            window = self._windows.get(name)
-            if before is None or window is None:
+            gained = tokens - seen.get(name, 0.0)
+            if not gained or name not in self._windows:
                 continue
-            window.add(tokens - before, now)
-            learned = self._learned.setdefault(peer, {})
-            learned[name] = learned.get(name, 0.0) + tokens - before
+            self._windows[name].add(gained, now)
+            learned[name] = learned.get(name, 0.0) + gained
 
     def forget(self, peer: str) -> None:
         """Forget a peer's process that has ended."""
-        for key in [k for k in self._seen if k[0] == peer]:
-            del self._seen[key]
+        self._seen.pop(peer, None)
 
     def adopt(self, uses: dict[str, list[int]], age: float = 0.0) -> None:
         """Take counts of others, as a process that just started.
