--- a/src/lentilrun/run.py
+++ b/src/lentilrun/run.py
@@ -11,6 +11,7 @@
 from .session.cmd.queries.check import check
 from .session.cmd.queries.digest import digest
 from .session.cmd.queries.dump import dump
+from .session.cmd.queries.explain import explain
 from .session.cmd.queries.moves import moves
 from .session.cmd.queries.secret import secret
 from .session.cmd.queries.status import status
@@ -21,7 +22,7 @@
 )
 for _command in (apply,):
     app.command(_command, group='Commands')
-for _query in (check, digest, dump, moves, secret, status, usage):
+for _query in (check, digest, dump, explain, moves, secret, status, usage):
     app.command(_query, group='Queries')
 
 
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -106,7 +106,8 @@
 class Deployment:
     """Owns everything; nodes and replicas start on request."""
 
-    def __init__(self) -> None:
+    def __init__(self, log_file: int | None = None) -> None:
+        """Let VMs log to a file descriptor, which is closed at the end."""
         self.store = rowstore.RowStoreState()
         self.replicas: dict[str, replica.ReplicaState] = {}
         self.addresses: dict[str, str] = {}
@@ -114,7 +115,9 @@
         self._stack = contextlib.AsyncExitStack()
         self._ids = itertools.count(1)
         self._servers: dict[str, HTTPServer] = {}
-        self._null = os.open(os.devnull, os.O_WRONLY)
+        if log_file is None:
+            log_file = os.open(os.devnull, os.O_WRONLY)
+        self._log_file = log_file
 
     async def __aenter__(self) -> Deployment:
         self._store_port = find_port()
@@ -130,7 +133,7 @@
         for server in self._servers.values():
             server.stop()
             await server.close_all_connections()
-        os.close(self._null)
+        os.close(self._log_file)
 
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write a configuration."""
@@ -188,7 +191,7 @@
             BOUNDS,
         )
         node = await self._stack.enter_async_context(
-            Node(settings, self._null)
+            Node(settings, self._log_file)
         )
         self.nodes[name] = node
         await wait_until(node.is_ready)
