Sum up the loads of a large fleet once a message

Cause: a hub of 30 VMs summed every target's load for every recipient. Change: the sum is made once and each recipient's part is left out.

--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from ..config.ini import Address
     from ..coordination.clock import Clock
@@ -47,15 +48,38 @@
         self._crashes = crashes
         self._read_positions = read_positions
         self.is_leaving = False
-        peers.make_beat = self.make
+        peers.make_beats = self.make
         peers.on_beat.append(self.take)
         peers.on_restart.append(self._forget)
 
-    def make(self, scope: Scope, recipient: str) -> Beat:
-        """Return what a recipient is to know now."""
+    def make(
+        self, scope: Scope, recipients: list[str]
+    ) -> Iterator[tuple[list[str], Beat]]:
+        """Yield what recipients are to know now, with who gets it."""
         self._quotas.note_told()
+        now = self._clock.now()
+        sources = self._find_sources(scope)
+        loads = self._list_loads(sources, now)
+        beat = self._make_beat(
+            [n for n in loads if _is_worth_telling(n)],
+            self._quotas.tell(sources),
+        )
+        if scope is not Scope.REST:
+            yield recipients, beat
+            return
+        for name in recipients:
+            yield (
+                [name],
+                beat._replace(
+                    loads=self._leave_out(loads, name, now),
+                    told=self._quotas.leave_out(beat.told, name),
+                ),
+            )
+
+    def _make_beat(
+        self, loads: list[LoadNews], told: dict[str, float]
+    ) -> Beat:
         own = self._peers.own
-        sources = self._find_sources(scope, recipient)
         return Beat(
             own.name,
             own.data_centre,
@@ -65,32 +89,42 @@
             self._peers.incarnation,
             self.is_leaving,
             self._peers.silent(),
-            self._list_loads(sources),
+            loads,
             self._list_loading(),
             self._list_versions(),
             self._crashes.export(),
-            self._quotas.tell(sources),
+            told,
             self._quotas.export(),
             self._read_positions(),
         )
 
-    def _find_sources(self, scope: Scope, recipient: str) -> list[str]:
+    def _find_sources(self, scope: Scope) -> list[str]:
         """Return the VMs whose doings a message sums up with the own."""
         if scope is Scope.OWN:
             return []
         known = self._peers.known
         if scope is Scope.REST:
-            return [n for n in known if n != recipient]
+            return list(known)
         near = self._peers.own.data_centre
         return [n for n, p in known.items() if p.member.data_centre == near]
 
-    def _list_loads(self, sources: list[str]) -> list[LoadNews]:
-        now = self._clock.now()
+    def _list_loads(self, sources: list[str], now: float) -> list[LoadNews]:
         found = []
         for name, state in self._targets.states.items():
             state.weigh_outcomes(now)
-            load = _make_load(name, state, sources, now)
-            if load.running or load.bad > _LEAST_OUTCOME:
+            found.append(_make_load(name, state, sources, now))
+        return found
+
+    def _leave_out(
+        self, loads: list[LoadNews], peer: str, now: float
+    ) -> list[LoadNews]:
+        """Return loads without what a peer itself runs."""
+        found = []
+        for load in loads:
+            part = self._targets.states[load.incarnation].peers.get(peer)
+            if part is not None and part.is_recent(now):
+                load = _subtract(load, part)
+            if _is_worth_telling(load):
                 found.append(load)
         return found
 
@@ -160,6 +194,21 @@
             state.peers.pop(node, None)
 
 
+def _is_worth_telling(load: LoadNews) -> bool:
+    return load.running > 0 or load.bad > _LEAST_OUTCOME
+
+
+def _subtract(load: LoadNews, part: PeerLoad) -> LoadNews:
+    return load._replace(
+        running=load.running - part.running,
+        long_running=load.long_running - part.long_running,
+        unread=load.unread - part.unread,
+        held=load.held - part.held,
+        good=round(load.good - part.good, 2),
+        bad=round(load.bad - part.bad, 2),
+    )
+
+
 def _make_load(
     name: str, state: TargetState, sources: list[str], now: float
 ) -> LoadNews:
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -24,6 +24,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
     from types import TracebackType
 
     from ..coordination.clock import Clock
@@ -143,11 +144,13 @@
         self.silent = 0
 
 
-class BeatFor(Protocol):
-    """Makes a message about what some VMs do."""
+class BeatMaker(Protocol):
+    """Makes messages about what some VMs do."""
 
-    def __call__(self, scope: Scope, recipient: str) -> Beat:
-        """Return the message for a recipient."""
+    def __call__(
+        self, scope: Scope, recipients: list[str]
+    ) -> Iterable[tuple[list[str], Beat]]:
+        """Yield each message with those who get it."""
 
 
 class Scope(enum.Enum):
@@ -186,10 +189,13 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._started = clock.now()
         self._expected: dict[str, float] = {}
+        self._hubs: dict[str, list[str]] = {}
+        # What the hubs were found from: the members and the suspects.
+        self._hubs_basis: tuple[int, frozenset[str]] | None = None
         self._hurry = asyncio.Event()
         self.incarnation = secrets.randbits(48)
         self.known: dict[str, Peer] = {}
-        self.make_beat: BeatFor | None = None
+        self.make_beats: BeatMaker | None = None
         self.on_beat: list[Callable[[Beat], None]] = []
         self.on_rows: list[Callable[[RowsNews], None]] = []
         self.on_restart: list[Callable[[str], None]] = []
@@ -219,6 +225,7 @@
         if peer is None or peer.address != address:
             made = Peer(member, address, self._clock.now())
             self.known[member.name] = made
+            self._hubs_basis = None
 
     def members(self) -> int:
         """Return the number of VMs, this one included."""
@@ -316,16 +323,15 @@
             found = Recipients(list(self.known), [], [])
         self._send_all(found.own, Scope.OWN)
         self._send_all(found.group, Scope.GROUP)
-        for name in found.rest:
-            self._send_all([name], Scope.REST)
+        self._send_all(found.rest, Scope.REST)
 
-    def _send_all(self, names: list[str], scope: Scope) -> None:
-        if not names or self.make_beat is None:
+    def _send_all(self, recipients: list[str], scope: Scope) -> None:
+        if not recipients or self.make_beats is None:
             return
-        beat = self.make_beat(scope, names[0])
-        data = _BEAT + _encoder.encode(beat)
-        for name in names:
-            self._send(name, data)
+        for names, beat in self.make_beats(scope, recipients):
+            data = _BEAT + _encoder.encode(beat)
+            for name in names:
+                self._send(name, data)
 
     def _send(self, name: str, data: bytes) -> None:
         transport = self._transport
@@ -383,6 +389,7 @@
 
     def _drop(self, node: str, why: str) -> None:
         del self.known[node]
+        self._hubs_basis = None
         self._log.write('peer_gone', peer=node, why=why)
         for call in self.on_restart:
             call(node)
@@ -426,7 +433,7 @@
 
 __all__ = [
     'Beat',
-    'BeatFor',
+    'BeatMaker',
     'CrashNews',
     'LoadingNews',
     'LoadNews',
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -96,6 +96,13 @@
             total.update(self._learned.get(peer, {}))
         return {n: float(round(t)) for n, t in total.items()}
 
+    def leave_out(self, told: dict[str, float], peer: str) -> dict[str, float]:
+        """Return what is told without what was learned from a peer."""
+        learned = self._learned.get(peer)
+        if not learned:
+            return told
+        return {n: t - round(learned.get(n, 0.0)) for n, t in told.items()}
+
     def used(self, workspace: Workspace) -> float:
         """Return what all VMs let in during the window."""
         return self._windows[workspace.name].used
