Save each shared part once

Change: VMs tell each other which parts they let engines save; a part is saved once in 20 s. Rows that change together are read together.

--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -11,6 +11,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.placement import choose
+from ..decisions.placement import guess_share
 from ..decisions.placement import LONG_S
 from ..decisions.placement import Need
 from ..decisions.placement import READ_RATE
@@ -32,14 +33,16 @@
 
     from ..coordination.clock import Clock
     from ..decisions.facts import KeptStore
+    from ..decisions.facts import Prompt
     from ..decisions.facts import Service
     from ..decisions.placement import Choice
+    from ..metrics.registry import Metrics
     from ..platform.node import Bounds
     from ..web.client import Client
     from .call import Call
     from .call import Reply
-    from ..metrics.registry import Metrics
     from .crashes import Crashes
+    from .keptparts import KeptParts
     from .logs import Log
     from .peers import Peers
     from .targets import Targets
@@ -103,6 +106,7 @@
     targets: Targets
     peers: Peers
     crashes: Crashes
+    kept: KeptParts
     metrics: Metrics
     log: Log
 
@@ -271,7 +275,12 @@
         salts = [self._make_salt(s) for s in states]
         found = choose(
             self._parts.targets.make_candidates(
-                states, service, salts, prompt, self._find_stale(states)
+                states,
+                service,
+                salts,
+                prompt,
+                self._find_stale(states),
+                self._guess_places(states, prompt),
             ),
             need,
         )
@@ -282,6 +291,16 @@
         weights = self._weights(state)
         return Taken(state, service, found, need, weights, salt)
 
+    @staticmethod
+    def _guess_places(
+        states: list[TargetState], prompt: Prompt | None
+    ) -> dict[str, float]:
+        """Return the targets that others send the shared parts to."""
+        if prompt is None or len(prompt.parts) < 2:
+            return {}
+        names = [s.target.incarnation for s in states]
+        return guess_share(prompt.parts[-2].identity, names)
+
     def _find_stale(self, states: list[TargetState]) -> frozenset[str]:
         """Return the targets whose weights cost an answer worth."""
         return frozenset(
@@ -395,6 +414,7 @@
         call = self._call
         workspace = call.workspace
         store = self._find_store(taken)
+        saves = self._should_save(taken)
         passing = Passing(
             workspace.name if workspace is not None else '',
             self._left(),
@@ -403,7 +423,7 @@
             taken.weights,
             taken.salt,
             store.address if store is not None else None,
-            store.address if store is not None else None,
+            store.address if store is not None and saves else None,
         )
         headers = dialect.make_request(call.incoming.headers, passing)
         if self._progress.last_event > call.last_event:
@@ -411,14 +431,27 @@
         return headers
 
     def _find_store(self, taken: Taken) -> KeptStore | None:
-        """Return where to fetch shared parts that the target lacks."""
+        """Return where kept parts of the prompt are."""
         configuration = self._parts.view.configuration
-        prompt = self._call.prompt
-        if prompt is None or taken.weights is None or configuration is None:
-            return None
-        if not configuration.kept_stores:
+        if taken.weights is None or configuration is None:
             return None
-        return configuration.kept_stores[0]
+        stores = configuration.kept_stores
+        return stores[0] if stores else None
+
+    def _should_save(self, taken: Taken) -> bool:
+        """Return whether the target is to save the shared parts.
+
+        The whole prompt goes to the store, whose link all targets share,
+        so a part is saved once.
+        """
+        prompt = self._call.prompt
+        if prompt is None or taken.weights is None:
+            return False
+        kept = self._parts.kept
+        if not kept.needs_saving(taken.salt, prompt):
+            return False
+        kept.note(taken.salt, prompt)
+        return True
 
     def _note_fate(
         self, taken: Taken, fate: Fate, receiver: AnswerReceiver
--- a/src/lentilrun/gateway/fleet.py
+++ b/src/lentilrun/gateway/fleet.py
@@ -22,7 +22,7 @@
 
 FLEET_TABLE = 'fleet'
 _PREFIX = 'vm/'
-_READ_PAUSE_S = 15.0
+_READ_PAUSE_S = 30.0
 _RETRY_PAUSE_S = 0.5
 
 
--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -20,7 +20,7 @@
 
 _WAIT_S = 2.0
 _SHORT_WAIT_S = 0.3
-_GROUP_PAUSE_S = 0.1
+_GROUP_PAUSE_S = 0.25
 # While another VM hands on rows, this one looks again after this time.
 _FED_PAUSE_S = 1.0
 _ON_ITS_WAY_S = 0.15
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -18,6 +18,7 @@
     from ..config.ini import Address
     from ..coordination.clock import Clock
     from .crashes import Crashes
+    from .keptparts import KeptParts
     from .peers import Peers
     from .quotas import Quotas
     from .targets import Targets
@@ -38,6 +39,7 @@
         targets: Targets,
         quotas: Quotas,
         crashes: Crashes,
+        kept: KeptParts,
         read_positions: Callable[[], dict[str, int]],
     ) -> None:
         self._address = address
@@ -46,6 +48,7 @@
         self._targets = targets
         self._quotas = quotas
         self._crashes = crashes
+        self._kept = kept
         self._read_positions = read_positions
         self.is_leaving = False
         peers.make_beats = self.make
@@ -96,6 +99,7 @@
             told,
             self._quotas.export(),
             self._read_positions(),
+            self._kept.export(),
         )
 
     def _find_sources(self, scope: Scope) -> list[str]:
@@ -169,6 +173,7 @@
                 )
         self._take_targets(beat)
         self._crashes.take(beat.node, beat.crashes)
+        self._kept.take(beat.kept)
         self._quotas.take_usage(beat.node, beat.told)
         if self._peers.is_young():
             self._quotas.adopt(beat.used)
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -26,6 +26,7 @@
 from .duty import DutyLease
 from .fleet import Fleet
 from .follower import Follower
+from .keptparts import KeptParts
 from .logs import Log
 from .news import News
 from .peers import Peers
@@ -121,6 +122,7 @@
         self.targets = Targets(self.clock, settings.data_centre)
         self.view = View(self.clock, self.targets, self.log)
         self.crashes = Crashes(self.clock)
+        self.kept = KeptParts(self.clock)
         self._build_fleet()
         self._build_entry()
         self._build_duties()
@@ -141,6 +143,7 @@
             self.targets,
             self.quotas,
             self.crashes,
+            self.kept,
             self._read_positions,
         )
         self.usage = UsageKeeper(self.store, self.peers, self.quotas, self.log)
@@ -183,6 +186,7 @@
                 self.targets,
                 self.peers,
                 self.crashes,
+                self.kept,
                 self.metrics,
                 self.log,
             )
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -83,6 +83,13 @@
     crashes: int
 
 
+class PartNews(NamedTuple):
+    """A part of a prompt that an engine saves in the store of kept cache."""
+
+    salt: str
+    identity: str
+
+
 class Beat(NamedTuple):
     """One message; tokens by workspace.
 
@@ -107,6 +114,7 @@
     told: dict[str, float]
     used: dict[str, list[int]]
     positions: dict[str, int]
+    kept: list[PartNews]
 
 
 class RowNews(NamedTuple):
@@ -437,6 +445,7 @@
     'CrashNews',
     'LoadingNews',
     'LoadNews',
+    'PartNews',
     'Peers',
     'RowNews',
     'RowsNews',
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.placement import Candidate
-from ..decisions.placement import guess_share
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -211,22 +210,21 @@
         salts: list[str],
         prompt: Prompt | None,
         stale: frozenset[str],
+        places: dict[str, float],
     ) -> list[Candidate]:
         """Return targets as a request sees them, each under its salt.
 
-        ``stale`` names those whose weights were replaced.
+        ``stale`` names those whose weights were replaced, ``places``
+        how likely targets hold the shared parts unseen.
         """
-        guesses: dict[str, float] = {}
         shared = 0
-        if prompt is not None and len(prompt.parts) > 1:
+        if prompt is not None:
             shared = sum(p.tokens for p in prompt.parts[:-1])
-            names = [s.target.incarnation for s in states]
-            guesses = guess_share(prompt.parts[-2].identity, names)
         return [
             self._make_candidate(
                 s,
                 service,
-                _find_cached(s, salt, prompt, shared, guesses),
+                _find_cached(s, salt, prompt, shared, places),
                 s.target.incarnation in stale,
             )
             for s, salt in zip(states, salts, strict=True)
@@ -264,11 +262,11 @@
     salt: str,
     prompt: Prompt | None,
     shared: int,
-    guesses: dict[str, float],
+    places: dict[str, float],
 ) -> float:
     if prompt is None:
         return 0.0
-    guess = shared * guesses.get(state.target.incarnation, 0.0)
+    guess = shared * places.get(state.target.incarnation, 0.0)
     return max(state.cached(salt, prompt), guess)
 
 
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+
 from lentilrun.decisions.placement import Candidate
 from lentilrun.decisions.placement import choose
 from lentilrun.decisions.placement import Need
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -9,8 +9,8 @@
 from deployments import make_configuration
 from deployments import wait_until
 from lentilrun.decisions import topology
-from lentilrun.gateway import peers
 from lentilrun.gateway.node import Node
+from lentilrun.gateway import peers
 import pytest
 
 
