Reread the settings on SIGHUP and tell what changed

Cause: SIGHUP was logged only. Change: the file is read and checked again; settings hold from the next start.

--- a/src/lentilrun/gateway/run.py
+++ b/src/lentilrun/gateway/run.py
@@ -20,7 +20,22 @@
 METRICS_VARIABLE = 'METRICS_PORT'
 
 
-async def _serve(settings: NodeSettings, metrics_port: int) -> None:
+def _reread(node: Node, path: str) -> None:
+    """Tell whether the settings changed; they hold from the next start."""
+    try:
+        found = node_settings.load(path)
+    except node_settings.BadSettingsError as error:
+        node.log.write('settings_unreadable', path=path, error=error)
+        return
+    changed = [
+        name
+        for name, value in found._asdict().items()
+        if value != getattr(node.settings, name)
+    ]
+    node.log.write('settings_reread', path=path, changed=changed)
+
+
+async def _serve(settings: NodeSettings, metrics_port: int, path: str) -> None:
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -28,9 +43,7 @@
     async with Node(settings) as node:
         if metrics_port:
             node.serve_metrics(Address(settings.host, metrics_port))
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: node.log.write('reload_asked')
-        )
+        loop.add_signal_handler(signal.SIGHUP, lambda: _reread(node, path))
         await stopping.wait()
         await node.leave()
 
@@ -47,7 +60,7 @@
     if not port.isdecimal():
         sys.stderr.write(f'invalid_file: {METRICS_VARIABLE} is no port\n')
         return EXIT_INVALID
-    asyncio.run(_serve(settings, int(port)))
+    asyncio.run(_serve(settings, int(port), path))
     return 0
 
 
