--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from .peers import CrashNews
+from .messages import CrashNews
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -10,11 +10,6 @@
 
 from tornado.iostream import StreamClosedError
 
-from ..decisions.placement import choose
-from ..decisions.placement import guess_share
-from ..decisions.placement import LONG_S
-from ..decisions.placement import Need
-from ..decisions.placement import READ_RATE
 from ..decisions.retries import RetryBudget
 from ..metrics.registry import Count
 from ..metrics.registry import Timing
@@ -25,6 +20,8 @@
 from ..web.client import Request
 from .call import Reason
 from .call import Refusal
+from .choice import Chooser
+from .loads import Load
 from .relay import AnswerReceiver
 from .relay import Progress
 
@@ -33,14 +30,12 @@
 
     from ..coordination.clock import Clock
     from ..decisions.facts import KeptStore
-    from ..decisions.facts import Prompt
-    from ..decisions.facts import Service
-    from ..decisions.placement import Choice
     from ..metrics.registry import Metrics
     from ..platform.node import Bounds
     from ..web.client import Client
     from .call import Call
     from .call import Reply
+    from .choice import Taken
     from .crashes import Crashes
     from .keptparts import KeptParts
     from .logs import Log
@@ -61,11 +56,6 @@
 _RETRY_AFTER_S = 0.25
 # A target that refused for want of room is left alone for this long.
 _FULL_S = 0.08
-# From this age of newer weights on, answers on older ones lose worth.
-_FRESH_WEIGHTS_S = 1.5
-# Requests that start on older weights so long before the limit may still
-# wait there.
-_VERSION_MARGIN_S = 1.2
 
 
 class Fate(enum.StrEnum):
@@ -85,17 +75,6 @@
     receiver: AnswerReceiver
 
 
-class Taken(NamedTuple):
-    """A target that was chosen, and what the choice was made from."""
-
-    state: TargetState
-    service: Service
-    choice: Choice
-    need: Need
-    weights: int | None
-    salt: str
-
-
 class Parts(NamedTuple):
     """What dispatching works with."""
 
@@ -169,6 +148,14 @@
         self._may_have_run = 0
         self._service = self._pick_service()
         self._budget = dispatcher.budget(self._service)
+        self._chooser = Chooser(
+            call,
+            self._service,
+            parts.view,
+            parts.targets,
+            parts.peers,
+            parts.bounds,
+        )
 
     def _pick_service(self) -> str:
         splits = self._call.route.splits
@@ -246,7 +233,7 @@
         while True:
             if self._left() <= _LEAST_TIME_S:
                 raise self._give_up(Reason.DEADLINE)
-            taken = self._choose()
+            taken = self._chooser.choose(self._avoid)
             if taken is not None:
                 if taken.choice.wait > self._left():
                     raise self._give_up(Reason.OVERLOADED)
@@ -257,105 +244,11 @@
                 min(_FULL_S, until - clock.now())
             )
 
-    def _choose(self) -> Taken | None:
-        configuration = self._parts.view.configuration
-        if configuration is None:
-            return None
-        service = configuration.services.get(self._service)
-        if service is None:
-            return None
-        call = self._call
-        prompt = call.prompt if service.engine is not None else None
-        states = self._find_usable(service)
-        if not states:
-            return None
-        need = Need(0, 0)
-        if prompt is not None:
-            need = Need(prompt.input_tokens, prompt.output_tokens)
-        salts = [self._make_salt(s) for s in states]
-        found = choose(
-            self._parts.targets.make_candidates(
-                states,
-                service,
-                salts,
-                prompt,
-                self._find_stale(states),
-                self._guess_places(states, prompt),
-            ),
-            need,
-        )
-        if found is None:
-            return None
-        state = self._parts.targets.states[found.name]
-        salt = self._make_salt(state)
-        weights = self._weights(state)
-        return Taken(state, service, found, need, weights, salt)
-
-    @staticmethod
-    def _guess_places(
-        states: list[TargetState], prompt: Prompt | None
-    ) -> dict[str, float]:
-        """Return the targets that others send the shared parts to."""
-        if prompt is None or len(prompt.parts) < 2:
-            return {}
-        names = [s.target.incarnation for s in states]
-        return guess_share(prompt.parts[-2].identity, names)
-
-    def _find_stale(self, states: list[TargetState]) -> frozenset[str]:
-        """Return the targets whose weights cost an answer worth."""
-        return frozenset(
-            s.target.incarnation
-            for s in states
-            if self._stale_for(s) > _FRESH_WEIGHTS_S
-        )
-
-    def _stale_for(self, state: TargetState) -> float:
-        weights = self._weights(state)
-        prompt = self._call.prompt
-        if weights is None or prompt is None:
-            return 0.0
-        return self._parts.view.stale_for(prompt.model, weights)
-
-    def _weights(self, state: TargetState) -> int | None:
-        prompt = self._call.prompt
-        if prompt is None or not state.versions:
-            return None
-        return state.versions.get(prompt.model)
-
-    def _make_salt(self, state: TargetState) -> str:
-        weights = self._weights(state)
-        if weights is None:
-            return ''
-        workspace = self._call.workspace
-        if workspace is not None and workspace.is_isolated:
-            return f'{weights}/{workspace.name}'
-        return str(weights)
-
-    def _find_usable(self, service: Service) -> list[TargetState]:
-        states = self._parts.targets.usable(service.name, self._avoid)
-        if not states and self._avoid:
-            states = self._parts.targets.usable(service.name)
-        states = [s for s in states if self._has_room(s, service)]
-        prompt = self._call.prompt
-        if service.engine is None or prompt is None:
-            return states
-        # Weights that are too old to begin on are as good as none.
-        oldest = self._parts.bounds.version - _VERSION_MARGIN_S
-        return [
-            s
-            for s in states
-            if prompt.model in s.versions and self._stale_for(s) < oldest
-        ]
-
-    def _has_room(self, state: TargetState, service: Service) -> bool:
-        members = self._parts.peers.members()
-        return state.running < max(2, service.max_connections // members)
-
     async def _attempt(self, taken: Taken) -> Attempted:
         call = self._call
         state = taken.state
         now = self._parts.clock.now()
-        load = _Load(state, taken.need, taken.choice.cached, now)
+        load = Load(state, taken.need, taken.choice.cached, now)
         if call.prompt is not None and taken.service.engine is not None:
             memory = taken.service.engine.memory_tokens
             state.note_parts(taken.salt, call.prompt, memory)
@@ -379,7 +272,7 @@
             await receiver.deliver()
         return Attempted(fate, receiver)
 
-    def _note_first(self, load: _Load) -> None:
+    def _note_first(self, load: Load) -> None:
         load.note_read()
         if not self._progress.has_begun:
             spent = self._parts.clock.now() - self._call.incoming.arrived
@@ -522,37 +415,4 @@
     return call.prompt.input_tokens, call.prompt.output_tokens
 
 
-class _Load:
-    """A call's load on a target, as this VM counts it."""
-
-    def __init__(
-        self, state: TargetState, need: Need, cached: float, now: float
-    ) -> None:
-        self._state = state
-        self._held = float(need.input_tokens + need.output_tokens)
-        self._unread = max(0.0, need.input_tokens - cached)
-        self._is_long = need.answer_time() > LONG_S
-        self._end = now + self._unread / READ_RATE + need.answer_time()
-
-    def __enter__(self) -> _Load:
-        self._state.running += 1
-        self._state.long_running += self._is_long
-        self._state.held += self._held
-        self._state.unread += self._unread
-        self._state.ends[id(self)] = self._end
-        return self
-
-    def note_read(self) -> None:
-        """Note that the prompt was read."""
-        self._state.unread -= self._unread
-        self._unread = 0.0
-
-    def __exit__(self, *given: object) -> None:
-        self.note_read()
-        self._state.running -= 1
-        self._state.long_running -= self._is_long
-        self._state.held -= self._held
-        del self._state.ends[id(self)]
-
-
 __all__ = ['Dispatcher', 'Fate', 'Parts']
--- a/src/lentilrun/gateway/keptparts.py
+++ b/src/lentilrun/gateway/keptparts.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from .peers import PartNews
+from .messages import PartNews
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
@@ -63,9 +63,5 @@
                 return
             del self._kept[part]
 
-    def forget(self) -> None:
-        """Note that the store came back empty."""
-        self._kept.clear()
-
 
 __all__ = ['KeptParts']
--- /dev/null
+++ b/src/lentilrun/gateway/loads.py
@@ -0,0 +1,58 @@
+"""The load of one call on a target, while it runs there."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..decisions.placement import LONG_S
+from ..decisions.placement import READ_RATE
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from ..decisions.placement import Need
+    from .targets import TargetState
+
+
+class Load:
+    """A call's load on a target, as this VM counts it.
+
+    It begins on entry and ends on exit.
+    """
+
+    def __init__(
+        self, state: TargetState, need: Need, cached: float, now: float
+    ) -> None:
+        self._state = state
+        self._held = float(need.input_tokens + need.output_tokens)
+        self._unread = max(0.0, need.input_tokens - cached)
+        self._is_long = need.answer_time() > LONG_S
+        self._end = now + self._unread / READ_RATE + need.answer_time()
+
+    def __enter__(self) -> Load:
+        self._state.running += 1
+        self._state.long_running += self._is_long
+        self._state.held += self._held
+        self._state.unread += self._unread
+        self._state.ends[id(self)] = self._end
+        return self
+
+    def note_read(self) -> None:
+        """Note that the prompt was read."""
+        self._state.unread -= self._unread
+        self._unread = 0.0
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.note_read()
+        self._state.running -= 1
+        self._state.long_running -= self._is_long
+        self._state.held -= self._held
+        del self._state.ends[id(self)]
+
+
+__all__ = ['Load']
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from .peers import Beat
-from .peers import LoadingNews
-from .peers import LoadNews
+from .messages import Beat
+from .messages import LoadingNews
+from .messages import LoadNews
+from .messages import VersionNews
 from .peers import Scope
-from .peers import VersionNews
 from .targets import PeerLoad
 
 if TYPE_CHECKING:
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -9,18 +9,20 @@
 import asyncio
 import enum
 import secrets
-from typing import NamedTuple
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ..config.ini import Address
 from ..decisions.topology import find_recipients
 from ..decisions.topology import Member
 from ..decisions.topology import MESH_VMS
 from ..decisions.topology import pick_hubs
 from ..decisions.topology import Recipients
+from .messages import BadMessageError
+from .messages import Beat
+from .messages import decode
+from .messages import encode
+from .messages import RowsNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,100 +47,6 @@
 _MAX_DATAGRAM_BYTES = 60_000
 
 
-class LoadNews(NamedTuple):
-    """What the sender runs at a target; tokens, decayed outcomes.
-
-    ``busy_for`` is the time until it is done there, in seconds.
-    """
-
-    incarnation: str
-    running: int
-    long_running: int
-    unread: float
-    held: float
-    busy_for: float
-    good: float
-    bad: float
-
-
-class LoadingNews(NamedTuple):
-    """A target that loads weights, for ``left`` seconds at the most."""
-
-    incarnation: str
-    left: float
-
-
-class VersionNews(NamedTuple):
-    """A version of weights that a target was seen to have."""
-
-    incarnation: str
-    model: str
-    version: int
-
-
-class CrashNews(NamedTuple):
-    """How often targets crashed under a request."""
-
-    fingerprint: str
-    crashes: int
-
-
-class PartNews(NamedTuple):
-    """A part of a prompt that an engine saves in the store of kept cache."""
-
-    salt: str
-    identity: str
-
-
-class Beat(NamedTuple):
-    """One message; tokens by workspace.
-
-    ``told`` is what the senders let in since the start of the process,
-    ``used`` what is known that all VMs let in during each second, newest
-    first. ``silent`` VMs were not heard by the sender. ``positions`` are
-    the newest versions that it has of the tables of the store.
-    """
-
-    node: str
-    data_centre: str
-    power: float
-    host: str
-    port: int
-    incarnation: int
-    is_leaving: bool
-    silent: int
-    loads: list[LoadNews]
-    loading: list[LoadingNews]
-    versions: list[VersionNews]
-    crashes: list[CrashNews]
-    told: dict[str, float]
-    used: dict[str, list[int]]
-    positions: dict[str, int]
-    kept: list[PartNews]
-
-
-class RowNews(NamedTuple):
-    """A row of the store as it was read."""
-
-    key: str
-    value: bytes
-    version: int
-    is_deleted: bool
-
-
-class RowsNews(NamedTuple):
-    """Changes of a table, all up to ``version`` of the store.
-
-    ``before`` is the version of the newest row that the sender had.
-    """
-
-    node: str
-    table: str
-    before: int
-    version: int
-    rows: list[RowNews]
-
-
 class Peer:
     """Another VM; ``heard`` by the clock, in seconds."""
 
@@ -169,13 +77,6 @@
     REST = 'rest'
 
 
-_encoder = msgspec.msgpack.Encoder()
-_beat_decoder = msgspec.msgpack.Decoder(Beat)
-_rows_decoder = msgspec.msgpack.Decoder(RowsNews)
-_BEAT = b'b'
-_ROWS = b'r'
-
-
 class _Protocol(asyncio.DatagramProtocol):
     def __init__(self, take: Callable[[bytes], None]) -> None:
         self._take = take
@@ -337,7 +238,7 @@
         if not recipients or self.make_beats is None:
             return
         for names, beat in self.make_beats(scope, recipients):
-            data = _BEAT + _encoder.encode(beat)
+            data = encode(beat)
             for name in names:
                 self._send(name, data)
 
@@ -355,7 +256,7 @@
         found = find_recipients(self.own, members, self.find_hubs())
         if not found.rest:
             return
-        data = _ROWS + _encoder.encode(rows)
+        data = encode(rows)
         if len(data) > _MAX_DATAGRAM_BYTES:
             return
         for name in found.rest:
@@ -404,15 +305,17 @@
 
     def _take(self, data: bytes) -> None:
         try:
-            if data[:1] == _ROWS:
-                rows = _rows_decoder.decode(data[1:])
-                for pass_rows in self.on_rows:
-                    pass_rows(rows)
-                return
-            beat = _beat_decoder.decode(data[1:])
-        except msgspec.MsgspecError as error:
+            message = decode(data)
+        except BadMessageError as error:
             self._log.write('peer_message_unreadable', error=error)
             return
+        if isinstance(message, RowsNews):
+            for pass_rows in self.on_rows:
+                pass_rows(message)
+        else:
+            self._take_beat(message)
+
+    def _take_beat(self, beat: Beat) -> None:
         if beat.node == self.own.name:
             return
         if beat.is_leaving:
@@ -439,16 +342,4 @@
         peer.silent = beat.silent
 
 
-__all__ = [
-    'Beat',
-    'BeatMaker',
-    'CrashNews',
-    'LoadingNews',
-    'LoadNews',
-    'PartNews',
-    'Peers',
-    'RowNews',
-    'RowsNews',
-    'Scope',
-    'VersionNews',
-]
+__all__ = ['BeatMaker', 'Peer', 'Peers', 'Scope']
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -6,14 +6,14 @@
 
 from ..platform.rows import Row
 from ..platform.rows import Rows
-from .peers import RowNews
-from .peers import RowsNews
+from .messages import RowNews
+from .messages import RowsNews
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from .follower import Follower
-    from .peers import Beat
+    from .messages import Beat
     from .peers import Peers
 
 
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -20,7 +20,7 @@
     from ..web.client import Client
     from .duty import DutyLease
     from .logs import Log
-    from .peers import Beat
+    from .messages import Beat
     from .peers import Peers
     from .targets import Targets
     from .targets import TargetState
