--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -259,7 +259,7 @@
 
 async def read_answer(reader: asyncio.StreamReader) -> Answered:
     """Read one answer."""
-    head = (await reader.readuntil(b'\r\n\r\n')).decode()
+    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
     line, *fields = head.strip().split('\r\n')
     headers = {}
     for field in fields:
