Test orders that are carried out late

Cause: named as not proved. Change: the stand-in of a replica can leave orders unanswered and carry them out later; a test of one such order.

--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -47,6 +47,8 @@
         self.fault = ''
         self.faults = -1
         self.load_seconds = 0.05
+        self.late_orders = 0
+        self.late_seconds = 1.0
 
 
 class ReplicaState:
@@ -60,6 +62,7 @@
         self.runs: list[Run] = []
         self.working = 0
         self.cancelled = 0
+        self._loading: asyncio.Future[None] | None = None
         self.plan = ReplicaPlan()
 
     def take_fault(self) -> str:
@@ -70,9 +73,13 @@
         plan.faults -= 1
         return plan.fault
 
+    def begin_load(self, order: dict[str, Any]) -> None:
+        """Begin to load the weights that an order names."""
+        self.is_busy = True
+        self._loading = asyncio.ensure_future(self.load(order))
+
     async def load(self, order: dict[str, Any]) -> None:
         """Load weights once all requests are done."""
-        self.is_busy = True
         while self.working:
             await asyncio.sleep(0.01)
         await asyncio.sleep(self.plan.load_seconds)
@@ -124,11 +131,18 @@
 
 
 class _OrderHandler(_Handler):
-    def post(self) -> None:
+    async def post(self) -> None:
         if self.is_misdirected():
             self.refuse(_MISDIRECTED)
             return
         order = msgspec.json.decode(self.request.body)
+        plan = self.state.plan
+        if plan.late_orders > 0:
+            plan.late_orders -= 1
+            await asyncio.sleep(plan.late_seconds)
+        self.take(order)
+
+    def take(self, order: dict[str, Any]) -> None:
         if self.state.versions.get(order['model']) == order['version']:
             self.set_status(_OK)
         elif self.state.is_busy or order.get('expected') not in (
@@ -138,7 +152,7 @@
             self.set_status(_CONFLICT)
         else:
             self.state.orders.append(order)
-            self.task = asyncio.ensure_future(self.state.load(order))
+            self.state.begin_load(order)
             self.set_status(_ACCEPTED)
 
 
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -59,6 +59,27 @@
     asyncio.run(body())
 
 
+def test_late_orders_change_nothing_anew() -> None:
+    """An order without an answer that comes late finds others before it."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            state = deployment.add_replica('e1', 'llm')
+            state.plan.late_orders = 1
+            state.plan.late_seconds = 1.5
+            await deployment.start_node('vm1')
+            deployment.name_weights(2)
+            await wait_until(lambda: _versions(deployment) == {2}, 6.0)
+            deployment.name_weights(3)
+            await wait_until(lambda: _versions(deployment) == {3}, 6.0)
+            await asyncio.sleep(1.6)
+            assert [o['version'] for o in state.orders] == [2, 3]
+            assert [o['expected'] for o in state.orders] == [0, 1]
+            assert state.versions[MODEL] == 3
+
+    asyncio.run(body())
+
+
 def test_requests_see_only_their_weights() -> None:
     """While engines load, every request still finds one."""
 
