End a stream once its caller has left for want of an event

Ruled out: cancelling in general (callers that leave earlier are noticed). Change: an attempt without a first event ends with the caller's patience.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -25,11 +25,19 @@
     weight: float
 
 
+# Callers leave a stream after the longest of these: a time, or so many
+# times what the route aims at.
+_LEAST_PATIENCE_S = 2.0
+_LATENCY_PATIENCE = 4.0
+_PAUSE_PATIENCE = 8.0
+
+
 class Route(NamedTuple):
     """Where a host and path prefix lead; times in seconds.
 
     ``target_latency`` is the time to the answer, or to the first event of
-    a stream, that counts as on time. ``urgency`` is 0 for the most
+    a stream, that counts as on time, ``longest_pause`` that between its
+    events. ``urgency`` is 0 for the most
     urgent.
     """
 
@@ -44,6 +52,15 @@
     max_attempts: int
     is_open: bool
     resumable: bool
+    longest_pause: float
+
+    def abandoned_after(self) -> float:
+        """Return the pause after which callers leave a stream, in s."""
+        return max(
+            _LEAST_PATIENCE_S,
+            _LATENCY_PATIENCE * self.target_latency,
+            _PAUSE_PATIENCE * self.longest_pause,
+        )
 
     def is_idempotent(self) -> bool:
         """Return whether a request may run more than once."""
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 import random
 from typing import NamedTuple
@@ -10,6 +11,7 @@
 
 from tornado.iostream import StreamClosedError
 
+from ..decisions.facts import RouteKind
 from ..decisions.retries import RetryBudget
 from ..metrics.registry import Count
 from ..metrics.registry import Timing
@@ -26,6 +28,8 @@
 from .relay import Progress
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from tornado.httputil import HTTPHeaders
 
     from ..coordination.clock import Clock
@@ -146,6 +150,7 @@
         self._avoid: set[str] = set()
         self._sent = 0
         self._may_have_run = 0
+        self._is_abandoned = False
         self._service = self._pick_service()
         self._budget = dispatcher.budget(self._service)
         self._chooser = Chooser(
@@ -196,7 +201,7 @@
 
     def _may_repeat(self) -> bool:
         call = self._call
-        if not call.route.is_idempotent():
+        if not call.route.is_idempotent() or self._is_abandoned:
             return False
         if self._may_have_run >= call.route.max_attempts:
             return False
@@ -222,7 +227,7 @@
     def _give_up(self, reason: Reason) -> Refusal:
         if not self._may_have_run:
             return Refusal(_UNAVAILABLE, reason, _RETRY_AFTER_S)
-        if self._left() <= _LEAST_TIME_S:
+        if self._left() <= _LEAST_TIME_S or self._is_abandoned:
             return Refusal(_GATEWAY_TIMEOUT, Reason.DEADLINE)
         return Refusal(_BAD_GATEWAY, reason)
 
@@ -265,13 +270,37 @@
             call.incoming.body,
             max(_LEAST_TIME_S, self._left()),
         )
-        with load:
+        with load, self._watch_first_event(receiver):
             fate = await self._exchange(taken, request, receiver)
         self._note_fate(taken, fate, receiver)
         if fate is Fate.DELIVERED:
             await receiver.deliver()
         return Attempted(fate, receiver)
 
+    @contextlib.contextmanager
+    def _watch_first_event(self, receiver: AnswerReceiver) -> Iterator[None]:
+        """Stop an attempt once the caller has left for want of an event.
+
+        A caller may leave without closing its connection at once.
+        """
+        call = self._call
+        if call.route.kind is not RouteKind.STREAMING:
+            yield
+            return
+        patience = call.route.abandoned_after()
+        leaves = call.incoming.arrived + patience - self._parts.clock.now()
+
+        def stop() -> None:
+            if not self._progress.has_begun:
+                self._is_abandoned = True
+                receiver.stop()
+
+        timer = asyncio.get_running_loop().call_later(max(0.0, leaves), stop)
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     def _note_first(self, load: Load) -> None:
         load.note_read()
         if not self._progress.has_begun:
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -61,6 +61,7 @@
     max_attempts: int = 1
     auth_exempt: bool = False
     resumable: bool = False
+    gap_target_ms: float = 0.0
 
 
 class _WireModel(msgspec.Struct):
@@ -148,6 +149,7 @@
         max(1, found.max_attempts),
         found.auth_exempt,
         found.resumable,
+        found.gap_target_ms * _MS,
     )
 
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -177,3 +177,23 @@
         writer.close()
 
     _run(check)
+
+
+def test_silent_stream_ends_with_its_callers_patience() -> None:
+    """Nobody works on for a caller that left for want of an event."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        plan_fault(deployment, 'hang', -1)
+        states = [deployment.replicas[n] for n in ('e1', 'e2')]
+        began = node.clock.now()
+        found = await deployment.ask(
+            node, '/talk/x', b'x', '900,9', X_Deadline_Ms='2900'
+        )
+        assert found.status == 504
+        assert 1.9 < node.clock.now() - began < 2.4
+        await deployments.wait_until(
+            lambda: not any(s.working for s in states), timeout=0.5
+        )
+        assert sum(len(s.runs) for s in states) == 1
+
+    _run(check)
