Remove what nothing reads; name one header once

Cause: reading the whole change again: three counters and a path that nothing reads, and the header of the expected incarnation spelled twice. Change: dead names go, engines.py takes the header's name from dialect.py. Behaviour stays.

--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -60,7 +60,6 @@
     ) -> None:
         super().__init__()
         self.answer: Answer | None = None
-        self.skipped = 0
         self.caller_gone = False
         self._request_id = request_id
         self._reply = reply
@@ -71,10 +70,7 @@
 
     def owns(self, headers: HTTPHeaders) -> bool:
         """Return whether an answer belongs to the request."""
-        if dialect.is_answer_to(headers, self._request_id):
-            return True
-        self.skipped += 1
-        return False
+        return dialect.is_answer_to(headers, self._request_id)
 
     def begin(
         self, status: int, headers: HTTPHeaders
--- a/src/lentilrun/metrics/registry.py
+++ b/src/lentilrun/metrics/registry.py
@@ -54,7 +54,6 @@
     QUARANTINES = 'quarantines'
     CANCELLED = 'cancelled'
     TASK_FAILURES = 'task_failures'
-    LOG_LINES_LEFT_OUT = 'log_lines_left_out'
 
 
 class Timing(enum.StrEnum):
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -28,7 +28,7 @@
 _SALT = 'X-Cache-Salt'
 _FETCH_FROM = 'X-Kv-Fetch-From'
 _SAVE_TO = 'X-Kv-Save-To'
-_EXPECTED_INCARNATION = 'X-Expected-Instance'
+EXPECTED_INCARNATION = 'X-Expected-Instance'
 _EXPECTED_WEIGHTS = 'X-Expected-Version'
 _URGENCY = 'X-Request-Priority'
 _RETRY_AFTER = 'Retry-After'
@@ -36,8 +36,6 @@
 _MISDIRECTED = 421
 _MAX_URGENCY = 9
 
-READY_PATH = '/lentilrun/ready'
-
 _SINGLE_HOP = frozenset(
     (
         'connection',
@@ -177,7 +175,7 @@
     """Return the headers that a target gets."""
     headers = _copy(asked, _SINGLE_HOP | _RESERVED)
     headers[_DEADLINE] = str(max(1, int(passing.left * 1e3)))
-    headers[_EXPECTED_INCARNATION] = passing.incarnation
+    headers[EXPECTED_INCARNATION] = passing.incarnation
     if passing.workspace:
         headers[_WORKSPACE] = passing.workspace
     if passing.weights is not None:
@@ -235,12 +233,12 @@
 __all__ = [
     'Answer',
     'Asked',
+    'EXPECTED_INCARNATION',
     'is_answer_to',
     'make_answer',
     'make_refusal',
     'make_request',
     'Passing',
-    'READY_PATH',
     'read_answer',
     'read_request',
     'resume_after',
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -11,6 +11,7 @@
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
+from .dialect import EXPECTED_INCARNATION
 
 if TYPE_CHECKING:
     from ..decisions.facts import Target
@@ -20,7 +21,6 @@
 _ORDER_TIMEOUT_S = 0.6
 _OK = 200
 _ACCEPTED = 202
-_EXPECTED_INCARNATION = 'X-Expected-Instance'
 
 
 class Report(NamedTuple):
@@ -66,7 +66,7 @@
 
 async def read_report(client: Client, target: Target) -> Report:
     """Ask an engine for its state; raises ``PlatformError``."""
-    headers = {_EXPECTED_INCARNATION: target.incarnation}
+    headers = {EXPECTED_INCARNATION: target.incarnation}
     request = Request(
         'GET', '/lentilrun/report', headers, b'', _REPORT_TIMEOUT_S
     )
@@ -102,7 +102,7 @@
         }
     )
     headers = {
-        _EXPECTED_INCARNATION: target.incarnation,
+        EXPECTED_INCARNATION: target.incarnation,
         'Content-Type': 'application/json',
     }
     request = Request(
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -211,7 +211,6 @@
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
         self._idle: dict[Address, list[_Idle]] = {}
-        self.connections_made = 0
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=_MAX_HEADER, max_body_size=_MAX_BODY
         )
@@ -259,7 +258,6 @@
     async def _connect(self, address: Address, timeout: float) -> IOStream:
         limit = min(self._connect_timeout, timeout)
         stream = IOStream(_make_socket(), max_buffer_size=_MAX_BODY)
-        self.connections_made += 1
         try:
             async with asyncio.timeout(limit):
                 await stream.connect((address.host, address.port))
