Let a hub that reads no rows give way, and tell that there is news

Change: a beat says whether its sender gets answers of the store. Of two hubs the one that does goes first; VMs whose hub is blind follow the store themselves. A hub whose calls hang hands on the versions that others have, so that its VMs read them. Two attributes that nothing read are gone.

--- a/src/lentilrun/decisions/topology.py
+++ b/src/lentilrun/decisions/topology.py
@@ -29,11 +29,15 @@
 
 
 def pick_hubs(
-    members: Collection[Member], suspects: Collection[str]
+    members: Collection[Member],
+    suspects: Collection[str],
+    blind: Collection[str] = (),
 ) -> dict[str, list[str]]:
     """Return the hubs of each data centre, the first one first.
 
-    The most powerful VMs come first; ``suspects`` are passed over.
+    The most powerful VMs come first; ``suspects`` are passed over. A hub
+    in ``blind`` reads nothing from the store: it stays a hub, as while
+    the store is away all are blind, but lets the others go first.
     """
     is_mesh = len(members) <= MESH_VMS
     hubs: dict[str, list[str]] = {}
@@ -41,7 +45,9 @@
         found = hubs.setdefault(member.data_centre, [])
         if is_mesh or (len(found) < _HUBS and member.name not in suspects):
             found.append(member.name)
-    return hubs
+    if is_mesh:
+        return hubs
+    return {d: sorted(h, key=lambda n: n in blind) for d, h in hubs.items()}
 
 
 class Recipients(NamedTuple):
--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -69,6 +69,14 @@
         """Return whether the table was read at least once."""
         return self.heard > float('-inf')
 
+    def is_lost(self) -> bool:
+        """Return whether the last call to the store failed."""
+        return self._lost_since is not None
+
+    def newest_known(self) -> int:
+        """Return the version of the newest row that some VM has."""
+        return max(self.newest, self._told)
+
     async def run(self) -> None:
         """Follow for ever."""
         while True:
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -60,7 +60,8 @@
     ``told`` is what the senders let in since the start of the process,
     ``used`` what is known that all VMs let in during each second, newest
     first. ``silent`` VMs were not heard by the sender. ``positions`` are
-    the newest versions that it has of the tables of the store.
+    the versions of the newest rows that it knows of, by table of the
+    store; it ``is_blind`` while the store gives it no answers.
     """
 
     node: str
@@ -71,6 +72,7 @@
     incarnation: int
     is_leaving: bool
     silent: int
+    is_blind: bool
     loads: list[LoadNews]
     loading: list[LoadingNews]
     versions: list[VersionNews]
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -12,7 +12,6 @@
 from .targets import PeerLoad
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Iterator
 
     from ..config.ini import Address
@@ -21,6 +20,7 @@
     from .keptparts import KeptParts
     from .peers import Peers
     from .quotas import Quotas
+    from .rowrelay import RowRelay
     from .targets import Targets
     from .targets import TargetState
 
@@ -40,7 +40,7 @@
         quotas: Quotas,
         crashes: Crashes,
         kept: KeptParts,
-        read_positions: Callable[[], dict[str, int]],
+        relay: RowRelay,
     ) -> None:
         self._address = address
         self._clock = clock
@@ -49,7 +49,7 @@
         self._quotas = quotas
         self._crashes = crashes
         self._kept = kept
-        self._read_positions = read_positions
+        self._relay = relay
         self.is_leaving = False
         peers.make_beats = self.make
         peers.on_beat.append(self.take)
@@ -92,13 +92,14 @@
             self._peers.incarnation,
             self.is_leaving,
             self._peers.silent(),
+            self._relay.is_blind(),
             loads,
             self._list_loading(),
             self._list_versions(),
             self._crashes.export(),
             told,
             self._quotas.export(),
-            self._read_positions(),
+            self._relay.positions(),
             self._kept.export(),
         )
 
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -136,6 +136,21 @@
         self.peers = Peers(own, address, self.clock, self.log)
         self.quotas = Quotas(self.clock, self.peers, _make_allowance(settings))
         self.view.on_configuration.append(self.quotas.configure)
+        self.operators = Follower(
+            self.store,
+            documents.OPERATOR_TABLE,
+            self.view.take_operator_row,
+            self.clock,
+            self.log,
+        )
+        self.registrations = Follower(
+            self.store,
+            documents.TARGET_TABLE,
+            self.view.take_target_row,
+            self.clock,
+            self.log,
+        )
+        self.relay = RowRelay(self.peers, [self.operators, self.registrations])
         self.news = News(
             address,
             self.clock,
@@ -144,7 +159,7 @@
             self.quotas,
             self.crashes,
             self.kept,
-            self._read_positions,
+            self.relay,
         )
         self.usage = UsageKeeper(self.store, self.peers, self.quotas, self.log)
         self.fleet = Fleet(
@@ -155,25 +170,6 @@
             self.usage,
             self.log,
         )
-        self.operators = Follower(
-            self.store,
-            documents.OPERATOR_TABLE,
-            self.view.take_operator_row,
-            self.clock,
-            self.log,
-        )
-        self.registrations = Follower(
-            self.store,
-            documents.TARGET_TABLE,
-            self.view.take_target_row,
-            self.clock,
-            self.log,
-        )
-
-        self.relay = RowRelay(self.peers, [self.operators, self.registrations])
-
-    def _read_positions(self) -> dict[str, int]:
-        return self.relay.positions()
 
     def _build_entry(self) -> None:
         self.admission = Admission(self.view, self.quotas, self.log)
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -41,14 +41,17 @@
 _SUSPECT_S = 8.0
 # A process that just started takes what the first peers say, and speaks
 # to all, so that they know.
-_YOUNG_S = 3.0
+YOUNG_S = 3.0
 # A beat follows the one before after this time at least, in seconds.
 _LEAST_PAUSE_S = 0.04
 _MAX_DATAGRAM_BYTES = 60_000
 
 
 class Peer:
-    """Another VM; ``heard`` by the clock, in seconds."""
+    """Another VM; ``heard`` by the clock, in seconds.
+
+    It ``is_blind`` while the store gives it no answers.
+    """
 
     def __init__(self, member: Member, address: Address, now: float) -> None:
         self.member = member
@@ -58,6 +61,7 @@
         self.heard = float('-inf')
         self.suspect_until = float('-inf')
         self.silent = 0
+        self.is_blind = False
 
 
 class BeatMaker(Protocol):
@@ -98,13 +102,11 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._started = clock.now()
         self._expected: dict[str, float] = {}
-        self._hubs: dict[str, list[str]] = {}
-        # What the hubs were found from: the members and the suspects.
-        self._hubs_basis: tuple[int, frozenset[str]] | None = None
         self._hurry = asyncio.Event()
         self.incarnation = secrets.randbits(48)
         self.known: dict[str, Peer] = {}
         self.make_beats: BeatMaker | None = None
+        self.is_blind: Callable[[], bool] = lambda: False
         self.on_beat: list[Callable[[Beat], None]] = []
         self.on_rows: list[Callable[[RowsNews], None]] = []
         self.on_restart: list[Callable[[str], None]] = []
@@ -134,7 +136,6 @@
         if peer is None or peer.address != address:
             made = Peer(member, address, self._clock.now())
             self.known[member.name] = made
-            self._hubs_basis = None
 
     def members(self) -> int:
         """Return the number of VMs, this one included."""
@@ -149,7 +150,10 @@
         now = self._clock.now()
         members = [self.own, *(p.member for p in self.known.values())]
         suspects = {n for n, p in self.known.items() if p.suspect_until > now}
-        return pick_hubs(members, suspects)
+        blind = {n for n, p in self.known.items() if p.is_blind}
+        if self.is_blind():
+            blind.add(self.own.name)
+        return pick_hubs(members, suspects, blind)
 
     def is_hub(self) -> bool:
         """Return whether this VM gathers what others know."""
@@ -167,7 +171,7 @@
 
     def is_young(self) -> bool:
         """Return whether this process just started."""
-        return self._clock.now() - self._started < _YOUNG_S
+        return self._clock.now() - self._started < YOUNG_S
 
     def heard(self) -> list[str]:
         """Return the VMs that were heard lately."""
@@ -298,7 +302,6 @@
 
     def _drop(self, node: str, why: str) -> None:
         del self.known[node]
-        self._hubs_basis = None
         self._log.write('peer_gone', peer=node, why=why)
         for call in self.on_restart:
             call(node)
@@ -340,6 +343,7 @@
         peer.heard = self._clock.now()
         peer.suspect_until = float('-inf')
         peer.silent = beat.silent
+        peer.is_blind = beat.is_blind
 
 
-__all__ = ['BeatMaker', 'Peer', 'Peers', 'Scope']
+__all__ = ['BeatMaker', 'Peer', 'Peers', 'Scope', 'YOUNG_S']
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -20,13 +20,14 @@
 class RowRelay:
     """Feeds the followers of a VM that has a hub; feeds others as a hub.
 
-    A VM without a hub that it hears follows the store itself, and so
-    does one that was told of rows that have not come.
+    A VM without a hub that it hears and that reads the store follows it
+    itself, and so does one that was told of rows that have not come.
     """
 
     def __init__(self, peers: Peers, followers: list[Follower]) -> None:
         self._peers = peers
         self._followers = {f.table: f for f in followers}
+        peers.is_blind = self.is_blind
         peers.on_beat.append(self._take_beat)
         peers.on_rows.append(self._take_rows)
         for follower in followers:
@@ -34,11 +35,20 @@
             follower.on_rows.append(self._make_passer(follower.table))
 
     def _is_fed(self) -> bool:
-        return self._peers.find_hub() is not None
+        hub = self._peers.find_hub()
+        return hub is not None and not hub.is_blind
+
+    def is_blind(self) -> bool:
+        """Return whether the store gives this VM no answers."""
+        return any(f.is_lost() for f in self._followers.values())
 
     def positions(self) -> dict[str, int]:
-        """Return the version of the newest row that this VM has, by table."""
-        return {t: f.newest for t, f in self._followers.items()}
+        """Return the version of the newest row known of, by table.
+
+        A VM that the store leaves without an answer still hands on that
+        others have newer rows.
+        """
+        return {t: f.newest_known() for t, f in self._followers.items()}
 
     def _make_passer(self, table: str) -> Callable[[int, Rows], None]:
         def pass_on(before: int, found: Rows) -> None:
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -9,6 +9,7 @@
 from deployments import make_configuration
 from deployments import wait_until
 from lentilrun.decisions import topology
+from lentilrun.errors import PlatformError
 from lentilrun.gateway.node import Node
 from lentilrun.gateway import peers
 import pytest
@@ -85,3 +86,66 @@
             assert used == [4000.0] * 5
 
     asyncio.run(body())
+
+
+def _turn_away(node: Node) -> None:
+    """Let the store turn one VM away while it serves the others."""
+
+    async def refuse(*given: object) -> None:
+        await asyncio.sleep(0.01)
+        raise PlatformError('the store said 503')
+
+    node.store.read = refuse
+    node.store.follow = refuse
+
+
+@pytest.mark.parametrize(
+    'turned_away', [['vm0'], ['vm0', 'vm2', 'vm3'], ['vm0', 'vm1']]
+)
+def test_a_hub_that_the_store_turns_away(turned_away: list[str]) -> None:
+    """Changes are in force in time under a hub that can't read them.
+
+    Found by a day on which the store turned away a third of the VMs:
+    those under such a hub kept an old configuration.
+    """
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start(deployment)
+            for node in nodes:
+                if node.settings.name in turned_away:
+                    _turn_away(node)
+            await asyncio.sleep(peers.YOUNG_S)
+            deployment.configure(make_configuration(8))
+            served = [
+                n
+                for n in nodes
+                if n.settings.name not in turned_away
+                or n.settings.name in ('vm2', 'vm3')
+            ]
+            limit = nodes[0].settings.bounds.config
+            await wait_until(lambda: _versions(served) == {8}, limit)
+
+    asyncio.run(body())
+
+
+def test_a_hub_hands_on_that_there_is_news() -> None:
+    """A hub without an answer of the store tells of rows that others have.
+
+    Its calls hang, so it can't know that the store left it alone.
+    """
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start(deployment)
+
+            async def hang(*given: object) -> None:
+                await asyncio.Event().wait()
+
+            nodes[0].store.follow = hang
+            await asyncio.sleep(peers.YOUNG_S)
+            deployment.configure(make_configuration(8))
+            limit = nodes[0].settings.bounds.config
+            await wait_until(lambda: _versions(nodes[1:]) == {8}, limit)
+
+    asyncio.run(body())
