--- a/soak/site.py
+++ b/soak/site.py
@@ -16,6 +16,8 @@
 
 from lentilrun.standins.configuration import make_configuration
 from lentilrun.standins.configuration import MODEL
+from lentilrun.standins.process import find_port
+from lentilrun.standins.process import SETTINGS
 from lentilrun.standins import replica
 from lentilrun.standins import rowstore
 import msgspec
@@ -29,32 +31,6 @@
 
 _SOURCE = pathlib.Path(__file__).parents[1] / 'src'
 _PROGRAM = 'lentilrund.py'
-_SETTINGS = """
-node = "{name}"
-ip = "127.0.0.1"
-zone = "a"
-internal-ports = [{peers}, {peers}]
-[listen]
-front = "127.0.0.1:{entry}"
-readiness = "127.0.0.1:{readiness}"
-[limits]
-cpu-share = 0.5
-cores = 2
-[platform]
-address = "127.0.0.1:{store}"
-[bounds]
-drain-ms = 2000
-grace-s = 6
-config-ms = 2000
-retry-budget-ratio = 0.2
-budget-slack = 56
-budget-window-s = 10
-quota-window-s = 8
-quota-overage = 0.1
-quota-slack = 72000
-lease-ms = 1000
-version-ms = 8000
-"""
 _REPLICAS = {'a1': 'app', 'a2': 'app', 'e1': 'llm', 'e2': 'llm', 'e3': 'llm'}
 _SLOTS = 8
 EVENTS = 6
@@ -64,13 +40,6 @@
 _START_S = 3.0
 
 
-def find_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as made:
-        made.bind((LOOPBACK, 0))
-        return int(made.getsockname()[1])
-
-
 def copy_programs(folder: pathlib.Path) -> None:
     """Copy the programs, so that all seeds of a run play the same ones."""
     shutil.copytree(_SOURCE, folder / 'src')
@@ -98,7 +67,7 @@
     async def __aenter__(self) -> Vm:
         await self.way_to_store.__aenter__()
         self._settings.write_text(
-            _SETTINGS.format(
+            SETTINGS.format(
                 name=self.name,
                 peers=self._peers,
                 entry=self.entry,
@@ -269,4 +238,4 @@
         return found
 
 
-__all__ = ['copy_programs', 'EVENTS', 'find_port', 'Site', 'Vm']
+__all__ = ['copy_programs', 'EVENTS', 'Site', 'Vm']
--- /dev/null
+++ b/src/lentilrun/standins/process.py
@@ -0,0 +1,44 @@
+"""What a daemon needs to run as a process on this machine."""
+
+from __future__ import annotations
+
+import socket
+
+_LOOPBACK = '127.0.0.1'
+# The file that the platform writes, with bounds of a small deployment.
+SETTINGS = """
+node = "{name}"
+ip = "127.0.0.1"
+zone = "a"
+internal-ports = [{peers}, {peers}]
+[listen]
+front = "127.0.0.1:{entry}"
+readiness = "127.0.0.1:{readiness}"
+[limits]
+cpu-share = 0.5
+cores = 2
+[platform]
+address = "127.0.0.1:{store}"
+[bounds]
+drain-ms = 2000
+grace-s = 6
+config-ms = 2000
+retry-budget-ratio = 0.2
+budget-slack = 56
+budget-window-s = 10
+quota-window-s = 8
+quota-overage = 0.1
+quota-slack = 72000
+lease-ms = 1000
+version-ms = 8000
+"""
+
+
+def find_port(kind: int = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as made:
+        made.bind((_LOOPBACK, 0))
+        return int(made.getsockname()[1])
+
+
+__all__ = ['find_port', 'SETTINGS']
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -18,6 +18,7 @@
 from lentilrun.standins.configuration import KEY
 from lentilrun.standins.configuration import make_configuration
 from lentilrun.standins.configuration import MODEL
+from lentilrun.standins.process import find_port
 from lentilrun.standins import replica
 from lentilrun.standins import rowstore
 import msgspec
@@ -49,13 +50,6 @@
     is_whole: bool
 
 
-def find_port(kind: int = socket.SOCK_STREAM) -> int:
-    """Return a port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as made:
-        made.bind((_LOOPBACK, 0))
-        return int(made.getsockname()[1])
-
-
 class Deployment:
     """Owns everything; nodes and replicas start on request."""
 
--- a/tests/gateway/test_run.py
+++ b/tests/gateway/test_run.py
@@ -11,37 +11,11 @@
 import urllib.error
 import urllib.request
 
-import deployments
+from lentilrun.standins.process import find_port
+from lentilrun.standins.process import SETTINGS
 import pytest
 
 _SOURCE = pathlib.Path(__file__).parents[2] / 'src'
-_SETTINGS = """
-node = "front-1"
-ip = "127.0.0.1"
-zone = "a"
-internal-ports = [{peers}, {peers}]
-unknown-field = 7
-[listen]
-front = "127.0.0.1:{front}"
-readiness = "127.0.0.1:{readiness}"
-[limits]
-cpu-share = 0.5
-cores = 2
-[platform]
-address = "127.0.0.1:{store}"
-[bounds]
-drain-ms = 2000
-grace-s = 8
-config-ms = 2000
-retry-budget-ratio = 0.2
-budget-slack = 56
-budget-window-s = 10
-quota-window-s = 8
-quota-overage = 0.1
-quota-slack = 72000
-lease-ms = 3000
-version-ms = 8000
-"""
 
 
 def _start(path: pathlib.Path, **more: str) -> subprocess.Popen[str]:
@@ -80,10 +54,11 @@
 
 def test_store_away_at_the_start(tmp_path: pathlib.Path) -> None:
     """Without the store a process stays up, and is not ready."""
-    names = ('peers', 'front', 'readiness', 'store')
-    ports = {n: deployments.find_port() for n in names}
+    names = ('peers', 'entry', 'readiness', 'store')
+    ports = {n: find_port() for n in names}
     path = tmp_path / 'node.toml'
-    path.write_text(_SETTINGS.format(**ports), encoding='utf-8')
+    settings = SETTINGS.format(name='vm1', **ports)
+    path.write_text('unknown-field = 7\n' + settings, encoding='utf-8')
     process = _start(path)
     until = time.monotonic() + 8.0
     while not _ask(ports['readiness']) and time.monotonic() < until:
