Count the targets that crash under a request, over hubs too

Cause: in a fleet of more than 12 VMs a hub told of the crashes that it saw itself only, so a request that crashes each target was known to a few VMs. And attempts were counted, not targets: three lookups that hung at one target put a lookup that all callers of a workspace send, the same bytes each, into quarantine for a minute.

Both were found by reading.

Change: a crash is news that names the start of the target; hubs hand it on, telling it twice counts once, and an answer clears the request.

Tests: the test over hubs was red on the code before (TimeoutError after 2 s, with the old call), as are the cases of one target that hangs and of an answer that clears.

--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Requests under which targets crashed."""
+"""Requests under which targets crash."""
 
 from __future__ import annotations
 
@@ -6,63 +6,75 @@
 from typing import TYPE_CHECKING
 
 from .messages import CrashNews
+from .recent import Origin
+from .recent import RecentNews
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
+    from ..decisions.facts import Target
 
-# A request that broke off so many attempts is not tried again.
+# A request under which so many targets broke off is not tried again.
 _LIMIT = 3
 _MEMORY_S = 60.0
 
 
 class _Record(NamedTuple):
-    own: int
-    others: dict[str, int]
+    """The targets that broke off under a request, since a time."""
+
+    targets: set[str]
     since: float
 
 
 class Crashes:
-    """Counts the attempts that broke off, by request, over all VMs."""
+    """Counts the targets that broke off under a request, at any VM.
+
+    A request that crashes its targets does so at each of them: one that
+    broke off twice at the same start of a target counts once, and one that
+    was answered is cleared.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._records: dict[str, _Record] = {}
+        self.recent: RecentNews[CrashNews] = RecentNews(clock)
 
-    def note(self, fingerprint: bytes) -> None:
+    def note(self, fingerprint: bytes, target: Target) -> None:
         """Note that an attempt broke off after it was sent."""
-        name = fingerprint.hex()
-        found = self._find(name)
-        self._records[name] = found._replace(own=found.own + 1)
-
-    def _find(self, name: str) -> _Record:
-        found = self._records.get(name)
-        if found is None:
-            return _Record(0, {}, self._clock.now())
-        return found
-
-    def take(self, peer: str, news: list[CrashNews]) -> None:
-        """Take what a peer counted."""
+        start = f'{target.incarnation}/{target.born}'
+        self._add(CrashNews(fingerprint.hex(), start), Origin.OWN)
+
+    def _add(self, news: CrashNews, origin: Origin) -> None:
+        if not self.recent.add(news, origin):
+            return
+        self._forget_old()
+        now = self._clock.now()
+        record = self._records.setdefault(
+            news.fingerprint, _Record(set(), now)
+        )
+        record.targets.add(news.target)
+
+    def take(self, news: list[CrashNews], origin: Origin) -> None:
+        """Take what other VMs saw."""
         for item in news:
-            found = self._find(item.fingerprint)
-            found.others[peer] = item.crashes
-            self._records[item.fingerprint] = found
+            self._add(item, origin)
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Note that a target answered a request."""
+        self._records.pop(fingerprint.hex(), None)
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Return whether a request must not run any more."""
+        self._forget_old()
         found = self._records.get(fingerprint.hex())
-        if found is None:
-            return False
-        return found.own + sum(found.others.values()) >= _LIMIT
+        return found is not None and len(found.targets) >= _LIMIT
 
-    def export(self) -> list[CrashNews]:
-        """Return what this VM counted lately, and drop what is old."""
+    def _forget_old(self) -> None:
         oldest = self._clock.now() - _MEMORY_S
-        for name, found in list(self._records.items()):
-            if found.since < oldest:
-                del self._records[name]
-        return [
-            CrashNews(n, r.own) for n, r in self._records.items() if r.own
-        ][-20:]
+        while self._records:
+            name = next(iter(self._records))
+            if self._records[name].since > oldest:
+                return
+            del self._records[name]
 
 
 __all__ = ['Crashes']
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -367,10 +367,11 @@
             self._note_not_run(state, receiver)
         elif fate is Fate.DELIVERED:
             targets.note_good(state)
+            self._parts.crashes.clear(self._call.fingerprint)
         else:
             targets.note_bad(state)
             if fate is Fate.BROKEN:
-                self._parts.crashes.note(self._call.fingerprint)
+                self._parts.crashes.note(self._call.fingerprint, state.target)
 
     def _note_not_run(
         self, state: TargetState, receiver: AnswerReceiver
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -51,10 +51,10 @@
 
 
 class CrashNews(NamedTuple):
-    """How often targets crashed under a request."""
+    """A start of a target that broke off under a request."""
 
     fingerprint: str
-    crashes: int
+    target: str
 
 
 class PartNews(NamedTuple):
--- a/src/lentilrun/gateway/news.py
+++ b/src/lentilrun/gateway/news.py
@@ -111,7 +111,7 @@
             loads,
             self._list_loading(),
             self._list_versions(),
-            self._crashes.export(),
+            self._crashes.recent.export(furthest),
             told,
             self._quotas.export(),
             self._relay.positions(),
@@ -178,7 +178,7 @@
         )
         self._take_loads(beat if counts else beat._replace(loads=[]))
         self._take_targets(beat)
-        self._crashes.take(beat.node, beat.crashes)
+        self._crashes.take(beat.crashes, self._find_origin(beat))
         self._take_parts(beat)
         if self._peers.is_young() or (counts and self._must_adopt):
             self._quotas.adopt(beat.used)
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -6,29 +6,43 @@
 
 from deployments import Deployment
 from deployments import plan_fault
+from lentilrun.config.ini import Address
 from lentilrun.coordination.clock import ManualClock
+from lentilrun.decisions.facts import Target
 from lentilrun.gateway.crashes import Crashes
 from lentilrun.gateway.messages import CrashNews
+from lentilrun.gateway.recent import Origin
 import pytest
 
 _PRINT = b'fingerpr'
+_TARGET = Target('a1', 7, 'app', Address('10.0.0.1', 1), 'a', 6, False, {})
+_OTHERS = [_TARGET._replace(incarnation=f'a{n}') for n in range(2, 4)]
+_NEWS = [CrashNews(_PRINT.hex(), f'a{n}/7') for n in range(1, 4)]
 
 
 @pytest.mark.parametrize(
     ('own', 'others', 'expected'),
-    [(0, [], False), (2, [], False), (3, [], True), (1, [1, 1], True)],
+    [
+        ([], [], False),
+        ([_TARGET, _OTHERS[0]], [], False),
+        ([_TARGET, *_OTHERS], [], True),
+        # Seen by other VMs, and told by several.
+        ([_TARGET], _NEWS[1:], True),
+        ([_TARGET], [*_NEWS[:2], *_NEWS[:2]], False),
+        # One target that hangs under what many callers ask is no sign.
+        ([_TARGET] * 5, [], False),
+        # The same target counts again once it has started anew.
+        ([_TARGET, *(_TARGET._replace(born=n) for n in (8, 9))], [], True),
+    ],
 )
-def test_counts_over_all_vms(
-    own: int, others: list[int], expected: bool
+def test_counts_targets_over_all_vms(
+    own: list[Target], others: list[CrashNews], expected: bool
 ) -> None:
-    """Three crashes anywhere put a request into quarantine."""
+    """Three targets anywhere put a request into quarantine."""
     crashes = Crashes(ManualClock())
-    for _ in range(own):
-        crashes.note(_PRINT)
-    for number, count in enumerate(others):
-        news = [CrashNews(_PRINT.hex(), count)]
-        crashes.take(f'vm{number}', news)
-        crashes.take(f'vm{number}', news)
+    for target in own:
+        crashes.note(_PRINT, target)
+    crashes.take(others, Origin.NEAR)
     assert crashes.is_quarantined(_PRINT) is expected
 
 
@@ -36,10 +50,18 @@
     """A quarantine ends."""
     clock = ManualClock()
     crashes = Crashes(clock)
-    for _ in range(3):
-        crashes.note(_PRINT)
+    crashes.take(_NEWS, Origin.NEAR)
+    assert crashes.is_quarantined(_PRINT)
     clock.advance(61.0)
-    crashes.export()
+    assert not crashes.is_quarantined(_PRINT)
+
+
+def test_an_answer_clears_a_request() -> None:
+    """What some target answered does not crash each of them."""
+    crashes = Crashes(ManualClock())
+    crashes.take(_NEWS[:2], Origin.NEAR)
+    crashes.clear(_PRINT)
+    crashes.note(_PRINT, _OTHERS[1])
     assert not crashes.is_quarantined(_PRINT)
 
 
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -200,3 +200,26 @@
             assert used == [4000.0] * len(nodes)
 
     asyncio.run(body())
+
+
+def test_crash_requests_are_known_beyond_the_hub() -> None:
+    """Targets that crash under a request count at all VMs.
+
+    Red before: hubs told of the crashes that they saw themselves only.
+    """
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start(deployment)
+            await asyncio.sleep(peers.YOUNG_S)
+            target = nodes[0].targets.states['a1'].target
+            for number, node in enumerate(nodes[2:]):
+                node.crashes.note(b'poison', target._replace(born=number))
+            await wait_until(
+                lambda: all(
+                    n.crashes.is_quarantined(b'poison') for n in nodes
+                ),
+                2.0,
+            )
+
+    asyncio.run(body())
