Guess the place of a prompt among all engines; name the context

Cause: the guess that all VMs share was made among the engines that a VM had drawn, so VMs guessed differently. Parts meant both what dispatching works with and pieces of prompts.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -55,8 +55,8 @@
     ``running`` counts the requests of all VMs there, ``long_running``
     those with long answers, ``unread`` their prompt tokens still to be
     read and ``held`` the memory that they take; they are all done after
-    ``busy_for`` seconds. ``cached`` is what it is thought to hold of the
-    prompt. ``failing`` is the share of answers that failed lately.
+    ``busy_for`` seconds. ``supply`` tells what it is thought to hold of
+    the prompt. ``failing`` is the share of answers that failed lately.
     """
 
     name: str
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -24,7 +24,7 @@
     from ..decisions.retries import RetryBudget
     from ..decisions.sources import Supply
     from .call import Call
-    from .parts import Parts
+    from .context import DispatchContext
     from .targets import TargetState
 
 # From this age of newer weights on, answers on older ones lose worth.
@@ -49,18 +49,22 @@
     """Chooses targets of one service for one call."""
 
     def __init__(
-        self, call: Call, service: str, parts: Parts, budget: RetryBudget
+        self,
+        call: Call,
+        service: str,
+        context: DispatchContext,
+        budget: RetryBudget,
     ) -> None:
         """Take the rate of requests from the service's ``budget``."""
         self._call = call
         self._service = service
         self._budget = budget
-        self._clock = parts.clock
-        self._view = parts.view
-        self._targets = parts.targets
-        self._peers = parts.peers
-        self._kept = parts.kept
-        self._bounds = parts.bounds
+        self._clock = context.clock
+        self._view = context.view
+        self._targets = context.targets
+        self._peers = context.peers
+        self._kept = context.kept
+        self._bounds = context.bounds
 
     def choose(self, avoid: set[str]) -> Taken | None:
         """Return a target that can take the call now, if there is one.
@@ -81,8 +85,9 @@
         need = Need(0, 0)
         if prompt is not None:
             need = Need(prompt.input_tokens, prompt.output_tokens)
+        names = [s.target.incarnation for s in states]
         states = self._sample(states)
-        supplies = self._find_supplies(states, service, configuration)
+        supplies = self._find_supplies(states, names, service, configuration)
         stale = self._find_stale(states)
         make = self._targets.make_candidate
         found = choose(
@@ -117,10 +122,15 @@
     def _find_supplies(
         self,
         states: list[TargetState],
+        usable: list[str],
         service: Service,
         configuration: Configuration,
     ) -> list[Supply]:
-        """Return how each target would come by the prompt."""
+        """Return how each target would come by the prompt.
+
+        ``usable`` names all that were to be had, for the guess that all
+        VMs share.
+        """
         prompt = self._call.prompt
         if prompt is None or service.engine is None:
             return [NOTHING] * len(states)
@@ -130,9 +140,8 @@
             for s, salt in zip(states, salts, strict=True)
         ]
         if not any(held):
-            names = [s.target.incarnation for s in states]
-            guesses = guess_held(prompt, names)
-            held = [guesses.get(n, 0.0) for n in names]
+            guesses = guess_held(prompt, usable)
+            held = [guesses.get(s.target.incarnation, 0.0) for s in states]
         store = pick_store(prompt, configuration.kept_stores)
         holders = self._find_holders(service, prompt, set(salts))
         return [
--- a/src/lentilrun/gateway/parts.py
+++ b/src/lentilrun/gateway/context.py
@@ -18,7 +18,7 @@
     from .view import View
 
 
-class Parts(NamedTuple):
+class DispatchContext(NamedTuple):
     """What dispatching works with."""
 
     clock: Clock
@@ -33,4 +33,4 @@
     log: Log
 
 
-__all__ = ['Parts']
+__all__ = ['DispatchContext']
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -39,7 +39,7 @@
     from .call import Call
     from .call import Reply
     from .choice import Taken
-    from .parts import Parts
+    from .context import DispatchContext
     from .targets import TargetState
 
 _UNAVAILABLE = 503
@@ -76,11 +76,11 @@
 class Dispatcher:
     """Runs calls at targets and relays their answers."""
 
-    def __init__(self, parts: Parts) -> None:
-        self._parts = parts
+    def __init__(self, context: DispatchContext) -> None:
+        self._context = context
         self._budgets: dict[str, RetryBudget] = {}
         self._changed = asyncio.Event()
-        parts.targets.on_change.append(self._notify)
+        context.targets.on_change.append(self._notify)
 
     def _notify(self) -> None:
         self._changed.set()
@@ -88,14 +88,14 @@
 
     async def run(self, call: Call, reply: Reply) -> None:
         """Run a call; raises ``Refusal`` if nothing was delivered."""
-        run = _Run(self, self._parts, call, reply)
+        run = _Run(self, self._context, call, reply)
         await run.run()
 
     def budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         found = self._budgets.get(service)
         if found is None:
-            bounds = self._parts.bounds
+            bounds = self._context.bounds
             found = RetryBudget(
                 bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
             )
@@ -117,12 +117,12 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        parts: Parts,
+        context: DispatchContext,
         call: Call,
         reply: Reply,
     ) -> None:
         self._dispatcher = dispatcher
-        self._parts = parts
+        self._context = context
         self._call = call
         self._reply = reply
         self._progress = Progress(call.last_event)
@@ -133,7 +133,7 @@
         self._first_at: float | None = None
         self._service = self._pick_service()
         self._budget = dispatcher.budget(self._service)
-        self._chooser = Chooser(call, self._service, parts, self._budget)
+        self._chooser = Chooser(call, self._service, context, self._budget)
 
     def _pick_service(self) -> str:
         splits = self._call.route.splits
@@ -143,21 +143,21 @@
         return random.choices(splits, weights)[0].service
 
     def _left(self) -> float:
-        return self._call.deadline - self._parts.clock.now()
+        return self._call.deadline - self._context.clock.now()
 
     async def run(self) -> None:
-        now = self._parts.clock.now()
+        now = self._context.clock.now()
         self._budget.note_request(now)
-        if self._parts.crashes.is_quarantined(self._call.fingerprint):
+        if self._context.crashes.is_quarantined(self._call.fingerprint):
             raise Refusal(_UNAVAILABLE, Reason.QUARANTINED, 1.0)
         while True:
             taken = await self._acquire()
             if self._sent and not self._spend_retry():
                 raise self._give_up(Reason.RETRIES_SPENT)
-            began = self._parts.clock.now()
+            began = self._context.clock.now()
             attempted = await self._attempt(taken)
             self._log_attempt(taken, attempted, began)
-            self._parts.metrics.add(Count.ATTEMPTS, attempted.fate)
+            self._context.metrics.add(Count.ATTEMPTS, attempted.fate)
             if attempted.fate is Fate.DELIVERED:
                 return
             if attempted.fate is Fate.NOT_SENT:
@@ -178,15 +178,15 @@
             return False
         if self._may_have_run >= call.route.max_attempts:
             return False
-        if self._parts.crashes.is_quarantined(call.fingerprint):
+        if self._context.crashes.is_quarantined(call.fingerprint):
             return False
         return self._left() > _LEAST_TIME_S
 
     def _spend_retry(self) -> bool:
-        now = self._parts.clock.now()
-        if not self._budget.spend(now, self._parts.peers.members()):
+        now = self._context.clock.now()
+        if not self._budget.spend(now, self._context.peers.members()):
             return False
-        self._parts.metrics.add(Count.RETRIES, self._service)
+        self._context.metrics.add(Count.RETRIES, self._service)
         return True
 
     async def _end(self, attempted: Attempted) -> None:
@@ -206,7 +206,7 @@
 
     async def _acquire(self) -> Taken:
         """Return a target once one can take the call."""
-        clock = self._parts.clock
+        clock = self._context.clock
         until = clock.now() + _WAIT_SHARE * self._left()
         while True:
             if self._left() <= _LEAST_TIME_S:
@@ -225,7 +225,7 @@
     async def _attempt(self, taken: Taken) -> Attempted:
         call = self._call
         state = taken.state
-        now = self._parts.clock.now()
+        now = self._context.clock.now()
         load = Load(state, taken.need, taken.choice.supply, now)
         self._note_read(taken)
         receiver = AnswerReceiver(
@@ -256,7 +256,7 @@
         news = ReadNews(
             taken.state.target.incarnation, taken.salt, prompt.parts
         )
-        self._parts.targets.note_read(news, Origin.OWN)
+        self._context.targets.note_read(news, Origin.OWN)
 
     @contextlib.contextmanager
     def _watch_first_event(self, receiver: AnswerReceiver) -> Iterator[None]:
@@ -269,7 +269,7 @@
             yield
             return
         patience = call.route.abandoned_after()
-        leaves = call.incoming.arrived + patience - self._parts.clock.now()
+        leaves = call.incoming.arrived + patience - self._context.clock.now()
 
         def stop() -> None:
             if not self._progress.has_begun:
@@ -285,17 +285,17 @@
     def _note_first(self, load: Load) -> None:
         load.note_read()
         if self._first_at is None:
-            self._first_at = self._parts.clock.now()
+            self._first_at = self._context.clock.now()
         if not self._progress.has_begun:
-            spent = self._parts.clock.now() - self._call.incoming.arrived
-            self._parts.metrics.time(Timing.FIRST_TOKEN, spent)
+            spent = self._context.clock.now() - self._call.incoming.arrived
+            self._context.metrics.time(Timing.FIRST_TOKEN, spent)
 
     async def _exchange(
         self, taken: Taken, request: Request, receiver: AnswerReceiver
     ) -> Fate:
         target = taken.state.target
         try:
-            await self._parts.client.exchange(
+            await self._context.client.exchange(
                 target.address, request, receiver
             )
         except NotSentError:
@@ -340,10 +340,10 @@
         so a part is saved once.
         """
         prompt = self._call.prompt
-        configuration = self._parts.view.configuration
+        configuration = self._context.view.configuration
         if prompt is None or taken.weights is None or configuration is None:
             return None
-        kept = self._parts.kept
+        kept = self._context.kept
         if not kept.needs_saving(taken.salt, prompt):
             return None
         store = pick_store(prompt, configuration.kept_stores)
@@ -355,7 +355,7 @@
     def _note_fate(
         self, taken: Taken, fate: Fate, receiver: AnswerReceiver
     ) -> None:
-        targets = self._parts.targets
+        targets = self._context.targets
         state = taken.state
         answer = receiver.answer
         prompt = self._call.prompt
@@ -367,11 +367,13 @@
             self._note_not_run(state, receiver)
         elif fate is Fate.DELIVERED:
             targets.note_good(state)
-            self._parts.crashes.clear(self._call.fingerprint)
+            self._context.crashes.clear(self._call.fingerprint)
         else:
             targets.note_bad(state)
             if fate is Fate.BROKEN:
-                self._parts.crashes.note(self._call.fingerprint, state.target)
+                self._context.crashes.note(
+                    self._call.fingerprint, state.target
+                )
 
     def _note_not_run(
         self, state: TargetState, receiver: AnswerReceiver
@@ -383,11 +385,11 @@
             and answer.misdirected
             and answer.incarnation not in ('', target.incarnation)
         ):
-            self._parts.targets.remove(target.incarnation)
-            self._parts.client.forget(target.address)
+            self._context.targets.remove(target.incarnation)
+            self._context.client.forget(target.address)
             return
         self._avoid.add(target.incarnation)
-        now = self._parts.clock.now()
+        now = self._context.clock.now()
         state.blocked_until = max(state.blocked_until, now + _FULL_S)
 
     def _find_first(self, began: float) -> float | None:
@@ -400,9 +402,9 @@
         self, taken: Taken, attempted: Attempted, began: float
     ) -> None:
         answer = attempted.receiver.answer
-        view = self._parts.view
+        view = self._context.view
         configuration = view.configuration
-        self._parts.log.write(
+        self._context.log.write(
             'attempt',
             id=self._call.request_id,
             route=self._call.route.name,
@@ -418,7 +420,7 @@
             left=round(self._left(), 3),
             events=self._progress.last_event,
             first=self._find_first(began),
-            seconds=round(self._parts.clock.now() - began, 3),
+            seconds=round(self._context.clock.now() - began, 3),
             configuration=configuration.version if configuration else None,
         )
 
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -20,6 +20,7 @@
 from ..web.client import Client
 from .admission import Admission
 from .call import Refusal
+from .context import DispatchContext
 from .crashes import Crashes
 from .dispatch import Dispatcher
 from .duty import DutyLease
@@ -28,7 +29,6 @@
 from .keptparts import KeptParts
 from .logs import Log
 from .news import News
-from .parts import Parts
 from .peers import Peers
 from .quotas import Quotas
 from .rowrelay import RowRelay
@@ -175,7 +175,7 @@
     def _build_entry(self) -> None:
         self.admission = Admission(self.view, self.quotas, self.log)
         self.dispatcher = Dispatcher(
-            Parts(
+            DispatchContext(
                 self.clock,
                 self.settings.bounds,
                 self.target_client,
