Mend what a last read found: a log field, doubled rules, needless work

Found by reading the change; behaviour stays but for the log field.

- The time to the first event of a second attempt was counted from the first attempt's event, so it was negative.
- Whether the parts of a prompt need saving is whether they are not held: one rule serves both.
Ageing of a dictionary stood three times, and is one function.
Whether a message counts follows from who speaks.
- All engines were looked through for parts of each prompt also where a store has them; now only where it may not.
- Entries of replicas and named weights are made once for tests and soak.
A constant and an export that nothing used are gone.

--- a/soak/calm.py
+++ b/soak/calm.py
@@ -30,7 +30,6 @@
 # A change binds a VM that has been in touch for so long.
 _STABLE_S = 3.0
 _LOOK_S = 0.1
-_TRIES = 5
 _OTHER_KEY = 'key-2'
 _OK = 200
 _UNAUTHORIZED = 401
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -73,8 +73,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        for task in list(self._tasks):
-            if kind is not None:
+        if kind is not None:
+            for task in self._tasks:
                 task.cancel()
         await asyncio.gather(*self._tasks)
 
--- a/soak/site.py
+++ b/soak/site.py
@@ -15,6 +15,8 @@
 from typing import TYPE_CHECKING
 
 from lentilrun.standins.configuration import make_configuration
+from lentilrun.standins.configuration import make_entry
+from lentilrun.standins.configuration import make_weights
 from lentilrun.standins.configuration import MODEL
 from lentilrun.standins.process import find_port
 from lentilrun.standins.process import SETTINGS
@@ -32,7 +34,6 @@
 _SOURCE = pathlib.Path(__file__).parents[1] / 'src'
 _PROGRAM = 'lentilrund.py'
 _REPLICAS = {'a1': 'app', 'a2': 'app', 'e1': 'llm', 'e2': 'llm', 'e3': 'llm'}
-_SLOTS = 8
 EVENTS = 6
 _EVENT_PAUSE_S = 0.05
 _END_S = 10.0
@@ -203,22 +204,19 @@
     def name_weights(self) -> None:
         """Name the next version of the model's weights."""
         self.weights += 1
-        value = {'model': MODEL, 'version': self.weights}
-        self.store.put('op', f'version/{MODEL}', msgspec.json.encode(value))
+        value = make_weights(self.weights)
+        self.store.put('op', f'version/{MODEL}', value)
 
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a replica's entry."""
-        versions = self.replicas[name].versions
-        value = {
-            'service': _REPLICAS[name],
-            'address': f'{LOOPBACK}:{self.ways[name].port}',
-            'zone': 'a',
-            'slots': _SLOTS,
-            'state': state,
-            'born': self._births,
-            'models': [{'name': n, 'version': v} for n, v in versions.items()],
-        }
-        self.store.put('servers', name, msgspec.json.encode(value))
+        value = make_entry(
+            _REPLICAS[name],
+            f'{LOOPBACK}:{self.ways[name].port}',
+            self.replicas[name].versions,
+            state,
+            self._births,
+        )
+        self.store.put('servers', name, value)
 
     def restart_replica(self, name: str) -> None:
         """Let a replica break off all it does and start anew, empty."""
--- a/src/lentilrun/decisions/sources.py
+++ b/src/lentilrun/decisions/sources.py
@@ -57,7 +57,7 @@
     return hashlib.blake2b(f'{part}/{name}'.encode(), digest_size=8).digest()
 
 
-def count_shared(prompt: Prompt) -> int:
+def _count_shared(prompt: Prompt) -> int:
     """Return the tokens of all parts but the request's own."""
     return sum(p.tokens for p in prompt.parts[:-1])
 
@@ -87,7 +87,7 @@
         return {}
     part = prompt.parts[-2].identity
     first = max(names, key=lambda n: _score(part, n))
-    return {first: _FIRST_PLACE * count_shared(prompt)}
+    return {first: _FIRST_PLACE * _count_shared(prompt)}
 
 
 def find_best(holders: Iterable[Holder]) -> list[Holder]:
@@ -127,7 +127,6 @@
 
 
 __all__ = [
-    'count_shared',
     'find_best',
     'find_supply',
     'guess_held',
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -143,14 +143,16 @@
             guesses = guess_held(prompt, usable)
             held = [guesses.get(s.target.incarnation, 0.0) for s in states]
         store = pick_store(prompt, configuration.kept_stores)
-        holders = self._find_holders(service, prompt, set(salts))
+        kept = {s for s in set(salts) if self._kept.holds(s, prompt)}
+        wanted = set(salts) - kept if store is not None else set(salts)
+        holders = self._find_holders(service, prompt, wanted)
         return [
             find_supply(
                 tokens,
                 s.target.data_centre,
-                holders[salt],
+                holders.get(salt, []),
                 store,
-                self._kept.holds(salt, prompt),
+                salt in kept,
             )
             for s, salt, tokens in zip(states, salts, held, strict=True)
         ]
@@ -159,6 +161,8 @@
         self, service: Service, prompt: Prompt, salts: set[str]
     ) -> dict[str, list[Holder]]:
         """Return the engines that hold most of the prompt, by salt."""
+        if not salts:
+            return {}
         found: dict[str, list[Holder]] = {salt: [] for salt in salts}
         for state in self._targets.sources(service.name):
             salt = self._make_salt(state)
--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from .messages import CrashNews
+from .recent import drop_old
 from .recent import Origin
 from .recent import RecentNews
 
@@ -70,11 +71,7 @@
 
     def _forget_old(self) -> None:
         oldest = self._clock.now() - _MEMORY_S
-        while self._records:
-            name = next(iter(self._records))
-            if self._records[name].since > oldest:
-                return
-            del self._records[name]
+        drop_old(self._records, lambda record: record.since <= oldest)
 
 
 __all__ = ['Crashes']
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -226,6 +226,7 @@
         call = self._call
         state = taken.state
         now = self._context.clock.now()
+        self._first_at = None
         load = Load(state, taken.need, taken.choice.supply, now)
         self._note_read(taken)
         receiver = AnswerReceiver(
--- a/src/lentilrun/gateway/keptparts.py
+++ b/src/lentilrun/gateway/keptparts.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .messages import PartNews
+from .recent import drop_old
 from .recent import Origin
 from .recent import RecentNews
 
@@ -29,27 +30,17 @@
 
     def needs_saving(self, salt: str, prompt: Prompt) -> bool:
         """Return whether shared parts of a prompt may be missing."""
-        oldest = self._clock.now() - _KEPT_S
         self._forget_old()
-        return any(
-            p.tokens >= _LEAST_TOKENS
-            and self._kept.get(PartNews(salt, p.identity), oldest) <= oldest
-            for p in prompt.parts[:-1]
-        )
+        return not self.holds(salt, prompt)
 
     def holds(self, salt: str, prompt: Prompt) -> bool:
         """Return whether a store is thought to hold all shared parts."""
-        return all(
-            PartNews(salt, p.identity) in self._kept
-            for p in prompt.parts[:-1]
-            if p.tokens >= _LEAST_TOKENS
-        )
+        return all(p in self._kept for p in _list_parts(salt, prompt))
 
     def note(self, salt: str, prompt: Prompt) -> None:
         """Note that an engine saves the shared parts of a prompt."""
-        for part in prompt.parts[:-1]:
-            if part.tokens >= _LEAST_TOKENS:
-                self._add(PartNews(salt, part.identity), Origin.OWN)
+        for part in _list_parts(salt, prompt):
+            self._add(part, Origin.OWN)
 
     def _add(self, news: PartNews, origin: Origin) -> None:
         self.recent.add(news, origin)
@@ -62,11 +53,16 @@
 
     def _forget_old(self) -> None:
         oldest = self._clock.now() - _KEPT_S
-        while self._kept:
-            part = next(iter(self._kept))
-            if self._kept[part] > oldest:
-                return
-            del self._kept[part]
+        drop_old(self._kept, lambda at: at <= oldest)
+
+
+def _list_parts(salt: str, prompt: Prompt) -> list[PartNews]:
+    """Return the shared parts of a prompt that are worth keeping."""
+    return [
+        PartNews(salt, p.identity)
+        for p in prompt.parts[:-1]
+        if p.tokens >= _LEAST_TOKENS
+    ]
 
 
 __all__ = ['KeptParts']
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -192,16 +192,11 @@
 
         While hubs change, several VMs may tell of the same requests.
         """
-        if self.is_mesh():
-            return beat.scope is Scope.OWN
-        if not self.is_hub():
-            hub = self.find_hub()
-            is_hub = hub is not None and hub.member.name == beat.node
-            return is_hub and beat.scope is Scope.REST
-        if beat.data_centre == self.own.data_centre:
+        is_near = beat.data_centre == self.own.data_centre
+        if self.is_mesh() or (self.is_hub() and is_near):
             return beat.scope is Scope.OWN
-        first = self.find_hubs()[beat.data_centre][:1]
-        return beat.scope is Scope.GROUP and first == [beat.node]
+        scope = Scope.GROUP if self.is_hub() else Scope.REST
+        return beat.scope is scope and beat.node in self.list_speakers()
 
     def is_young(self) -> bool:
         """Return whether this process just started."""
--- a/src/lentilrun/gateway/recent.py
+++ b/src/lentilrun/gateway/recent.py
@@ -8,9 +8,13 @@
 from typing import TypeVar
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..coordination.clock import Clock
 
 NewsT = TypeVar('NewsT')
+_Key = TypeVar('_Key')
+_Entry = TypeVar('_Entry')
 
 # Messages are lost at times, so news goes into two or three of them.
 _TOLD_S = 1.1
@@ -18,6 +22,17 @@
 _MOST = 150
 
 
+def drop_old(
+    entries: dict[_Key, _Entry], is_old: Callable[[_Entry], bool]
+) -> None:
+    """Drop the old entries of a dictionary that is ordered by age."""
+    while entries:
+        key = next(iter(entries))
+        if not is_old(entries[key]):
+            return
+        del entries[key]
+
+
 class Origin(enum.IntEnum):
     """Where news comes from."""
 
@@ -49,11 +64,7 @@
 
     def _forget_old(self) -> None:
         oldest = self._clock.now() - _TOLD_S
-        while self._heard:
-            item = next(iter(self._heard))
-            if self._heard[item][0] > oldest:
-                return
-            del self._heard[item]
+        drop_old(self._heard, lambda heard: heard[0] <= oldest)
 
 
-__all__ = ['Origin', 'RecentNews']
+__all__ = ['drop_old', 'Origin', 'RecentNews']
--- a/src/lentilrun/standins/configuration.py
+++ b/src/lentilrun/standins/configuration.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+import msgspec
+
 MODEL = 'model'
 KEY = 'key-1'
 HOST = 'example'
@@ -11,6 +13,7 @@
 UNSAFE_PATH = '/once/x'
 STREAM_PATH = '/talk/x'
 ONE_RUN_PATH = '/chat/x'
+_SLOTS = 8
 
 
 def _make_route(prefix: str, kind: str, service: str, **more: Any) -> Any:
@@ -29,7 +32,11 @@
 
 def make_configuration(version: int, **more: Any) -> dict[str, Any]:
     """Return a configuration as the operator writes it."""
-    engine = {'slots': 8, 'kv-capacity': 60000, 'models': [{'name': MODEL}]}
+    engine = {
+        'slots': _SLOTS,
+        'kv-capacity': 60000,
+        'models': [{'name': MODEL}],
+    }
     found: dict[str, Any] = {
         'version': version,
         'routes': [
@@ -57,10 +64,42 @@
     return found
 
 
+def make_weights(version: int) -> bytes:
+    """Return the row that names a version of the model's weights."""
+    return msgspec.json.encode({'model': MODEL, 'version': version})
+
+
+def make_entry(
+    service: str,
+    address: str,
+    versions: dict[str, int],
+    state: str,
+    born: int = 0,
+) -> bytes:
+    """Return the row that a replica writes of itself.
+
+    ``versions`` holds the weights by model, ``born`` the time of its
+    start in milliseconds.
+    """
+    return msgspec.json.encode(
+        {
+            'service': service,
+            'address': address,
+            'zone': 'a',
+            'slots': _SLOTS,
+            'state': state,
+            'born': born,
+            'models': [{'name': n, 'version': v} for n, v in versions.items()],
+        }
+    )
+
+
 __all__ = [
     'HOST',
     'KEY',
     'make_configuration',
+    'make_entry',
+    'make_weights',
     'MODEL',
     'ONE_RUN_PATH',
     'PLAIN_PATH',
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -17,6 +17,8 @@
 from lentilrun.standins.configuration import HOST
 from lentilrun.standins.configuration import KEY
 from lentilrun.standins.configuration import make_configuration
+from lentilrun.standins.configuration import make_entry
+from lentilrun.standins.configuration import make_weights
 from lentilrun.standins.configuration import MODEL
 from lentilrun.standins.process import find_port
 from lentilrun.standins import replica
@@ -89,8 +91,7 @@
 
     def name_weights(self, version: int) -> None:
         """Name a version of the model's weights."""
-        value = {'model': MODEL, 'version': version}
-        self.store.put('op', f'version/{MODEL}', msgspec.json.encode(value))
+        self.store.put('op', f'version/{MODEL}', make_weights(version))
 
     def add_replica(self, name: str, service: str) -> replica.ReplicaState:
         """Start a replica and register it."""
@@ -108,15 +109,8 @@
     def register(self, name: str, service: str, state: str = 'ready') -> None:
         """Write a replica's entry."""
         versions = self.replicas[name].versions
-        value = {
-            'service': service,
-            'address': self.addresses[name],
-            'zone': 'a',
-            'slots': 8,
-            'state': state,
-            'models': [{'name': n, 'version': v} for n, v in versions.items()],
-        }
-        self.store.put('servers', name, msgspec.json.encode(value))
+        value = make_entry(service, self.addresses[name], versions, state)
+        self.store.put('servers', name, value)
 
     async def stop_replica(self, name: str) -> None:
         """End a replica without a word."""
