--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -43,7 +43,8 @@
     A row is newer if its version is above the last one of its key.
     Deletions within ``_EXPIRY_GRACE_S`` seconds after an outage are
     delayed until then: the writers of these rows could not reach the
-    store either.
+    store either. An outage ends when the store answers this VM or another
+    VM relays rows.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self._retry_pause = _MIN_RETRY_PAUSE_S
         self._lost_since: float | None = None
         self._regained_at = float('-inf')
+        self._relayed_at = float('-inf')
         self.last_read = float('-inf')
         self._newer_rows_reported = asyncio.Event()
         # By the gossip of other VMs; this VM may not have that row yet.
@@ -76,6 +78,8 @@
         self.newest_row_version = 0
         self.is_relayed: Callable[[], bool] = lambda: False
         self.on_rows: list[Callable[[int, Rows], None]] = []
+        # Called each time that all rows of the table were read.
+        self.on_full_read: list[Callable[[], None]] = []
 
     def has_been_read(self) -> bool:
         """Return whether the table was read at least once."""
@@ -158,10 +162,26 @@
                 max(r.version for r in changes.rows)
             )
             return
+        self._record_relay()
         for row in changes.rows:
             self._apply_row(row)
         self._position = max(self._position, changes.store_version)
 
+    def _record_relay(self) -> None:
+        now = self._clock.now()
+        if self._is_cut_off():
+            self._regained_at = now
+        self._relayed_at = now
+
+    def _is_cut_off(self) -> bool:
+        """Return whether no rows arrived since the store was lost."""
+        lost_since = self._lost_since
+        return lost_since is not None and self._relayed_at < lost_since
+
+    def _delays_deletions(self) -> bool:
+        since_regained = self._clock.now() - self._regained_at
+        return self._is_cut_off() or since_regained < _EXPIRY_GRACE_S
+
     def record_newest_row_version(self, version: int) -> None:
         """Record the version of the newest row that another VM knows of."""
         if version > max(self.newest_row_version, self._reported_row_version):
@@ -180,6 +200,8 @@
         for key in self._present_keys - keys:
             self._apply_row(Row(key, b'', table_rows.store_version, True))
         self._position = table_rows.store_version
+        for callback in self.on_full_read:
+            callback()
 
     def _apply_row(self, row: Row) -> None:
         if row.version <= self._row_versions.get(row.key, 0):
@@ -192,15 +214,13 @@
             self._handle_row(row)
             return
         self._present_keys.discard(row.key)
-        if self._clock.now() - self._regained_at < _EXPIRY_GRACE_S:
+        if self._delays_deletions():
             self._delayed_deletions[row.key] = row
         else:
             self._handle_row(row)
 
     def _apply_delayed_deletions(self) -> None:
-        if self._lost_since is not None or not self._delayed_deletions:
-            return
-        if self._clock.now() - self._regained_at < _EXPIRY_GRACE_S:
+        if not self._delayed_deletions or self._delays_deletions():
             return
         for row in list(self._delayed_deletions.values()):
             self._handle_row(row)
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -151,6 +151,9 @@
             self.clock,
             self.log,
         )
+        self.operator_rows.on_full_read.append(
+            self.view.mark_operator_rows_read
+        )
         self.target_rows = Follower(
             self.store,
             documents.TARGET_TABLE,
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -21,8 +21,9 @@
 
 # Number of announcements that are kept for a model.
 _MAX_ANNOUNCEMENTS = 32
-# Assumed age of the first version of a model that this process reads.
-_FIRST_VERSION_AGE_S = 5.0
+# Assumed age of a version that was announced before this process first read
+# the operators' rows.
+_PRIOR_VERSION_AGE_S = 5.0
 
 
 class AnnouncedVersion(NamedTuple):
@@ -68,9 +69,14 @@
         self.targets = targets
         self.configuration: Configuration | None = None
         self.announced: dict[str, AnnouncedWeights] = {}
+        self._has_operator_rows = False
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_weights: list[Callable[[], None]] = []
 
+    def mark_operator_rows_read(self) -> None:
+        """Record that all rows that operators had written were applied."""
+        self._has_operator_rows = True
+
     def apply_operator_row(self, row: Row) -> None:
         """Apply a row that operators wrote."""
         try:
@@ -105,9 +111,8 @@
         weights = self.announced.get(announcement.model)
         now = self._clock.now()
         if weights is None:
-            first = AnnouncedVersion(
-                announcement.version, now - _FIRST_VERSION_AGE_S
-            )
+            age = 0.0 if self._has_operator_rows else _PRIOR_VERSION_AGE_S
+            first = AnnouncedVersion(announcement.version, now - age)
             self.announced[announcement.model] = AnnouncedWeights(first)
         elif not weights.add(AnnouncedVersion(announcement.version, now)):
             return
--- a/src/lentilrun/standins/rowstore.py
+++ b/src/lentilrun/standins/rowstore.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import time
 from typing import Any
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 _UNAVAILABLE = 503
 _OPERATOR_TABLES = frozenset(('op', 'servers'))
 _FORBIDDEN = 403
+# A call that waits for changes checks for an outage this often.
+_FAULT_CHECK_S = 0.05
 
 
 class StoredRow(NamedTuple):
@@ -33,7 +36,7 @@
 class RowStoreFaults:
     """Faults that tests may set while the store runs.
 
-    ``is_down`` rejects calls, ``hangs`` never responds to them,
+    ``is_down`` rejects calls, also those that wait for changes, ``hangs`` never responds to them,
     ``loses_answers`` applies writes and closes their connections.
     """
 
@@ -135,11 +138,15 @@
     async def prepare(self) -> None:
         self.state.calls += 1
         if self.state.faults.is_down:
-            self.set_status(_UNAVAILABLE)
-            self.finish()
+            self.reject()
         elif self.state.faults.hangs:
             await asyncio.Event().wait()
 
+    def reject(self) -> None:
+        """Respond that the store is down."""
+        self.set_status(_UNAVAILABLE)
+        self.finish()
+
     def respond(self, status: int, rows: list[StoredRow]) -> None:
         self.set_status(status)
         self.set_header('Content-Type', 'application/json')
@@ -176,16 +183,17 @@
             return
         wait_until = time.monotonic() + wait_s
         while not (rows := state.list_changes(table, after)):
+            if state.faults.is_down:
+                self.reject()
+                return
             if after < state.compacted_version:
                 break
-            time_left = wait_until - time.monotonic()
+            time_left = min(_FAULT_CHECK_S, wait_until - time.monotonic())
             if time_left <= 0.0:
                 break
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(time_left):
                     await state.changed.wait()
-            except TimeoutError:
-                break
         if after < state.compacted_version and not rows:
             self.respond(_GONE, [])
             return
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -91,11 +91,12 @@
         async with Deployment() as deployment:
             deployment.add_replica('a1', 'app')
             node = await deployment.start_node('vm1')
+            rows = node.target_rows
             deployment.store.faults.is_down = True
-            await asyncio.sleep(2.6)
-            deployment.store.put('servers', 'a1', None)
+            await wait_until(rows.has_lost_store)
+            deletion = deployment.store.put('servers', 'a1', None)
             deployment.store.faults.is_down = False
-            await asyncio.sleep(0.9)
+            await wait_until(lambda: rows.newest_row_version >= deletion)
             assert (await deployment.ask(node, '/plain/x')).status == 200
             deployment.register('a1', 'app')
             await asyncio.sleep(2.5)
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -1,11 +1,24 @@
-"""The time since a version was replaced, after several newer ones."""
+"""The time since a version was replaced, by when and how it was read."""
 
 from __future__ import annotations
 
+import os
+from typing import TYPE_CHECKING
+
+from lentilrun.coordination.clock import ManualClock
+from lentilrun.gateway.logs import Log
+from lentilrun.gateway.targets import Targets
 from lentilrun.gateway.view import AnnouncedVersion
 from lentilrun.gateway.view import AnnouncedWeights
+from lentilrun.gateway.view import View
+from lentilrun.platform.rows import Row
+from lentilrun.standins.configuration import make_weights_announcement
+from lentilrun.standins.configuration import MODEL
 import pytest
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 
 @pytest.mark.parametrize(
     ('version', 'expected'), [(1, 10.0), (2, 14.0), (3, 20.0), (5, None)]
@@ -18,3 +31,35 @@
     assert weights.add(AnnouncedVersion(5, 20.0))
     assert not weights.add(AnnouncedVersion(4, 21.0))
     assert weights.replaced_at(version) == expected
+
+
+@pytest.fixture
+def log_file() -> Iterator[int]:
+    """Open a file descriptor that takes the log."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield descriptor
+    os.close(descriptor)
+
+
+@pytest.mark.parametrize(
+    ('is_read_before', 'expected'),
+    [
+        # The model has its first announcement while this process follows.
+        (True, 2.0),
+        # The announcement may be old: the process has just started.
+        (False, 7.0),
+    ],
+)
+def test_age_of_a_first_announcement(
+    is_read_before: bool, expected: float, log_file: int
+) -> None:
+    """Only announcements before the first read are assumed to be old."""
+    clock = ManualClock()
+    targets = Targets(clock, 'a')
+    view = View(clock, targets, Log(clock, 'vm1', log_file))
+    if is_read_before:
+        view.mark_operator_rows_read()
+    value = make_weights_announcement(2)
+    view.apply_operator_row(Row(f'version/{MODEL}', value, 5))
+    clock.advance(2.0)
+    assert view.stale_for(MODEL, 1) == expected
