Move resumable streams off engines that are to load weights

Ruled out: loading with mode 'cutover' (resets streams that may not be resumed); moves of memory (a run's memory belongs to the old weights).

Tests red before: test_moving_streams.

Also: the engine with most of a prompt cached is always among those that a VM compares (pick_sample; a sample of 4 of 30 prefilled over 50 of 300 prompts again, now none).

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -23,6 +23,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
+    from random import Random
 
 # Time that an engine takes to generate a token of a response.
 DECODE_S_PER_TOKEN = 0.0055
@@ -169,6 +171,25 @@
     )
 
 
+def pick_sample(
+    cached_tokens: Sequence[float], size: int, random: Random
+) -> list[int]:
+    """Return the indices of the targets that are compared for a request.
+
+    ``cached_tokens`` holds the tokens that each target has cached of the
+    prompt. The sample is random, but always has one of the targets that
+    have cached most: prompts that share segments then meet at an engine
+    however few engines each VM compares.
+    """
+    count = len(cached_tokens)
+    sample = random.sample(range(count), min(size, count))
+    most = max(cached_tokens, default=0.0)
+    if not most or any(cached_tokens[i] == most for i in sample):
+        return sample
+    holders = [i for i in range(count) if cached_tokens[i] == most]
+    return [*sample, random.choice(holders)]
+
+
 def choose_target(
     candidates: Iterable[Candidate], demand: TokenDemand
 ) -> TargetChoice | None:
@@ -190,6 +211,7 @@
     'estimate_cost',
     'estimate_wait',
     'LONG_DECODE_S',
+    'pick_sample',
     'TargetChoice',
     'TokenDemand',
 ]
--- /dev/null
+++ b/src/lentilrun/gateway/attempt.py
@@ -0,0 +1,359 @@
+"""One attempt of a call: the exchange with a target, and its records."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from tornado.iostream import StreamClosedError
+
+from ..decisions.facts import RouteKind
+from ..decisions.sources import pick_kv_cache_store
+from ..metrics.registry import Timing
+from ..platform import dialect
+from ..platform.dialect import ForwardedHeaders
+from ..web.client import InterruptedExchangeError
+from ..web.client import NotSentError
+from ..web.client import Request
+from .loads import LoadReservation
+from .messages import PrefillReport
+from .recent import Origin
+from .relay import ResponseReceiver
+from .streammoves import StreamMove
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from tornado.httputil import HTTPHeaders
+
+    from ..config.ini import Address
+    from .call import Call
+    from .call import ResponseWriter
+    from .choice import Assignment
+    from .context import DispatchContext
+    from .relay import StreamProgress
+    from .targets import TargetState
+
+_SERVER_ERROR = 500
+# No attempt starts with less time than this until the deadline.
+MIN_ATTEMPT_TIME_S = 0.03
+# A target that refused a request because it was full gets no requests for
+# this long.
+FULL_TARGET_BACKOFF_S = 0.08
+
+
+class AttemptOutcome(enum.StrEnum):
+    """How an attempt ended.
+
+    ``NOT_RUN`` means that the target states that it has not run the request,
+    and ``FAILED`` that its response is whole and reports a server error.
+    ``BROKEN`` covers connections that closed early and unusable responses,
+    and also attempts that the router itself ends at the deadline or because
+    the caller stopped waiting. ``MOVED`` is an attempt that the router ended
+    to continue its stream at another target.
+    """
+
+    DELIVERED = 'delivered'
+    NOT_SENT = 'not_sent'
+    NOT_RUN = 'not_run'
+    FAILED = 'failed'
+    BROKEN = 'broken'
+    MOVED = 'moved'
+
+
+class AttemptResult(NamedTuple):
+    """How an attempt ended; the receiver holds the target's response.
+
+    ``is_abandoned`` is set if the caller is assumed to have stopped waiting.
+    """
+
+    outcome: AttemptOutcome
+    receiver: ResponseReceiver
+    is_abandoned: bool
+
+
+class Attempt:
+    """Sends a call to one target and relays the response."""
+
+    def __init__(
+        self,
+        context: DispatchContext,
+        call: Call,
+        assignment: Assignment,
+        progress: StreamProgress,
+        writer: ResponseWriter,
+        may_move: Callable[[], bool],
+    ) -> None:
+        """Continue the stream whose ``progress`` earlier attempts made.
+
+        ``may_move`` returns whether another target may continue the stream
+        now, and reserves the retry for that if so.
+        """
+        self._context = context
+        self._call = call
+        self._assignment = assignment
+        self._progress = progress
+        self._may_move = may_move
+        self._started_at = context.clock.now()
+        self._first_event_at: float | None = None
+        self._is_abandoned = False
+        self._load = LoadReservation(
+            assignment.state,
+            assignment.demand,
+            assignment.choice.prefill_plan,
+            self._started_at,
+        )
+        self._receiver = ResponseReceiver(
+            call.request_id, writer, progress, self._record_first_event
+        )
+
+    async def run(self) -> AttemptResult:
+        """Send the request; deliver a complete response to the caller.
+
+        Raises ``StreamClosedError`` if the caller has disconnected.
+        """
+        receiver = self._receiver
+        self._record_prefill()
+        request = Request(
+            self._call.incoming.method,
+            self._call.incoming.uri,
+            self._make_headers(),
+            self._call.incoming.body,
+            max(MIN_ATTEMPT_TIME_S, self._time_left()),
+        )
+        move = StreamMove(
+            self._assignment.state,
+            self._context.clock,
+            receiver,
+            self._may_move,
+        )
+        with self._load, move, self._watch_first_event():
+            outcome = await self._exchange(request)
+        if move.has_stopped and outcome is AttemptOutcome.BROKEN:
+            outcome = AttemptOutcome.MOVED
+        self._record_outcome(outcome)
+        if outcome is AttemptOutcome.DELIVERED:
+            await receiver.deliver()
+        return AttemptResult(outcome, receiver, self._is_abandoned)
+
+    def _time_left(self) -> float:
+        return self._call.deadline - self._context.clock.now()
+
+    def _record_prefill(self) -> None:
+        """Record the segments that the target is to prefill, for all VMs."""
+        assignment = self._assignment
+        prompt = self._call.prompt
+        if prompt is None or assignment.weights_version is None:
+            return
+        report = PrefillReport(
+            assignment.state.target.incarnation,
+            assignment.salt,
+            prompt.segments,
+        )
+        self._context.targets.record_prefill(report, Origin.OWN)
+
+    @contextlib.contextmanager
+    def _watch_first_event(self) -> Iterator[None]:
+        """Stop an attempt if no event arrives while the caller waits.
+
+        A caller that stops waiting may not close its connection at once.
+        """
+        call = self._call
+        if call.route.kind is not RouteKind.STREAMING:
+            yield
+            return
+        timeout = call.route.abandon_timeout()
+        remaining = (
+            call.incoming.arrived_at + timeout - self._context.clock.now()
+        )
+
+        def stop() -> None:
+            if not self._progress.has_started:
+                self._is_abandoned = True
+                self._receiver.stop()
+
+        timer = asyncio.get_running_loop().call_later(
+            max(0.0, remaining), stop
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
+    def _record_first_event(self) -> None:
+        self._load.record_prefill()
+        if self._first_event_at is None:
+            self._first_event_at = self._context.clock.now()
+        if not self._progress.has_started:
+            elapsed = (
+                self._context.clock.now() - self._call.incoming.arrived_at
+            )
+            self._context.metrics.record_time(Timing.FIRST_TOKEN, elapsed)
+
+    async def _exchange(self, request: Request) -> AttemptOutcome:
+        receiver = self._receiver
+        target = self._assignment.state.target
+        try:
+            await self._context.client.exchange(
+                target.address, request, receiver
+            )
+        except NotSentError:
+            return AttemptOutcome.NOT_SENT
+        except InterruptedExchangeError as error:
+            if receiver.caller_disconnected:
+                raise StreamClosedError from error
+            return AttemptOutcome.BROKEN
+        head = receiver.head
+        if head is None or receiver.is_truncated():
+            return AttemptOutcome.BROKEN
+        if head.not_run:
+            return AttemptOutcome.NOT_RUN
+        if not receiver.is_usable():
+            return AttemptOutcome.BROKEN
+        if head.status >= _SERVER_ERROR:
+            return AttemptOutcome.FAILED
+        return AttemptOutcome.DELIVERED
+
+    def _make_headers(self) -> HTTPHeaders:
+        assignment = self._assignment
+        call = self._call
+        workspace = call.workspace
+        forwarded = ForwardedHeaders(
+            workspace.name if workspace is not None else '',
+            self._time_left(),
+            assignment.state.target.incarnation,
+            call.urgency(),
+            assignment.weights_version,
+            assignment.salt,
+            assignment.choice.prefill_plan.source,
+            self._find_save_store(),
+        )
+        headers = dialect.make_forwarded_headers(
+            call.incoming.headers, forwarded
+        )
+        if self._progress.last_event_id > call.last_event_id:
+            dialect.resume_after(headers, self._progress.last_event_id)
+        return headers
+
+    def _find_save_store(self) -> Address | None:
+        """Return the store where the target is to save shared segments.
+
+        The target transfers the whole prompt, over a link that all targets
+        share, so each segment is saved only once.
+        """
+        assignment = self._assignment
+        prompt = self._call.prompt
+        configuration = self._context.view.configuration
+        if (
+            prompt is None
+            or assignment.weights_version is None
+            or configuration is None
+        ):
+            return None
+        stored_segments = self._context.stored_segments
+        if not stored_segments.needs_save(assignment.salt, prompt):
+            return None
+        store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
+        if store is None:
+            return None
+        stored_segments.record_save(assignment.salt, prompt)
+        return store.address
+
+    def _record_outcome(self, outcome: AttemptOutcome) -> None:
+        receiver = self._receiver
+        targets = self._context.targets
+        state = self._assignment.state
+        head = receiver.head
+        prompt = self._call.prompt
+        if head is not None and head.weights_version and prompt is not None:
+            state.record_weights_version(prompt.model, head.weights_version)
+        if outcome is AttemptOutcome.NOT_SENT:
+            targets.record_unreachable(state)
+        elif outcome is AttemptOutcome.NOT_RUN:
+            self._record_not_run(state)
+        elif outcome is AttemptOutcome.DELIVERED:
+            targets.record_success(state)
+            self._context.crashes.clear(self._call.fingerprint)
+        elif outcome is not AttemptOutcome.MOVED:
+            targets.record_failure(state)
+            if outcome is AttemptOutcome.BROKEN:
+                self._context.crashes.record_crash(
+                    self._call.fingerprint, state.target
+                )
+
+    def _record_not_run(self, state: TargetState) -> None:
+        """Remove a target whose address has another incarnation.
+
+        Any other target that did not run the request is not used for a time.
+        """
+        head = self._receiver.head
+        target = state.target
+        if (
+            head is not None
+            and head.misdirected
+            and head.incarnation not in ('', target.incarnation)
+        ):
+            self._context.targets.remove(target.incarnation)
+            self._context.client.close_idle(target.address)
+            return
+        now = self._context.clock.now()
+        state.blocked_until = max(
+            state.blocked_until, now + FULL_TARGET_BACKOFF_S
+        )
+
+    def _compute_time_to_first_event(self) -> float | None:
+        """Return the time to the first event, in seconds, for the log."""
+        if self._first_event_at is None:
+            return None
+        return round(self._first_event_at - self._started_at, 3)
+
+    def log(self, outcome: AttemptOutcome, sent_before: int) -> None:
+        """Log how the attempt ended, after ``sent_before`` other ones."""
+        assignment = self._assignment
+        head = self._receiver.head
+        view = self._context.view
+        configuration = view.configuration
+        self._context.log.write(
+            'attempt',
+            id=self._call.request_id,
+            route=self._call.route.name,
+            target=assignment.state.target.incarnation,
+            fate=outcome,
+            status=head.status if head is not None else None,
+            wait=round(assignment.choice.estimated_wait, 4),
+            cached=int(assignment.choice.prefill_plan.cached_tokens),
+            source=_format_source(assignment),
+            tokens=_count_tokens(self._call),
+            weights=assignment.weights_version,
+            sent=sent_before,
+            left=round(self._time_left(), 3),
+            events=self._progress.last_event_id,
+            first=self._compute_time_to_first_event(),
+            seconds=round(self._context.clock.now() - self._started_at, 3),
+            configuration=configuration.version if configuration else None,
+        )
+
+
+def _format_source(assignment: Assignment) -> str | None:
+    source = assignment.choice.prefill_plan.source
+    return None if source is None else str(source)
+
+
+def _count_tokens(call: Call) -> tuple[int, int] | None:
+    """Return a call's prompt and output tokens, for the log."""
+    if call.prompt is None:
+        return None
+    return call.prompt.input_tokens, call.prompt.output_tokens
+
+
+__all__ = [
+    'Attempt',
+    'AttemptOutcome',
+    'AttemptResult',
+    'FULL_TARGET_BACKOFF_S',
+    'MIN_ATTEMPT_TIME_S',
+]
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -8,6 +8,7 @@
 
 from ..decisions.placement import choose_target
 from ..decisions.placement import compute_sample_size
+from ..decisions.placement import pick_sample
 from ..decisions.placement import TokenDemand
 from ..decisions.sources import CacheHolder
 from ..decisions.sources import estimate_cached
@@ -33,6 +34,8 @@
 # age, because it may still wait at the target before it starts.
 _STALE_LIMIT_MARGIN_S = 1.2
 
+_random = random.Random()
+
 
 class Assignment(NamedTuple):
     """A target that was chosen for a call, and the data for the attempt.
@@ -90,9 +93,12 @@
         demand = TokenDemand(0, 0)
         if prompt is not None:
             demand = TokenDemand(prompt.input_tokens, prompt.output_tokens)
-        usable = [s.target.incarnation for s in states]
-        states = self._sample(states)
-        plans = self._plan_prefills(states, usable, service, configuration)
+        cached_tokens = self._count_cached_tokens(states, service)
+        sample = self._pick_sample(cached_tokens)
+        states = [states[i] for i in sample]
+        plans = self._plan_prefills(
+            states, [cached_tokens[i] for i in sample], service, configuration
+        )
         stale = self._find_stale(states)
         make_candidate = self._targets.make_candidate
         choice = choose_target(
@@ -111,11 +117,46 @@
             state, service, choice, demand, weights_version, salt
         )
 
-    def _sample(self, states: list[TargetState]) -> list[TargetState]:
-        count = compute_sample_size(len(states), self._estimate_unreported())
-        if count >= len(states):
-            return states
-        return random.sample(states, count)
+    def newest_usable_version(self) -> int:
+        """Return the newest weights version of the usable targets, or 0."""
+        versions = map(self._find_weights_version, self._list_service())
+        return max((v for v in versions if v is not None), default=0)
+
+    def list_outdated(self) -> set[str]:
+        """Return the targets with older weights than other usable ones."""
+        newest = self.newest_usable_version()
+        return {
+            s.target.incarnation
+            for s in self._list_service()
+            if self._find_weights_version(s) != newest
+        }
+
+    def _list_service(self) -> list[TargetState]:
+        return self._targets.list_usable(self._service)
+
+    def _count_cached_tokens(
+        self, states: list[TargetState], service: Service
+    ) -> list[float]:
+        """Return how much of the prompt each target is assumed to have."""
+        prompt = self._call.prompt
+        if prompt is None or service.engine is None:
+            return [0.0] * len(states)
+        cached_tokens = [
+            s.prefix_cache.count_cached_tokens(self._make_salt(s), prompt)
+            for s in states
+        ]
+        if any(cached_tokens):
+            return cached_tokens
+        estimates = estimate_cached(
+            prompt, [s.target.incarnation for s in states]
+        )
+        return [estimates.get(s.target.incarnation, 0.0) for s in states]
+
+    def _pick_sample(self, cached_tokens: list[float]) -> list[int]:
+        size = compute_sample_size(
+            len(cached_tokens), self._estimate_unreported()
+        )
+        return pick_sample(cached_tokens, size, _random)
 
     def _estimate_unreported(self) -> float:
         """Return how many requests other VMs sent since their last reports.
@@ -129,28 +170,15 @@
     def _plan_prefills(
         self,
         states: list[TargetState],
-        usable: list[str],
+        cached_tokens: list[float],
         service: Service,
         configuration: Configuration,
     ) -> list[PrefillPlan]:
-        """Return what each target has cached, and where it gets the rest.
-
-        ``usable`` are the incarnations of all usable targets, including
-        those that were not sampled, so that all VMs estimate the same.
-        """
+        """Return what each target has cached, and where it gets the rest."""
         prompt = self._call.prompt
         if prompt is None or service.engine is None:
             return [NO_CACHE] * len(states)
         salts = [self._make_salt(s) for s in states]
-        cached_tokens = [
-            s.prefix_cache.count_cached_tokens(salt, prompt)
-            for s, salt in zip(states, salts, strict=True)
-        ]
-        if not any(cached_tokens):
-            estimates = estimate_cached(prompt, usable)
-            cached_tokens = [
-                estimates.get(s.target.incarnation, 0.0) for s in states
-            ]
         store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
         stored_salts = {
             s for s in set(salts) if self._stored_segments.has_all(s, prompt)
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -162,7 +162,7 @@
         return [
             WeightsLoadReport(n, round(s.weights_loading_until - now, 3))
             for n, s in self._targets.states.items()
-            if s.weights_loading_until > now and self._reports_weights_load(s)
+            if s.is_cordoned(now) and self._reports_weights_load(s)
         ]
 
     def _reports_weights_load(self, state: TargetState) -> bool:
@@ -257,7 +257,7 @@
         for weights_load in message.weights_loads:
             state = states.get(weights_load.incarnation)
             if state is not None and not state.is_loading_by_this_vm:
-                state.weights_loading_until = now + weights_load.time_left
+                state.cordon(now, weights_load.time_left)
         if changed:
             self._targets.notify_changed()
 
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -71,11 +71,33 @@
         self.blocked_until = float('-inf')
         self.weights_loading_until = float('-inf')
         self.is_loading_by_this_vm = False
+        # Called when the target goes out of service to load weights.
+        self.on_cordon: list[Callable[[], None]] = []
         self.successes = 0.0
         self.failures = 0.0
         self._decayed_at = 0.0
         self.prefix_cache = PrefixCache()
 
+    def is_cordoned(self, now: float) -> bool:
+        """Return whether the target is out of service to load weights."""
+        return self.weights_loading_until > now
+
+    def cordon(self, now: float, duration: float) -> None:
+        """Take the target out of service for ``duration`` seconds."""
+        is_new = not self.is_cordoned(now)
+        self.weights_loading_until = now + duration
+        if is_new and self.is_cordoned(now):
+            for callback in list(self.on_cordon):
+                callback()
+
+    def end_cordon(self) -> None:
+        """Put the target into service again."""
+        self.weights_loading_until = float('-inf')
+
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether the last connections to the target failed."""
+        return self.connect_failures > 0 and self.blocked_until > now
+
     def busy_for(self, now: float) -> float:
         """Return the expected time until all requests end, in seconds."""
         peers = self.peer_loads.values()
@@ -109,7 +131,7 @@
         if version <= self.weights_versions.get(model, 0):
             return False
         self.weights_versions[model] = version
-        self.weights_loading_until = float('-inf')
+        self.end_cordon()
         self.prefix_cache.clear()
         return True
 
@@ -179,7 +201,7 @@
             for s in self.list_of_service(service)
             if not s.target.is_draining
             and s.blocked_until <= now
-            and s.weights_loading_until <= now
+            and not s.is_cordoned(now)
             and s.target.incarnation not in avoid
         ]
 
@@ -189,7 +211,7 @@
         return [
             s
             for s in self.list_of_service(service)
-            if s.blocked_until <= now and s.weights_loading_until <= now
+            if s.blocked_until <= now and not s.is_cordoned(now)
         ]
 
     def record_success(self, state: TargetState) -> None:
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -149,7 +149,9 @@
                     self._view.stale_for(model, s.weights_versions[model]),
                 )
                 for n, s in self._targets.states.items()
-                if model in s.weights_versions and not s.target.is_draining
+                if model in s.weights_versions
+                and not s.target.is_draining
+                and (n in self._upgrade_tasks or not s.is_unreachable(now))
             ]
             names = pick_upgrade_round(candidates, announced.newest_version)
             if names or self._upgrade_tasks:
@@ -160,7 +162,7 @@
         now = self._clock.now()
         return (
             name in self._upgrade_tasks
-            or state.weights_loading_until > now
+            or state.is_cordoned(now)
             or self._retry_at.get(name, now) > now
         )
 
@@ -173,13 +175,13 @@
 
     def _cordon(self, state: TargetState) -> None:
         state.is_loading_by_this_vm = True
-        state.weights_loading_until = self._clock.now() + _CORDON_S
+        state.cordon(self._clock.now(), _CORDON_S)
         self._peers.request_send()
 
     def _finish(self, name: str, state: TargetState) -> None:
         self._upgrade_tasks.pop(name, None)
         state.is_loading_by_this_vm = False
-        state.weights_loading_until = float('-inf')
+        state.end_cordon()
         self._targets.notify_changed()
         self._peers.request_send()
         self._work_changed.set()
@@ -195,6 +197,7 @@
             outcome = await self._load_weights(model, version, state, report)
         except PlatformError as error:
             outcome = str(error)
+            self._targets.record_unreachable(state)
         if outcome != 'loaded':
             self._retry_at[name] = self._clock.now() + _UPGRADE_RETRY_S
         self._log.write(
@@ -219,7 +222,7 @@
                 return
             if not self._lease.is_held():
                 return
-            state.weights_loading_until = now + _CORDON_S
+            state.cordon(now, _CORDON_S)
             await asyncio.sleep(_WORK_INTERVAL_S)
 
     async def _load_weights(
@@ -261,7 +264,7 @@
         while self._clock.now() < until:
             await asyncio.sleep(delay)
             delay = _POLL_INTERVAL_S
-            state.weights_loading_until = self._clock.now() + _CORDON_S
+            state.cordon(self._clock.now(), _CORDON_S)
             report = await engines.read_report(self._client, state.target)
             if self._record_version(model, state, report) >= version:
                 return 'loaded'
--- a/src/lentilrun/standins/rowstore.py
+++ b/src/lentilrun/standins/rowstore.py
@@ -36,7 +36,8 @@
 class RowStoreFaults:
     """Faults that tests may set while the store runs.
 
-    ``is_down`` rejects calls, also those that wait for changes, ``hangs`` never responds to them,
+    ``is_down`` rejects calls, also those that wait for changes, ``hangs``
+    never responds to them,
     ``loses_answers`` applies writes and closes their connections.
     """
 
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -8,6 +8,7 @@
 from lentilrun.decisions.placement import Candidate
 from lentilrun.decisions.placement import choose_target
 from lentilrun.decisions.placement import compute_sample_size
+from lentilrun.decisions.placement import pick_sample
 from lentilrun.decisions.placement import TokenDemand
 from lentilrun.decisions.sources import NO_CACHE
 from lentilrun.decisions.sources import PREFILL_TOKENS_PER_S
@@ -212,3 +213,70 @@
     """
     assert _compute_imbalance(30, seed) == 30.0
     assert _compute_imbalance(compute_sample_size(30, 90.0), seed) < 15.0
+
+
+@pytest.mark.parametrize(
+    ('cached_tokens', 'size', 'must_have'),
+    [
+        # Without cached tokens, the sample is any.
+        ([0.0] * 5, 2, set()),
+        ([], 2, set()),
+        # The target with the most cached tokens is always compared.
+        ([0.0, 7.0, 0.0, 9.0, 0.0], 2, {3}),
+        # All targets are compared if the sample is large enough.
+        ([0.0, 7.0, 0.0], 3, {0, 1, 2}),
+        ([0.0, 7.0], 9, {0, 1}),
+    ],
+)
+def test_sample_has_a_cached_prompt(
+    cached_tokens: list[float], size: int, must_have: set[int]
+) -> None:
+    """The sample holds distinct targets, and one that has cached most."""
+    for seed in range(20):
+        sample = pick_sample(cached_tokens, size, random.Random(seed))
+        assert len(set(sample)) == len(sample)
+        assert min(size, len(cached_tokens)) <= len(sample) <= size + 1
+        assert must_have <= set(sample)
+
+
+def test_equal_caches_share_the_requests() -> None:
+    """Targets that have cached the same are chosen about equally often."""
+    rng = random.Random(7)
+    samples = [pick_sample([5.0] * 10, 1, rng)[0] for _ in range(1000)]
+    assert all(50 < samples.count(i) < 150 for i in range(10))
+
+
+def _count_prefilled_again(always_has_holder: bool, seed: int) -> int:
+    """Return how often a prompt was prefilled though an engine had it.
+
+    300 requests for 60 prompts, of which each VM compares 4 of 30 engines.
+    """
+    rng = random.Random(seed)
+    cached: list[set[int]] = [set() for _ in range(30)]
+    again = 0
+    for _ in range(300):
+        prompt = rng.randrange(60)
+        tokens = [6000.0 * (prompt in c) for c in cached]
+        known = tokens if always_has_holder else [0.0] * 30
+        sample = pick_sample(known, 4, rng)
+        choice = choose_target(
+            [
+                _PLAIN._replace(
+                    name=str(i), prefill_plan=PrefillPlan(tokens[i])
+                )
+                for i in sample
+            ],
+            _LONG_PROMPT,
+        )
+        assert choice is not None
+        engine = cached[int(choice.name)]
+        again += any(tokens) and prompt not in engine
+        engine.add(prompt)
+    return again
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_prompts_meet_their_cache(seed: int) -> None:
+    """Small samples of a large fleet do not prefill a prompt again."""
+    assert _count_prefilled_again(False, seed) > 50
+    assert _count_prefilled_again(True, seed) == 0
--- /dev/null
+++ b/tests/gateway/test_moving_streams.py
@@ -0,0 +1,86 @@
+"""Long streams do not keep an engine from loading new weights."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from deployments import Deployment
+from deployments import MODEL
+from deployments import wait_until
+import pytest
+
+_EVENT_COUNT = 27
+_EVENT_INTERVAL_S = 0.1
+
+
+def _read_event_ids(body: bytes) -> list[int]:
+    return [int(n) for n in re.findall(rb'^id: (\d+)', body, re.MULTILINE)]
+
+
+async def _start_engines(deployment: Deployment) -> None:
+    for name in ('e1', 'e2'):
+        plan = deployment.add_replica(name, 'llm').plan
+        plan.event_count = _EVENT_COUNT
+        plan.event_interval_s = _EVENT_INTERVAL_S
+
+
+def _count_runs(deployment: Deployment) -> int:
+    return sum(len(r.runs) for r in deployment.replicas.values())
+
+
+@pytest.mark.parametrize(
+    ('path', 'expected_runs', 'loads_early'),
+    [('/talk/x', 2, True), ('/chat/x', 1, False)],
+)
+def test_resumable_stream_continues_on_new_weights(
+    path: str, expected_runs: int, loads_early: bool
+) -> None:
+    """A stream that may be resumed moves; any other one is waited for."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            await _start_engines(deployment)
+            node = await deployment.start_node('vm1')
+            call = asyncio.ensure_future(
+                deployment.ask(
+                    node, path, b'{}', '1000,900', X_Deadline_Ms='9000'
+                )
+            )
+            await wait_until(lambda: _count_runs(deployment) == 1)
+            deployment.announce_weights(2)
+            replicas = deployment.replicas.values()
+
+            def are_loaded() -> bool:
+                return all(r.versions[MODEL] == 2 for r in replicas)
+
+            await asyncio.sleep(2.1)
+            assert are_loaded() is loads_early
+            response = await call
+            assert response.is_whole
+            assert _read_event_ids(response.body) == [
+                *range(1, _EVENT_COUNT + 1)
+            ]
+            assert _count_runs(deployment) == expected_runs
+            await wait_until(are_loaded)
+
+    asyncio.run(body())
+
+
+def test_unreachable_engine_does_not_delay_the_others() -> None:
+    """An engine that went dark takes no place of those that can load."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for name in ('e1', 'e2', 'e9'):
+                deployment.add_replica(name, 'llm')
+            node = await deployment.start_node('vm1')
+            await deployment.stop_replica('e9')
+            deployment.announce_weights(2)
+            alive = [deployment.replicas[n] for n in ('e1', 'e2')]
+            await wait_until(
+                lambda: all(r.versions[MODEL] == 2 for r in alive), 2.0
+            )
+            assert node.targets.states['e9'].connect_failures
+
+    asyncio.run(body())
