Learn the speeds of services; hold late calls at the router

It counted prompts of less urgent requests, behind which chats never wait (0.14 s behind 130,000 tokens). And every call was sent at once: while three engines read cold prompts, all of them were 1 to 2 s late.

A second of prefilling also costs those behind it (_DELAY_COST_S_PER_S).

Change: decisions/speeds.py (speeds by service, pace by target, from a prior; paces travel in load reports, waiting requests count with their age), decisions/waiting.py (send, wait or refuse, Retry-After from the queue), tokens to prefill by urgency, a cordon ends with its report (a VM that knew of the load before kept the engine out for 0.9 s more), the report is read before an engine is drained (dark ones kept two of two places for 3 s). Tests red before: test_speeds, test_waiting, test_moving_streams (4 cases). test_orders waited for one direction only: in 15 runs vm2 had never heard of vm1, and took the lease first in 5.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -18,25 +18,21 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from .sources import PREFILL_TOKENS_PER_S
 from .sources import PrefillPlan
+from .speeds import PRIOR_SPEEDS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from collections.abc import Sequence
     from random import Random
 
-# Time that an engine takes to generate a token of a response.
-DECODE_S_PER_TOKEN = 0.0055
-# Expected length of a response, as a share of the output tokens that its
-# request allows.
-_EXPECTED_OUTPUT_SHARE = 0.3
+    from .speeds import Speeds
+
 # A response that is expected to take longer to generate counts as long.
-LONG_DECODE_S = 0.7
-# Time that a request takes at a target without other requests: with a model,
-# and without one.
-_MODEL_SERVICE_TIME_S = 0.35
-_PLAIN_SERVICE_TIME_S = 0.025
+LONG_RESPONSE_S = 0.7
+# Output tokens that the requests at an engine allow on average; sets the time
+# until one of them ends.
+_MEAN_OUTPUT_TOKENS = 212
 # Cost of a target in a remote data centre: the network delay.
 _REMOTE_COST_S = 0.004
 # Share of an engine's memory that requests in flight should use at most.
@@ -45,10 +41,13 @@
 _FAILURE_COST_S = 1.5
 # Delay of the first token for each other request that an engine decodes.
 _DECODE_DELAY_S_PER_REQUEST = 0.0006
-# Cost for each long response that pauses while _PAUSE_TOKENS prompt tokens
-# are prefilled; it grows with the square of the tokens.
+# Cost of each second that a prompt is prefilled, for the requests that arrive
+# meanwhile and wait for it.
+_DELAY_COST_S_PER_S = 1.5
+# Cost for each long response that pauses for _PAUSE_S while a prompt is
+# prefilled; it grows with the square of the time.
 _PAUSE_COST_S = 0.02
-_PAUSE_TOKENS = 5000.0
+_PAUSE_S = 0.143
 # Cost of each second by which a request extends the time that an engine is
 # in use.
 _EXTENSION_COST_S_PER_S = 0.02
@@ -63,11 +62,13 @@
 
     ``in_flight`` counts the requests of all VMs at the target,
     ``long_in_flight`` those with long responses. ``prefill_tokens`` of
-    their prompts are still to be prefilled, and they use
+    their prompts are still to be prefilled, ``urgent_prefill_tokens`` of
+    these for requests as urgent as the one to place, and they use
     ``memory_tokens_used`` of the target's memory. All of them are expected
     to be complete after ``busy_for`` seconds. ``prefill_plan`` states how
     much of the prompt the target is assumed to have cached.
-    ``failure_rate`` is the share of recent responses that failed.
+    ``failure_rate`` is the share of recent responses that failed, and
+    ``pace`` how many times as long as expected requests take.
     """
 
     name: str
@@ -82,6 +83,8 @@
     memory_tokens: int
     prefill_plan: PrefillPlan
     failure_rate: float
+    urgent_prefill_tokens: float = 0.0
+    pace: float = 1.0
 
 
 class TokenDemand(NamedTuple):
@@ -90,65 +93,105 @@
     input_tokens: int
     output_tokens: int
 
-    def decode_time(self) -> float:
-        """Return the expected time to generate the response, in s."""
-        return self.output_tokens * _EXPECTED_OUTPUT_SHARE * DECODE_S_PER_TOKEN
-
 
 class TargetChoice(NamedTuple):
-    """The chosen target, the estimated wait in s, and its prefill plan."""
+    """The chosen target, and what a request is expected to find there.
+
+    ``estimated_wait`` is the time to the first token, or to the start of a
+    response without a model; ``queue_wait`` of it is the wait for other
+    requests. ``expected_time`` is the time to the first token or to the
+    whole response, at a target with the usual pace. All are in seconds.
+    ``prefill_tokens`` are those before the first token, and ``pace`` is the
+    target's.
+    """
 
     name: str
     estimated_wait: float
+    queue_wait: float
+    expected_time: float
+    prefill_tokens: float
     prefill_plan: PrefillPlan
+    pace: float
 
 
-def estimate_wait(candidate: Candidate, demand: TokenDemand) -> float:
+def estimate_wait(
+    candidate: Candidate, demand: TokenDemand, speeds: Speeds
+) -> float:
     """Return the time to the start of the response, in seconds."""
+    return candidate.pace * _estimate_usual_wait(
+        candidate, demand, speeds, candidate.urgent_prefill_tokens
+    )
+
+
+def _estimate_usual_wait(
+    candidate: Candidate,
+    demand: TokenDemand,
+    speeds: Speeds,
+    prefill_tokens: float,
+) -> float:
+    """Return the wait at a target with the usual pace, in seconds.
+
+    ``prefill_tokens`` are prefilled before the request's own.
+    """
     if not demand.input_tokens:
-        return _estimate_plain_wait(candidate)
-    added_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
-    wait = (candidate.prefill_tokens + added_tokens) / PREFILL_TOKENS_PER_S
+        return speeds.service_time * _count_services_ahead(candidate)
+    own_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
+    wait = speeds.first_token
+    wait += speeds.prefill_time(prefill_tokens + own_tokens)
     wait += candidate.in_flight * _DECODE_DELAY_S_PER_REQUEST
+    run_time = speeds.response_time(_MEAN_OUTPUT_TOKENS)
     queued = max(0, candidate.in_flight - candidate.slots + 1)
-    wait += queued / candidate.slots * _MODEL_SERVICE_TIME_S
-    memory_limit = candidate.memory_tokens * _MAX_MEMORY_SHARE
-    memory_needed = (
+    wait += queued / candidate.slots * run_time
+    return wait + _compute_memory_excess(candidate, demand) * run_time * 2
+
+
+def _compute_memory_excess(candidate: Candidate, demand: TokenDemand) -> float:
+    """Return the memory that is lacking, as a share of the usable one."""
+    limit = candidate.memory_tokens * _MAX_MEMORY_SHARE
+    needed = (
         candidate.memory_tokens_used
         + demand.input_tokens
         + demand.output_tokens
     )
-    if memory_needed > memory_limit > 0:
-        wait += (
-            (memory_needed - memory_limit)
-            / memory_limit
-            * _MODEL_SERVICE_TIME_S
-            * 2
-        )
-    return wait
+    return max(0.0, needed - limit) / limit if limit > 0.0 else 0.0
 
 
-def _estimate_plain_wait(candidate: Candidate) -> float:
+def _count_services_ahead(candidate: Candidate) -> float:
+    """Return the wait for a slot, in multiples of the service time."""
     utilization = candidate.in_flight / candidate.slots
     queued_per_slot = max(0.0, utilization - 1.0 + 1.0 / candidate.slots)
-    return _PLAIN_SERVICE_TIME_S * (
-        0.3 * min(1.0, utilization) + queued_per_slot
-    )
+    return 0.3 * min(1.0, utilization) + queued_per_slot
 
 
-def _estimate_interference(candidate: Candidate, demand: TokenDemand) -> float:
+def _estimate_interference(
+    candidate: Candidate, demand: TokenDemand, speeds: Speeds
+) -> float:
     """Return the cost of a request to other requests, in seconds."""
-    prefill_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
-    pause_cost = (prefill_tokens / _PAUSE_TOKENS) ** 2 * _PAUSE_COST_S
+    own_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
+    pause = speeds.prefill_time(own_tokens)
+    pause_cost = (pause / _PAUSE_S) ** 2 * _PAUSE_COST_S
     interference = pause_cost * candidate.long_in_flight
-    extension = max(0.0, demand.decode_time() - candidate.busy_for)
+    interference += pause * _DELAY_COST_S_PER_S
+    response_time = speeds.response_time(demand.output_tokens)
+    extension = max(0.0, response_time - candidate.busy_for)
     return interference + extension * _EXTENSION_COST_S_PER_S
 
 
-def estimate_cost(candidate: Candidate, demand: TokenDemand) -> float:
-    """Return the cost of a request at a target, in seconds."""
-    cost = estimate_wait(candidate, demand)
-    cost += _estimate_interference(candidate, demand)
+def estimate_cost(
+    candidate: Candidate, demand: TokenDemand, speeds: Speeds
+) -> float:
+    """Return the cost of a request at a target, in seconds.
+
+    Prompts of less urgent requests count too: while they are prefilled, the
+    response to this one pauses.
+    """
+    time = _estimate_usual_wait(
+        candidate, demand, speeds, candidate.prefill_tokens
+    )
+    if not demand.input_tokens:
+        time += speeds.service_time
+    cost = candidate.pace * time
+    cost += _estimate_interference(candidate, demand, speeds)
     cost += candidate.failure_rate * _FAILURE_COST_S
     if candidate.has_stale_weights:
         cost += _STALE_WEIGHTS_COST_S
@@ -157,6 +200,29 @@
     return cost
 
 
+def _describe_choice(
+    candidate: Candidate, demand: TokenDemand, speeds: Speeds
+) -> TargetChoice:
+    expected_time = _estimate_usual_wait(
+        candidate, demand, speeds, candidate.urgent_prefill_tokens
+    )
+    own_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
+    own_time = speeds.first_token + speeds.prefill_time(own_tokens)
+    wait = candidate.pace * expected_time
+    if not demand.input_tokens:
+        own_time = 0.0
+        expected_time += speeds.service_time
+    return TargetChoice(
+        candidate.name,
+        wait,
+        max(0.0, wait - own_time),
+        expected_time,
+        candidate.urgent_prefill_tokens + own_tokens,
+        candidate.prefill_plan,
+        candidate.pace,
+    )
+
+
 def compute_sample_size(targets: int, unreported: float) -> int:
     """Return how many of the targets are compared for a request.
 
@@ -191,17 +257,19 @@
 
 
 def choose_target(
-    candidates: Iterable[Candidate], demand: TokenDemand
+    candidates: Iterable[Candidate],
+    demand: TokenDemand,
+    speeds: Speeds = PRIOR_SPEEDS,
 ) -> TargetChoice | None:
     """Return the target with the lowest cost; None without candidates."""
     best = min(
-        candidates, key=lambda c: estimate_cost(c, demand), default=None
+        candidates,
+        key=lambda c: estimate_cost(c, demand, speeds),
+        default=None,
     )
     if best is None:
         return None
-    return TargetChoice(
-        best.name, estimate_wait(best, demand), best.prefill_plan
-    )
+    return _describe_choice(best, demand, speeds)
 
 
 __all__ = [
@@ -210,7 +278,7 @@
     'compute_sample_size',
     'estimate_cost',
     'estimate_wait',
-    'LONG_DECODE_S',
+    'LONG_RESPONSE_S',
     'pick_sample',
     'TargetChoice',
     'TokenDemand',
--- a/src/lentilrun/decisions/sources.py
+++ b/src/lentilrun/decisions/sources.py
@@ -22,8 +22,6 @@
     from .facts import KvCacheStore
     from .facts import Prompt
 
-# Prompt tokens that an engine prefills per second.
-PREFILL_TOKENS_PER_S = 35_000.0
 # Probability that the engine with the highest hash for a prompt has its shared
 # segments cached.
 _HASHED_ENGINE_PROBABILITY = 0.6
@@ -146,6 +144,5 @@
     'pick_best_holders',
     'pick_kv_cache_store',
     'plan_prefill',
-    'PREFILL_TOKENS_PER_S',
     'PrefillPlan',
 ]
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -43,7 +43,7 @@
 MIN_ATTEMPT_TIME_S = 0.03
 # A target that refused a request because it was full gets no requests for
 # this long.
-FULL_TARGET_BACKOFF_S = 0.08
+_FULL_TARGET_BACKOFF_S = 0.08
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -102,10 +102,10 @@
         self._first_event_at: float | None = None
         self._is_abandoned = False
         self._load = LoadReservation(
-            assignment.state,
-            assignment.demand,
-            assignment.choice.prefill_plan,
-            self._started_at,
+            assignment,
+            call.urgency(),
+            context.targets.get_estimator(assignment.service.name),
+            context.clock,
         )
         self._receiver = ResponseReceiver(
             call.request_id, writer, progress, self._record_first_event
@@ -133,6 +133,8 @@
         )
         with self._load, move, self._watch_first_event():
             outcome = await self._exchange(request)
+            if outcome is AttemptOutcome.DELIVERED:
+                self._load.record_response()
         if move.has_stopped and outcome is AttemptOutcome.BROKEN:
             outcome = AttemptOutcome.MOVED
         self._record_outcome(outcome)
@@ -185,7 +187,7 @@
             timer.cancel()
 
     def _record_first_event(self) -> None:
-        self._load.record_prefill()
+        self._load.record_first_event()
         if self._first_event_at is None:
             self._first_event_at = self._context.clock.now()
         if not self._progress.has_started:
@@ -302,7 +304,7 @@
             return
         now = self._context.clock.now()
         state.blocked_until = max(
-            state.blocked_until, now + FULL_TARGET_BACKOFF_S
+            state.blocked_until, now + _FULL_TARGET_BACKOFF_S
         )
 
     def _compute_time_to_first_event(self) -> float | None:
@@ -324,7 +326,9 @@
             target=assignment.state.target.incarnation,
             fate=outcome,
             status=head.status if head is not None else None,
+            held=round(self._started_at - self._call.incoming.arrived_at, 3),
             wait=round(assignment.choice.estimated_wait, 4),
+            pace=round(assignment.choice.pace, 2),
             cached=int(assignment.choice.prefill_plan.cached_tokens),
             source=_format_source(assignment),
             tokens=_count_tokens(self._call),
@@ -354,6 +358,5 @@
     'Attempt',
     'AttemptOutcome',
     'AttemptResult',
-    'FULL_TARGET_BACKOFF_S',
     'MIN_ATTEMPT_TIME_S',
 ]
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -103,10 +103,17 @@
         make_candidate = self._targets.make_candidate
         choice = choose_target(
             [
-                make_candidate(s, service, plan, s.target.incarnation in stale)
+                make_candidate(
+                    s,
+                    service,
+                    plan,
+                    s.target.incarnation in stale,
+                    call.urgency(),
+                )
                 for s, plan in zip(states, plans, strict=True)
             ],
             demand,
+            self._targets.get_estimator(service.name).speeds(),
         )
         if choice is None:
             return None
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -6,13 +6,17 @@
 import random
 from typing import TYPE_CHECKING
 
+from ..decisions.facts import RouteKind
 from ..decisions.retries import RetryBudget
 from ..decisions.streammoves import may_move
 from ..decisions.streammoves import RunningStream
+from ..decisions.waiting import compute_retry_after
+from ..decisions.waiting import decide
+from ..decisions.waiting import Decision
+from ..decisions.waiting import Prospect
 from ..metrics.registry import Count
 from .attempt import Attempt
 from .attempt import AttemptOutcome
-from .attempt import FULL_TARGET_BACKOFF_S
 from .attempt import MIN_ATTEMPT_TIME_S
 from .call import Reason
 from .call import Refusal
@@ -32,6 +36,9 @@
 # Longest wait of a call for a usable target, as a share of its time left.
 _MAX_WAIT_SHARE = 0.6
 _RETRY_AFTER_S = 0.25
+# A waiting call looks for a target at intervals in this range; they differ so
+# that the VMs do not send their calls at the same time.
+_QUEUE_POLL_RANGE_S = (0.03, 0.07)
 
 
 class Dispatcher:
@@ -169,9 +176,20 @@
             self._time_left(),
             assignment.weights_version,
         )
-        if not may_move(stream, self._selector.newest_usable_version()):
-            return False
-        self._has_reserved_retry = self._spend_retry()
+        newest_version = self._selector.newest_usable_version()
+        is_movable = may_move(stream, newest_version)
+        self._has_reserved_retry = is_movable and self._spend_retry()
+        self._context.log.write(
+            'stream_move',
+            id=call.request_id,
+            target=assignment.state.target.incarnation,
+            weights=stream.weights_version,
+            newest=newest_version,
+            runs=stream.possible_runs,
+            left=round(stream.time_left, 3),
+            movable=is_movable,
+            moved=self._has_reserved_retry,
+        )
         return self._has_reserved_retry
 
     def _may_repeat(self) -> bool:
@@ -205,15 +223,17 @@
             return
         raise self._make_refusal(Reason.TARGET_FAILED)
 
-    def _make_refusal(self, reason: Reason) -> Refusal:
+    def _make_refusal(
+        self, reason: Reason, retry_after: float = _RETRY_AFTER_S
+    ) -> Refusal:
         if not self._possible_runs:
-            return Refusal(_UNAVAILABLE, reason, _RETRY_AFTER_S)
+            return Refusal(_UNAVAILABLE, reason, retry_after)
         if self._time_left() <= MIN_ATTEMPT_TIME_S or self._is_abandoned:
             return Refusal(_GATEWAY_TIMEOUT, Reason.DEADLINE)
         return Refusal(_BAD_GATEWAY, reason)
 
     async def _acquire(self) -> Assignment:
-        """Return a target as soon as one can run the call."""
+        """Return a target as soon as the call is to be sent to it."""
         clock = self._context.clock
         until = clock.now() + _MAX_WAIT_SHARE * self._time_left()
         while True:
@@ -221,14 +241,50 @@
                 raise self._make_refusal(Reason.DEADLINE)
             assignment = self._selector.select(self._avoid)
             if assignment is not None:
-                if assignment.choice.estimated_wait > self._time_left():
-                    raise self._make_refusal(Reason.OVERLOADED)
-                return assignment
-            if clock.now() >= until:
+                if self._decide(assignment) is Decision.SEND:
+                    return assignment
+            elif clock.now() >= until:
                 raise self._make_refusal(Reason.NO_TARGET)
             await self._dispatcher.wait_for_change(
-                min(FULL_TARGET_BACKOFF_S, until - clock.now())
+                random.uniform(*_QUEUE_POLL_RANGE_S)
+            )
+
+    def _decide(self, assignment: Assignment) -> Decision:
+        """Return whether to send the call now; raises ``Refusal``."""
+        prospect = self._make_prospect(assignment)
+        if self._progress.has_started:
+            # The caller waits for the rest of a stream.
+            return Decision.SEND
+        decision = decide(prospect)
+        if decision is Decision.REFUSE:
+            retry_after = compute_retry_after(prospect, random.random())
+            self._context.log.write(
+                'overload',
+                id=self._call.request_id,
+                target=assignment.state.target.incarnation,
+                wait=round(prospect.estimated_wait, 3),
+                queue=round(prospect.queue_wait, 3),
+                left=round(prospect.time_left, 3),
+                retry_after=round(retry_after, 3),
             )
+            raise self._make_refusal(Reason.OVERLOADED, retry_after)
+        return decision
+
+    def _make_prospect(self, assignment: Assignment) -> Prospect:
+        call = self._call
+        choice = assignment.choice
+        waited = self._context.clock.now() - call.incoming.arrived_at
+        time_left = self._time_left()
+        aim = call.route.target_latency or call.route.timeout or time_left
+        if call.route.kind is RouteKind.STREAMING:
+            time_left = min(time_left, call.route.abandon_timeout() - waited)
+        return Prospect(
+            choice.estimated_wait,
+            choice.queue_wait,
+            aim - waited,
+            time_left,
+            aim,
+        )
 
 
 __all__ = [
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 from .messages import GossipMessage
@@ -13,6 +14,7 @@
 from .targets import PeerLoad
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from ..config.ini import Address
@@ -235,6 +237,9 @@
                     now + load.busy_for,
                     load.successes,
                     load.failures,
+                    load.prefill_by_urgency,
+                    load.paced_requests,
+                    load.pace_total,
                     now,
                 )
 
@@ -257,10 +262,26 @@
         for weights_load in message.weights_loads:
             state = states.get(weights_load.incarnation)
             if state is not None and not state.is_loading_by_this_vm:
-                state.cordon(now, weights_load.time_left)
+                state.cordon(now, weights_load.time_left, message.node)
+        changed |= self._end_cordons(message)
         if changed:
             self._targets.notify_changed()
 
+    def _end_cordons(self, message: GossipMessage) -> bool:
+        """Put targets into service that a VM no longer reports as loading.
+
+        Return whether there are any.
+        """
+        reported = {r.incarnation for r in message.weights_loads}
+        ended = [
+            s
+            for n, s in self._targets.states.items()
+            if s.cordoned_by == message.node and n not in reported
+        ]
+        for state in ended:
+            state.end_cordon()
+        return bool(ended)
+
     def _remove_peer(self, name: str) -> None:
         self._quotas.remove_peer(name)
         for state in self._targets.states.values():
@@ -280,9 +301,30 @@
         - peer_load.memory_tokens_used,
         successes=round(load.successes - peer_load.successes, 2),
         failures=round(load.failures - peer_load.failures, 2),
+        prefill_by_urgency=_subtract_tokens(
+            load.prefill_by_urgency, peer_load.prefill_by_urgency
+        ),
+        paced_requests=round(
+            load.paced_requests - peer_load.paced_requests, 2
+        ),
+        pace_total=round(load.pace_total - peer_load.pace_total, 2),
     )
 
 
+def _subtract_tokens(
+    tokens: dict[int, float], other: dict[int, float]
+) -> dict[int, float]:
+    return {u: t - other.get(u, 0.0) for u, t in tokens.items()}
+
+
+def _sum_tokens(loads: Iterable[dict[int, float]]) -> dict[int, float]:
+    total: collections.defaultdict[int, float] = collections.defaultdict(float)
+    for load in loads:
+        for urgency, tokens in load.items():
+            total[urgency] += tokens
+    return {u: float(round(t)) for u, t in total.items()}
+
+
 def _make_load_report(
     incarnation: str, state: TargetState, sources: list[str], now: float
 ) -> LoadReport:
@@ -297,6 +339,7 @@
             *(p.busy_until for p in peer_loads),
         ]
     )
+    pace = state.count_pace(now)
     return LoadReport(
         incarnation,
         state.in_flight + sum(p.in_flight for p in peer_loads),
@@ -316,6 +359,14 @@
         round(until - now, 2),
         round(state.successes + sum(p.successes for p in peer_loads), 2),
         round(state.failures + sum(p.failures for p in peer_loads), 2),
+        _sum_tokens(
+            [
+                state.prefill_by_urgency,
+                *(p.prefill_by_urgency for p in peer_loads),
+            ]
+        ),
+        round(pace.requests + sum(p.paced_requests for p in peer_loads), 2),
+        round(pace.total + sum(p.pace_total for p in peer_loads), 2),
     )
 
 
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -26,7 +26,9 @@
     """Requests in flight at a target, and its decayed outcomes.
 
     ``busy_for`` is the time until all of them are expected to be done, in
-    seconds.
+    seconds. ``prefill_by_urgency`` holds the tokens to prefill by the
+    urgency of their requests. ``paced_requests`` took ``pace_total`` times
+    as long as expected, in sum; both are decayed.
     """
 
     incarnation: str
@@ -37,6 +39,9 @@
     busy_for: float
     successes: float
     failures: float
+    prefill_by_urgency: dict[int, float] = {}  # noqa: RUF012
+    paced_requests: float = 0.0
+    pace_total: float = 0.0
 
 
 class WeightsLoadReport(NamedTuple):
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import collections
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from ..decisions.placement import Candidate
+from ..decisions.speeds import estimate_pace
+from ..decisions.speeds import NO_PACE
+from ..decisions.speeds import PaceCounts
+from ..decisions.speeds import SpeedEstimator
 from .messages import PrefillReport
 from .prefixcache import PrefixCache
 from .recent import Origin
@@ -31,6 +36,16 @@
 _PEER_LOAD_TTL_S = 1.8
 
 
+class Expectation(NamedTuple):
+    """A request without its first token; times by the clock, in seconds.
+
+    It was expected to take ``duration`` seconds from ``started_at``.
+    """
+
+    started_at: float
+    duration: float
+
+
 class PeerLoad(NamedTuple):
     """A peer's load on a target; times by the clock, in seconds.
 
@@ -45,6 +60,9 @@
     busy_until: float
     successes: float
     failures: float
+    prefill_by_urgency: dict[int, float]
+    paced_requests: float
+    pace_total: float
     received_at: float
 
     def is_recent(self, now: float) -> bool:
@@ -58,12 +76,21 @@
     Counts are of this VM's requests, except for those in ``peer_loads``.
     """
 
-    def __init__(self, target: Target) -> None:
+    def __init__(
+        self, target: Target, estimator: SpeedEstimator | None = None
+    ) -> None:
+        """Compare requests with the ``estimator`` of the service."""
         self.target = target
+        self.estimator = estimator or SpeedEstimator()
         self.weights_versions = dict(target.weights_versions)
         self.in_flight = 0
         self.long_in_flight = 0
         self.prefill_tokens = 0.0
+        self.prefill_by_urgency: dict[int, float] = {}
+        # Requests that have no first token yet.
+        self.waiting: dict[int, Expectation] = {}
+        self._pace = NO_PACE
+        self._paced_at_request = 0
         self.memory_tokens_used = 0.0
         self.expected_ends: dict[int, float] = {}
         self.peer_loads: dict[str, PeerLoad] = {}
@@ -71,6 +98,8 @@
         self.blocked_until = float('-inf')
         self.weights_loading_until = float('-inf')
         self.is_loading_by_this_vm = False
+        # The VM that reported that the target loads weights, if any.
+        self.cordoned_by: str | None = None
         # Called when the target goes out of service to load weights.
         self.on_cordon: list[Callable[[], None]] = []
         self.successes = 0.0
@@ -82,9 +111,15 @@
         """Return whether the target is out of service to load weights."""
         return self.weights_loading_until > now
 
-    def cordon(self, now: float, duration: float) -> None:
-        """Take the target out of service for ``duration`` seconds."""
+    def cordon(
+        self, now: float, duration: float, by: str | None = None
+    ) -> None:
+        """Take the target out of service for ``duration`` seconds.
+
+        ``by`` is the VM that reported it, if this VM does not order it.
+        """
         is_new = not self.is_cordoned(now)
+        self.cordoned_by = by
         self.weights_loading_until = now + duration
         if is_new and self.is_cordoned(now):
             for callback in list(self.on_cordon):
@@ -92,6 +127,7 @@
 
     def end_cordon(self) -> None:
         """Put the target into service again."""
+        self.cordoned_by = None
         self.weights_loading_until = float('-inf')
 
     def is_unreachable(self, now: float) -> bool:
@@ -105,6 +141,32 @@
         until = max([*ends, *self.expected_ends.values()], default=now)
         return max(0.0, until - now)
 
+    def add_prefill(self, urgency: int, tokens: float) -> None:
+        """Add tokens to prefill, or remove them if negative."""
+        self.prefill_tokens += tokens
+        total = self.prefill_by_urgency.get(urgency, 0.0) + tokens
+        if total > 0.0:
+            self.prefill_by_urgency[urgency] = total
+        else:
+            self.prefill_by_urgency.pop(urgency, None)
+
+    def record_pace(self, now: float, seconds: float, expected: float) -> None:
+        """Record how long a request took, and was expected to take."""
+        self.decay_outcomes(now)
+        self._pace = self._pace.add(seconds, expected)
+
+    def count_pace(self, now: float) -> PaceCounts:
+        """Return the pace of this VM's requests.
+
+        Those that wait for longer than expected count with their age.
+        """
+        counts = self._pace
+        for waiting in self.waiting.values():
+            age = now - waiting.started_at
+            if age > waiting.duration:
+                counts = counts.add(age, waiting.duration)
+        return counts
+
     def count_in_flight(self, now: float) -> int:
         """Return the number of requests of all VMs in flight."""
         peers = self.peer_loads.values()
@@ -114,9 +176,13 @@
 
     def decay_outcomes(self, now: float) -> None:
         """Reduce the weight of outcomes by their age."""
-        factor = 0.5 ** ((now - self._decayed_at) / _OUTCOME_HALF_LIFE_S)
+        age = now - self._decayed_at
+        factor = 0.5 ** (age / _OUTCOME_HALF_LIFE_S)
         self.successes *= factor
         self.failures *= factor
+        requests = self.estimator.request_count
+        self._pace = self._pace.decay(age, requests - self._paced_at_request)
+        self._paced_at_request = requests
         self._decayed_at = now
 
     def failure_rate(self) -> float:
@@ -145,6 +211,10 @@
         self.states: dict[str, TargetState] = {}
         self.on_change: list[Callable[[], None]] = []
         self.prefills: RecentReports[PrefillReport] = RecentReports(clock)
+        # Estimators by service.
+        self._estimators: collections.defaultdict[str, SpeedEstimator] = (
+            collections.defaultdict(SpeedEstimator)
+        )
         # Memory of an engine by service, in tokens.
         self._memory_tokens: dict[str, int] = {}
 
@@ -175,7 +245,9 @@
         """Add or update a target from its registration."""
         state = self.states.get(target.incarnation)
         if state is None or state.target.started_at_ms != target.started_at_ms:
-            self.states[target.incarnation] = TargetState(target)
+            self.states[target.incarnation] = TargetState(
+                target, self._estimators[target.service]
+            )
         else:
             state.target = target
             for model, version in target.weights_versions.items():
@@ -241,11 +313,12 @@
         service: Service,
         prefill_plan: PrefillPlan,
         has_stale_weights: bool,
+        urgency: int,
     ) -> Candidate:
         """Return the state of a target for the choice.
 
         ``has_stale_weights`` is set if its weights lower the value of a
-        response.
+        response, and ``urgency`` is that of the request.
         """
         now = self._clock.now()
         state.decay_outcomes(now)
@@ -265,14 +338,37 @@
             engine.memory_tokens if engine is not None else 0,
             prefill_plan,
             state.failure_rate(),
+            sum(
+                tokens
+                for by_urgency in (
+                    state.prefill_by_urgency,
+                    *(p.prefill_by_urgency for p in loads),
+                )
+                for other, tokens in by_urgency.items()
+                if other <= urgency
+            ),
+            _estimate_pace(state.count_pace(now), loads),
         )
 
+    def get_estimator(self, service: str) -> SpeedEstimator:
+        """Return the estimator of the speeds of a service's targets."""
+        return self._estimators[service]
+
     def is_local(self, state: TargetState) -> bool:
         """Return whether a target is in this VM's data centre."""
         return state.target.data_centre == self._data_centre
 
 
+def _estimate_pace(own: PaceCounts, loads: Iterable[PeerLoad]) -> float:
+    requests, total = own
+    for load in loads:
+        requests += load.paced_requests
+        total += load.pace_total
+    return estimate_pace(PaceCounts(requests, total))
+
+
 __all__ = [
+    'Expectation',
     'PeerLoad',
     'Targets',
     'TargetState',
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -187,15 +187,20 @@
         self._work_changed.set()
 
     async def _upgrade(self, model: str, state: TargetState) -> None:
-        """Upgrade one engine to the newest announced version."""
+        """Upgrade one engine to the newest announced version.
+
+        Its report is read first: an engine that does not answer must not
+        keep its place while it is waited for.
+        """
         name = state.target.incarnation
         started_at = self._clock.now()
-        await self._drain(model, state)
-        version = self._view.announced[model].newest_version
         try:
             report = await engines.read_report(self._client, state.target)
+            await self._drain(model, state)
+            version = self._view.announced[model].newest_version
             outcome = await self._load_weights(model, version, state, report)
         except PlatformError as error:
+            version = self._view.announced[model].newest_version
             outcome = str(error)
             self._targets.record_unreachable(state)
         if outcome != 'loaded':
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -11,8 +11,8 @@
 from lentilrun.decisions.placement import pick_sample
 from lentilrun.decisions.placement import TokenDemand
 from lentilrun.decisions.sources import NO_CACHE
-from lentilrun.decisions.sources import PREFILL_TOKENS_PER_S
 from lentilrun.decisions.sources import PrefillPlan
+from lentilrun.decisions.speeds import PRIOR_SPEEDS
 import pytest
 
 _PLAIN = Candidate(
@@ -87,7 +87,9 @@
     ) -> None:
         self.demand = demand
         self.prefilled_at = prefilled_at
-        self.end = prefilled_at + demand.decode_time()
+        self.end = prefilled_at + PRIOR_SPEEDS.response_time(
+            demand.output_tokens
+        )
         self.is_long = demand.output_tokens > 500
         self.is_late = is_late
 
@@ -114,7 +116,8 @@
             name=self.name,
             in_flight=len(runs),
             long_in_flight=sum(r.is_long for r in runs),
-            prefill_tokens=max(0.0, self.free_at - now) * PREFILL_TOKENS_PER_S,
+            prefill_tokens=max(0.0, self.free_at - now)
+            * PRIOR_SPEEDS.prefill_tokens_per_s,
             memory_tokens_used=sum(sum(r.demand) for r in runs),
             busy_for=max([r.end for r in runs], default=now) - now,
         )
@@ -122,7 +125,7 @@
     def start(self, demand: TokenDemand, now: float) -> None:
         """Prefill a prompt; responses in progress pause for that time."""
         self.free_at = max(now, self.free_at)
-        self.free_at += demand.input_tokens / PREFILL_TOKENS_PER_S
+        self.free_at += demand.input_tokens / PRIOR_SPEEDS.prefill_tokens_per_s
         if self.free_at - now > _MAX_PAUSE_S:
             for run in self.runs:
                 run.is_late |= run.is_long and run.prefilled_at < now
--- a/tests/gateway/test_moving_streams.py
+++ b/tests/gateway/test_moving_streams.py
@@ -84,3 +84,48 @@
             assert node.targets.states['e9'].connect_failures
 
     asyncio.run(body())
+
+
+def test_cordon_ends_with_its_report() -> None:
+    """A VM that knew of the load before the last report does not wait."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('e1', 'llm')
+            first = await deployment.start_node('vm1')
+            second = await deployment.start_node('vm2')
+            await wait_until(lambda: second.peers.list_responsive() == ['vm1'])
+            await wait_until(lambda: first.peers.list_responsive() == ['vm2'])
+            loading = first.targets.states['e1']
+            state = second.targets.states['e1']
+            loading.is_loading_by_this_vm = True
+            # The row of the engine arrives before the last report.
+            state.record_weights_version(MODEL, 2)
+            loading.record_weights_version(MODEL, 2)
+            loading.cordon(first.clock.now(), 5.0)
+            await wait_until(lambda: state.is_cordoned(second.clock.now()))
+            loading.end_cordon()
+            await wait_until(
+                lambda: not state.is_cordoned(second.clock.now()), 1.0
+            )
+
+    asyncio.run(body())
+
+
+def test_silent_engine_frees_its_place() -> None:
+    """Requests that hang at a dark engine do not delay other engines."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for name in ('e1', 'e2', 'e9'):
+                deployment.add_replica(name, 'llm')
+            node = await deployment.start_node('vm1')
+            await deployment.stop_replica('e9')
+            node.targets.states['e9'].in_flight = 1
+            deployment.announce_weights(2)
+            alive = [deployment.replicas[n] for n in ('e1', 'e2')]
+            await wait_until(
+                lambda: all(r.versions[MODEL] == 2 for r in alive), 2.0
+            )
+
+    asyncio.run(body())
--- a/tests/gateway/test_orders.py
+++ b/tests/gateway/test_orders.py
@@ -46,6 +46,7 @@
             first = await deployment.start_node('vm1')
             second = await deployment.start_node('vm2')
             await wait_until(lambda: first.peers.list_responsive() == ['vm2'])
+            await wait_until(lambda: second.peers.list_responsive() == ['vm1'])
             deployment.announce_weights(2)
             await wait_until(lambda: _versions(deployment) == {2})
             first.upgrades.is_leaving = True
