Ask engines with unexpected weights; don't send what was given up

Each of their requests to such an engine got 421 at once, and the engine, idle in their eyes, was chosen again: 156 of 188 requests that did not run, 132 callers refused for want of retries.

ResponseHandler.stop is remembered until a connection stands, and the request then isn't sent. Moves use half of the retry budget at most. Tests red before: test_unexpected_weights_are_read, test_stopped_request_is_not_sent, test_some_retries_leave_a_share.

--- a/src/lentilrun/decisions/retries.py
+++ b/src/lentilrun/decisions/retries.py
@@ -43,15 +43,17 @@
             while times and times[0] < now - self._window:
                 times.popleft()
 
-    def spend(self, now: float, members: int) -> bool:
+    def spend(self, now: float, members: int, max_share: float = 1.0) -> bool:
         """Spend one retry; return whether the limit allows it.
 
-        ``members`` is the number of VMs that share the slack.
+        ``members`` is the number of VMs that share the slack. At most
+        ``max_share`` of the limit is used.
         """
         self._discard_expired(now)
         allowed_retries = self._ratio * len(self._requests)
         allowed_retries += self._slack / max(1, members)
-        if len(self._retries) + 1 > allowed_retries * _USED_LIMIT_SHARE:
+        limit = allowed_retries * _USED_LIMIT_SHARE * max_share
+        if len(self._retries) + 1 > limit:
             return False
         self._retries.append(now)
         return True
--- a/src/lentilrun/decisions/streammoves.py
+++ b/src/lentilrun/decisions/streammoves.py
@@ -17,6 +17,9 @@
 # The streams of an engine are moved one after another for this long, so that
 # those at the next engine do not pause while it prefills their prompts.
 _SPREAD_S = 0.5
+# Moves use at most this share of the retry budget. The rest is kept for
+# streams that break off.
+MAX_BUDGET_SHARE = 0.5
 # A move needs at least this much time until the caller's deadline.
 _MIN_TIME_LEFT_S = 0.5
 
@@ -57,4 +60,9 @@
     return _GRACE_S + fraction * _SPREAD_S
 
 
-__all__ = ['compute_move_delay', 'may_move', 'RunningStream']
+__all__ = [
+    'compute_move_delay',
+    'MAX_BUDGET_SHARE',
+    'may_move',
+    'RunningStream',
+]
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -274,7 +274,8 @@
         if head is not None and head.weights_version and prompt is not None:
             state.record_weights_version(prompt.model, head.weights_version)
         if outcome is AttemptOutcome.NOT_SENT:
-            targets.record_unreachable(state)
+            if not receiver.is_stopped:
+                targets.record_unreachable(state)
         elif outcome is AttemptOutcome.NOT_RUN:
             self._record_not_run(state)
         elif outcome is AttemptOutcome.DELIVERED:
@@ -288,20 +289,22 @@
                 )
 
     def _record_not_run(self, state: TargetState) -> None:
-        """Remove a target whose address has another incarnation.
+        """Learn why a target did not run the request, where it says so.
 
-        Any other target that did not run the request is not used for a time.
+        A target whose address has another incarnation is removed, and the
+        versions of one with other weights are read. Any other target is not
+        used for a time.
         """
         head = self._receiver.head
         target = state.target
-        if (
-            head is not None
-            and head.misdirected
-            and head.incarnation not in ('', target.incarnation)
-        ):
-            self._context.targets.remove(target.incarnation)
-            self._context.client.close_idle(target.address)
-            return
+        if head is not None and head.misdirected:
+            if head.incarnation not in ('', target.incarnation):
+                self._context.targets.remove(target.incarnation)
+                self._context.client.close_idle(target.address)
+                return
+            if self._assignment.weights_version is not None:
+                self._context.version_reader.request(state)
+                return
         now = self._context.clock.now()
         state.blocked_until = max(
             state.blocked_until, now + _FULL_TARGET_BACKOFF_S
--- a/src/lentilrun/gateway/context.py
+++ b/src/lentilrun/gateway/context.py
@@ -15,6 +15,7 @@
     from .peers import Peers
     from .storedsegments import StoredSegments
     from .targets import Targets
+    from .versionreader import VersionReader
     from .view import View
 
 
@@ -29,6 +30,7 @@
     peers: Peers
     crashes: CrashTracker
     stored_segments: StoredSegments
+    version_reader: VersionReader
     metrics: Metrics
     log: Log
 
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -8,6 +8,7 @@
 
 from ..decisions.facts import RouteKind
 from ..decisions.retries import RetryBudget
+from ..decisions.streammoves import MAX_BUDGET_SHARE
 from ..decisions.streammoves import may_move
 from ..decisions.streammoves import RunningStream
 from ..decisions.waiting import compute_retry_after
@@ -178,7 +179,9 @@
         )
         newest_version = self._selector.newest_usable_version()
         is_movable = may_move(stream, newest_version)
-        self._has_reserved_retry = is_movable and self._spend_retry()
+        self._has_reserved_retry = is_movable and self._spend_retry(
+            MAX_BUDGET_SHARE
+        )
         self._context.log.write(
             'stream_move',
             id=call.request_id,
@@ -202,12 +205,13 @@
             return False
         return self._time_left() > MIN_ATTEMPT_TIME_S
 
-    def _spend_retry(self) -> bool:
+    def _spend_retry(self, max_share: float = 1.0) -> bool:
         if self._has_reserved_retry:
             self._has_reserved_retry = False
             return True
         now = self._context.clock.now()
-        if not self._budget.spend(now, self._context.peers.count_members()):
+        members = self._context.peers.count_members()
+        if not self._budget.spend(now, members, max_share):
             return False
         self._context.metrics.add(Count.RETRIES, self._service)
         return True
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -39,6 +39,7 @@
 from .targets import Targets
 from .upgrades import Upgrades
 from .usage import UsageCheckpointer
+from .versionreader import VersionReader
 from .view import View
 
 if TYPE_CHECKING:
@@ -128,6 +129,9 @@
         self.view = View(self.clock, self.targets, self.log)
         self.crashes = CrashTracker(self.clock)
         self.stored_segments = StoredSegments(self.clock)
+        self.version_reader = VersionReader(
+            self.clock, self.target_client, self.targets, self.log
+        )
         self._build_fleet()
         self._build_entry()
         self._build_upgrades()
@@ -198,6 +202,7 @@
                 self.peers,
                 self.crashes,
                 self.stored_segments,
+                self.version_reader,
                 self.metrics,
                 self.log,
             )
@@ -274,6 +279,7 @@
 
     async def __aenter__(self) -> Node:
         self._stack.enter_context(self.target_client)
+        self._stack.enter_context(self.version_reader)
         self._stack.enter_context(self.store_client)
         await self._stack.enter_async_context(self.peers)
         entry, readiness = self.settings.entry, self.settings.readiness
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -79,16 +79,24 @@
 
 
 class ResponseHandler:
-    """Handles a response as it arrives; collects it unless overridden.
-
-    ``stop`` closes the connection, so that the exchange is interrupted.
-    """
+    """Handles a response as it arrives; collects it unless overridden."""
 
     def __init__(self) -> None:
         self.status = 0
         self.headers = HTTPHeaders()
+        self.is_stopped = False
         self._chunks: list[bytes] = []
-        self.stop: Callable[[], None] = lambda: None
+        self._close: Callable[[], None] | None = None
+
+    def stop(self) -> None:
+        """End the exchange; a request that was not sent yet is not sent."""
+        self.is_stopped = True
+        if self._close is not None:
+            self._close()
+
+    def start(self, close: Callable[[], None]) -> None:
+        """Record how to close the connection that is used from now on."""
+        self._close = close
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
         """Return whether a response belongs to the request.
@@ -302,7 +310,10 @@
         stream = self._pop_idle(address) if reuse else None
         if stream is None:
             stream = await self._connect(address, request.timeout)
-        handler.stop = stream.close
+        if handler.is_stopped:
+            stream.close()
+            raise NotSentError(f'stopped before it was sent to {address}')
+        handler.start(stream.close)
         idle_timeout = 0.0
         try:
             async with asyncio.timeout(request.timeout):
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -26,3 +26,16 @@
     budget = RetryBudget(0.0, 8.0, 10.0)
     assert sum(budget.spend(0.0, 1) for _ in range(20)) == 6
     assert budget.spend(10.5, 1)
+
+
+@pytest.mark.parametrize(
+    ('max_share', 'expected'), [(1.0, 15), (0.5, 7), (0.0, 0)]
+)
+def test_some_retries_leave_a_share(max_share: float, expected: int) -> None:
+    """Retries that are less needed leave a part of the limit to others."""
+    budget = RetryBudget(0.2, 0.0, 10.0)
+    for _ in range(100):
+        budget.record_request(0.0)
+    spent = sum(budget.spend(1.0, 1, max_share) for _ in range(50))
+    assert spent == expected
+    assert sum(budget.spend(1.0, 1) for _ in range(50)) == 15 - spent
--- a/tests/gateway/test_moving_streams.py
+++ b/tests/gateway/test_moving_streams.py
@@ -129,3 +129,25 @@
             )
 
     asyncio.run(body())
+
+
+def test_unexpected_weights_are_read() -> None:
+    """A VM that did not learn of a load asks the engine, once."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            engine = deployment.add_replica('e1', 'llm')
+            node = await deployment.start_node('vm1')
+            deployment.store.faults.is_down = True
+            engine.versions[MODEL] = 2
+            for _ in range(3):
+                response = await deployment.ask(
+                    node, '/chat/x', b'{}', '1000,200'
+                )
+                assert response.status == 200
+            versions = [
+                r.headers.get('X-Expected-Version') for r in engine.runs
+            ]
+            assert versions == ['2', '2', '2']
+
+    asyncio.run(body())
--- a/tests/web/test_client.py
+++ b/tests/web/test_client.py
@@ -74,6 +74,23 @@
         asyncio.run(_exchange(_never_respond, ResponseHandler()))
 
 
+def test_stopped_request_is_not_sent() -> None:
+    """A caller that leaves while the client connects causes no request."""
+    received: list[bytes] = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        received.append(await reader.read())
+        writer.close()
+
+    handler = ResponseHandler()
+    handler.stop()
+    with pytest.raises(NotSentError):
+        asyncio.run(_exchange(serve, handler))
+    assert not b''.join(received)
+
+
 def test_no_connection_is_not_sent() -> None:
     """Without a listening server no byte of the request is sent."""
 
