--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -10,17 +10,11 @@
 from ..decisions.placement import compute_sample_size
 from ..decisions.placement import pick_sample
 from ..decisions.placement import TokenDemand
-from ..decisions.sources import CacheHolder
-from ..decisions.sources import estimate_cached
-from ..decisions.sources import NO_CACHE
-from ..decisions.sources import pick_best_holders
-from ..decisions.sources import pick_kv_cache_store
-from ..decisions.sources import plan_prefill
+from .prefillplans import PrefillPlanner
 
 if TYPE_CHECKING:
-    from ..decisions.facts import Configuration
-    from ..decisions.facts import Prompt
     from ..decisions.facts import Service
+    from ..decisions.placement import Candidate
     from ..decisions.placement import TargetChoice
     from ..decisions.retries import RetryBudget
     from ..decisions.sources import PrefillPlan
@@ -71,7 +65,7 @@
         self._view = context.view
         self._targets = context.targets
         self._peers = context.peers
-        self._stored_segments = context.stored_segments
+        self._planner = PrefillPlanner(call, context)
         self._bounds = context.bounds
 
     def select(self, avoid: set[str]) -> Assignment | None:
@@ -85,48 +79,59 @@
         service = configuration.services.get(self._service)
         if service is None:
             return None
-        call = self._call
-        prompt = call.prompt if service.engine is not None else None
         states = self._list_usable(service, avoid)
         if not states:
             return None
-        demand = TokenDemand(0, 0)
-        if prompt is not None:
-            demand = TokenDemand(prompt.input_tokens, prompt.output_tokens)
-        cached_tokens = self._count_cached_tokens(states, service)
+        demand = self._make_demand(service)
+        cached_tokens = self._planner.count_cached_tokens(states, service)
         sample = self._pick_sample(cached_tokens)
         states = [states[i] for i in sample]
-        plans = self._plan_prefills(
+        plans = self._planner.plan(
             states, [cached_tokens[i] for i in sample], service, configuration
         )
-        stale = self._find_stale(states)
-        make_candidate = self._targets.make_candidate
         choice = choose_target(
-            [
-                make_candidate(
-                    s,
-                    service,
-                    plan,
-                    s.target.incarnation in stale,
-                    call.urgency(),
-                )
-                for s, plan in zip(states, plans, strict=True)
-            ],
+            self._make_candidates(states, plans, service),
             demand,
             self._targets.get_estimator(service.name).speeds(),
         )
         if choice is None:
             return None
         state = self._targets.states[choice.name]
-        salt = self._make_salt(state)
-        weights_version = self._find_weights_version(state)
         return Assignment(
-            state, service, choice, demand, weights_version, salt
+            state,
+            service,
+            choice,
+            demand,
+            self._planner.find_weights_version(state),
+            self._planner.make_salt(state),
         )
 
+    def _make_demand(self, service: Service) -> TokenDemand:
+        prompt = self._call.prompt
+        if service.engine is None or prompt is None:
+            return TokenDemand(0, 0)
+        return TokenDemand(prompt.input_tokens, prompt.output_tokens)
+
+    def _make_candidates(
+        self,
+        states: list[TargetState],
+        plans: list[PrefillPlan],
+        service: Service,
+    ) -> list[Candidate]:
+        stale = self._find_stale(states)
+        urgency = self._call.urgency()
+        return [
+            self._targets.make_candidate(
+                s, service, plan, s.target.incarnation in stale, urgency
+            )
+            for s, plan in zip(states, plans, strict=True)
+        ]
+
     def newest_usable_version(self) -> int:
         """Return the newest weights version of the usable targets, or 0."""
-        versions = map(self._find_weights_version, self._list_service())
+        versions = map(
+            self._planner.find_weights_version, self._list_service()
+        )
         return max((v for v in versions if v is not None), default=0)
 
     def list_outdated(self) -> set[str]:
@@ -135,30 +140,12 @@
         return {
             s.target.incarnation
             for s in self._list_service()
-            if self._find_weights_version(s) != newest
+            if self._planner.find_weights_version(s) != newest
         }
 
     def _list_service(self) -> list[TargetState]:
         return self._targets.list_usable(self._service)
 
-    def _count_cached_tokens(
-        self, states: list[TargetState], service: Service
-    ) -> list[float]:
-        """Return how much of the prompt each target is assumed to have."""
-        prompt = self._call.prompt
-        if prompt is None or service.engine is None:
-            return [0.0] * len(states)
-        cached_tokens = [
-            s.prefix_cache.count_cached_tokens(self._make_salt(s), prompt)
-            for s in states
-        ]
-        if any(cached_tokens):
-            return cached_tokens
-        estimates = estimate_cached(
-            prompt, [s.target.incarnation for s in states]
-        )
-        return [estimates.get(s.target.incarnation, 0.0) for s in states]
-
     def _pick_sample(self, cached_tokens: list[float]) -> list[int]:
         size = compute_sample_size(
             len(cached_tokens), self._estimate_unreported()
@@ -174,59 +161,6 @@
         others = self._peers.count_members() - 1
         return own_rate * others * self._peers.mean_report_age()
 
-    def _plan_prefills(
-        self,
-        states: list[TargetState],
-        cached_tokens: list[float],
-        service: Service,
-        configuration: Configuration,
-    ) -> list[PrefillPlan]:
-        """Return what each target has cached, and where it gets the rest."""
-        prompt = self._call.prompt
-        if prompt is None or service.engine is None:
-            return [NO_CACHE] * len(states)
-        salts = [self._make_salt(s) for s in states]
-        store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
-        stored_salts = {
-            s for s in set(salts) if self._stored_segments.has_all(s, prompt)
-        }
-        holder_salts = (
-            set(salts) - stored_salts if store is not None else set(salts)
-        )
-        holders = self._find_holders(service, prompt, holder_salts)
-        return [
-            plan_prefill(
-                tokens,
-                s.target.data_centre,
-                holders.get(salt, []),
-                store,
-                salt in stored_salts,
-            )
-            for s, salt, tokens in zip(
-                states, salts, cached_tokens, strict=True
-            )
-        ]
-
-    def _find_holders(
-        self, service: Service, prompt: Prompt, salts: set[str]
-    ) -> dict[str, list[CacheHolder]]:
-        """Return each data centre's engine with the most tokens, by salt."""
-        if not salts:
-            return {}
-        by_salt: dict[str, list[CacheHolder]] = {salt: [] for salt in salts}
-        for state in self._targets.list_cache_sources(service.name):
-            salt = self._make_salt(state)
-            tokens = state.prefix_cache.count_cached_tokens(salt, prompt)
-            if tokens and salt in by_salt:
-                target = state.target
-                by_salt[salt].append(
-                    CacheHolder(target.address, target.data_centre, tokens)
-                )
-        return {
-            salt: pick_best_holders(holders)
-            for salt, holders in by_salt.items()
-        }
-
     def _find_stale(self, states: list[TargetState]) -> frozenset[str]:
         """Return the targets whose weights lower the value of a response."""
         return frozenset(
@@ -236,27 +170,12 @@
         )
 
     def _stale_for(self, state: TargetState) -> float:
-        weights_version = self._find_weights_version(state)
+        weights_version = self._planner.find_weights_version(state)
         prompt = self._call.prompt
         if weights_version is None or prompt is None:
             return 0.0
         return self._view.stale_for(prompt.model, weights_version)
 
-    def _find_weights_version(self, state: TargetState) -> int | None:
-        prompt = self._call.prompt
-        if prompt is None or not state.weights_versions:
-            return None
-        return state.weights_versions.get(prompt.model)
-
-    def _make_salt(self, state: TargetState) -> str:
-        weights_version = self._find_weights_version(state)
-        if weights_version is None:
-            return ''
-        workspace = self._call.workspace
-        if workspace is not None and workspace.is_isolated:
-            return f'{weights_version}/{workspace.name}'
-        return str(weights_version)
-
     def _list_usable(
         self, service: Service, avoid: set[str]
     ) -> list[TargetState]:
--- /dev/null
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -0,0 +1,125 @@
+"""What engines have cached of a call's prompt, and where they get more."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..decisions.sources import CacheHolder
+from ..decisions.sources import estimate_cached
+from ..decisions.sources import NO_CACHE
+from ..decisions.sources import pick_best_holders
+from ..decisions.sources import pick_kv_cache_store
+from ..decisions.sources import plan_prefill
+
+if TYPE_CHECKING:
+    from ..decisions.facts import Configuration
+    from ..decisions.facts import Prompt
+    from ..decisions.facts import Service
+    from ..decisions.sources import PrefillPlan
+    from .call import Call
+    from .context import DispatchContext
+    from .targets import TargetState
+
+
+class PrefillPlanner:
+    """Plans the prefill of one call's prompt at targets of a service."""
+
+    def __init__(self, call: Call, context: DispatchContext) -> None:
+        self._call = call
+        self._targets = context.targets
+        self._stored_segments = context.stored_segments
+
+    def find_weights_version(self, state: TargetState) -> int | None:
+        """Return the version of the call's model that a target has."""
+        prompt = self._call.prompt
+        if prompt is None or not state.weights_versions:
+            return None
+        return state.weights_versions.get(prompt.model)
+
+    def make_salt(self, state: TargetState) -> str:
+        """Return what separates cached segments that must not be shared.
+
+        It is empty if the call states no prompt or the target has no weights
+        of its model.
+        """
+        weights_version = self.find_weights_version(state)
+        if weights_version is None:
+            return ''
+        workspace = self._call.workspace
+        if workspace is not None and workspace.is_isolated:
+            return f'{weights_version}/{workspace.name}'
+        return str(weights_version)
+
+    def count_cached_tokens(
+        self, states: list[TargetState], service: Service
+    ) -> list[float]:
+        """Return how much of the prompt each target is assumed to have."""
+        prompt = self._call.prompt
+        if prompt is None or service.engine is None:
+            return [0.0] * len(states)
+        cached_tokens = [
+            s.prefix_cache.count_cached_tokens(self.make_salt(s), prompt)
+            for s in states
+        ]
+        if any(cached_tokens):
+            return cached_tokens
+        estimates = estimate_cached(
+            prompt, [s.target.incarnation for s in states]
+        )
+        return [estimates.get(s.target.incarnation, 0.0) for s in states]
+
+    def plan(
+        self,
+        states: list[TargetState],
+        cached_tokens: list[float],
+        service: Service,
+        configuration: Configuration,
+    ) -> list[PrefillPlan]:
+        """Return what each target has cached, and where it gets the rest."""
+        prompt = self._call.prompt
+        if prompt is None or service.engine is None:
+            return [NO_CACHE] * len(states)
+        salts = [self.make_salt(s) for s in states]
+        store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
+        stored_salts = {
+            s for s in set(salts) if self._stored_segments.has_all(s, prompt)
+        }
+        holder_salts = (
+            set(salts) - stored_salts if store is not None else set(salts)
+        )
+        holders = self._find_holders(service, prompt, holder_salts)
+        return [
+            plan_prefill(
+                tokens,
+                s.target.data_centre,
+                holders.get(salt, []),
+                store,
+                salt in stored_salts,
+            )
+            for s, salt, tokens in zip(
+                states, salts, cached_tokens, strict=True
+            )
+        ]
+
+    def _find_holders(
+        self, service: Service, prompt: Prompt, salts: set[str]
+    ) -> dict[str, list[CacheHolder]]:
+        """Return each data centre's engine with the most tokens, by salt."""
+        if not salts:
+            return {}
+        by_salt: dict[str, list[CacheHolder]] = {salt: [] for salt in salts}
+        for state in self._targets.list_cache_sources(service.name):
+            salt = self.make_salt(state)
+            tokens = state.prefix_cache.count_cached_tokens(salt, prompt)
+            if tokens and salt in by_salt:
+                target = state.target
+                by_salt[salt].append(
+                    CacheHolder(target.address, target.data_centre, tokens)
+                )
+        return {
+            salt: pick_best_holders(holders)
+            for salt, holders in by_salt.items()
+        }
+
+
+__all__ = ['PrefillPlanner']
