Keep long responses off engines that are to load weights

Change: a second of a response on replaced weights costs 0.15 s (Candidate. is_outdated); short responses stay where their prompts are cached. Tests: test_preferences, three more cases.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -55,6 +55,9 @@
 _MIN_SAMPLED_TARGETS = 2
 # Cost of starting a request on weights that were replaced.
 _STALE_WEIGHTS_COST_S = 0.15
+# Cost of each second of a response on weights that were replaced: until its
+# end, the engine can't load the new ones.
+_OUTDATED_COST_S_PER_S = 0.15
 
 
 class Candidate(NamedTuple):
@@ -68,7 +71,9 @@
     to be complete after ``busy_for`` seconds. ``prefill_plan`` states how
     much of the prompt the target is assumed to have cached.
     ``failure_rate`` is the share of recent responses that failed, and
-    ``pace`` how many times as long as expected requests take.
+    ``pace`` how many times as long as expected requests take. Newer weights
+    were announced for a target that ``is_outdated``; ``has_stale_weights`` is
+    set once that lowers the value of a response.
     """
 
     name: str
@@ -85,6 +90,7 @@
     failure_rate: float
     urgent_prefill_tokens: float = 0.0
     pace: float = 1.0
+    is_outdated: bool = False
 
 
 class TokenDemand(NamedTuple):
@@ -195,6 +201,9 @@
     cost += candidate.failure_rate * _FAILURE_COST_S
     if candidate.has_stale_weights:
         cost += _STALE_WEIGHTS_COST_S
+    if candidate.is_outdated:
+        response_time = speeds.response_time(demand.output_tokens)
+        cost += response_time * _OUTDATED_COST_S_PER_S
     if not candidate.is_local:
         cost += _REMOTE_COST_S
     return cost
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -118,14 +118,21 @@
         plans: list[PrefillPlan],
         service: Service,
     ) -> list[Candidate]:
-        stale = self._find_stale(states)
         urgency = self._call.urgency()
-        return [
-            self._targets.make_candidate(
-                s, service, plan, s.target.incarnation in stale, urgency
+        candidates = []
+        for state, plan in zip(states, plans, strict=True):
+            stale_for = self._stale_for(state)
+            candidates.append(
+                self._targets.make_candidate(
+                    state,
+                    service,
+                    plan,
+                    stale_for > _FULL_VALUE_S,
+                    stale_for > 0.0,
+                    urgency,
+                )
             )
-            for s, plan in zip(states, plans, strict=True)
-        ]
+        return candidates
 
     def newest_usable_version(self) -> int:
         """Return the newest weights version of the usable targets, or 0."""
@@ -161,14 +168,6 @@
         others = self._peers.count_members() - 1
         return own_rate * others * self._peers.mean_report_age()
 
-    def _find_stale(self, states: list[TargetState]) -> frozenset[str]:
-        """Return the targets whose weights lower the value of a response."""
-        return frozenset(
-            s.target.incarnation
-            for s in states
-            if self._stale_for(s) > _FULL_VALUE_S
-        )
-
     def _stale_for(self, state: TargetState) -> float:
         weights_version = self._planner.find_weights_version(state)
         prompt = self._call.prompt
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -313,13 +313,10 @@
         service: Service,
         prefill_plan: PrefillPlan,
         has_stale_weights: bool,
+        is_outdated: bool,
         urgency: int,
     ) -> Candidate:
-        """Return the state of a target for the choice.
-
-        ``has_stale_weights`` is set if its weights lower the value of a
-        response, and ``urgency`` is that of the request.
-        """
+        """Return the state of a target for a request of some ``urgency``."""
         now = self._clock.now()
         state.decay_outcomes(now)
         loads = [p for p in state.peer_loads.values() if p.is_recent(now)]
@@ -348,6 +345,7 @@
                 if other <= urgency
             ),
             _estimate_pace(state.count_pace(now), loads),
+            is_outdated,
         )
 
     def get_estimator(self, service: str) -> SpeedEstimator:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -45,6 +45,20 @@
             {'prefill_tokens': 2000.0},
             {'has_stale_weights': True},
         ),
+        # Long responses leave engines that are to load new weights.
+        (
+            _LONG_RESPONSE,
+            {'prefill_tokens': 6000.0},
+            {'is_outdated': True},
+        ),
+        # Long prompts stay where their segments are cached.
+        (
+            _LONG_PROMPT,
+            {'prefill_plan': PrefillPlan(6000.0), 'is_outdated': True},
+            {},
+        ),
+        # A target with the usual pace.
+        (TokenDemand(0, 0), {'in_flight': 40}, {'pace': 4.0}),
         # Fewer failures.
         (TokenDemand(0, 0), {'in_flight': 30}, {'failure_rate': 0.5}),
         # The local data centre, if all else is equal.
