Bound what responses without an end may use

Cause: a response without a length, or a chunked one, was collected up to 64 MB or for as long as its timeout; a VM has 128 MB. And a response without a length that the router itself ended (caller gone, stream to move) seemed complete, as it ends with its connection.

Change: web/memory.py; a client collects at most a sixteenth of the VM's memory for one response and a sixth for all, unread bytes of a connection are at most 1 MB; what exceeds it is an interrupted exchange: the caller gets 502, the target counts as failed. A stopped exchange is always interrupted.

--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -18,6 +18,7 @@
 from ..platform import documents
 from ..platform.rows import RowStore
 from ..web.client import Client
+from ..web.memory import MemoryLimits
 from .admission import Admission
 from .call import Refusal
 from .context import DispatchContext
@@ -54,6 +55,10 @@
 _TARGET_CONNECT_S = 0.4
 _STORE_CONNECT_S = 0.5
 _MAX_IDLE_CONNECTIONS = 8
+# Shares of the process's memory that one response, and all responses of a
+# client, may use while they are collected.
+_RESPONSE_MEMORY_SHARE = 1.0 / 16.0
+_RESPONSES_MEMORY_SHARE = 1.0 / 6.0
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 16 * 1024 * 1024
 # Longer than any timeout that operators set, so that callers close idle
@@ -71,6 +76,14 @@
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
+def _make_memory_limits(memory_bytes: int) -> MemoryLimits:
+    """Return the limits of each client for a process's memory."""
+    return MemoryLimits(
+        int(memory_bytes * _RESPONSE_MEMORY_SHARE),
+        int(memory_bytes * _RESPONSES_MEMORY_SHARE),
+    )
+
+
 def _make_quota_tolerance(settings: NodeSettings) -> QuotaTolerance:
     bounds = settings.bounds
     return QuotaTolerance(
@@ -122,8 +135,13 @@
         self.clock = SystemClock()
         self.log = Log(self.clock, settings.name, log_file)
         self.metrics = Metrics()
-        self.target_client = Client(_TARGET_CONNECT_S, _MAX_IDLE_CONNECTIONS)
-        self.store_client = Client(_STORE_CONNECT_S, _MAX_IDLE_CONNECTIONS)
+        limits = _make_memory_limits(settings.memory_bytes)
+        self.target_client = Client(
+            _TARGET_CONNECT_S, _MAX_IDLE_CONNECTIONS, limits
+        )
+        self.store_client = Client(
+            _STORE_CONNECT_S, _MAX_IDLE_CONNECTIONS, limits
+        )
         self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
         self.view = View(self.clock, self.targets, self.log)
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -12,6 +12,8 @@
 from ..errors import LentilrunError
 
 PATH_VARIABLE = 'LENTILRUN_CONFIG'
+_BYTES_PER_MB = 1_000_000
+_DEFAULT_MEMORY_MB = 128
 
 
 class Bounds(NamedTuple):
@@ -40,7 +42,8 @@
 class NodeSettings(NamedTuple):
     """The settings of a router process.
 
-    ``power`` is in processor cores; ``host`` is the IP of the VM.
+    ``power`` is in processor cores, ``memory_bytes`` the most that the
+    process may use; ``host`` is the IP of the VM.
     """
 
     name: str
@@ -52,6 +55,7 @@
     peer_port: int
     store: Address
     bounds: Bounds
+    memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
 
 
 class BadSettingsError(LentilrunError):
@@ -94,6 +98,8 @@
             peer_port=int(document['internal-ports'][0]),
             store=parse_address(document['platform']['address']),
             bounds=_parse_bounds(document['bounds']),
+            memory_bytes=_BYTES_PER_MB
+            * int(document['limits'].get('memory-mb', _DEFAULT_MEMORY_MB)),
         )
     except (KeyError, IndexError, TypeError, ValueError) as error:
         message = f'invalid settings: {error!r}'
--- a/src/lentilrun/standins/process.py
+++ b/src/lentilrun/standins/process.py
@@ -16,6 +16,7 @@
 readiness = "127.0.0.1:{readiness}"
 [limits]
 cpu-share = 0.5
+memory-mb = 128
 cores = 2
 [platform]
 address = "127.0.0.1:{store}"
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -23,6 +23,8 @@
 from tornado.iostream import StreamClosedError
 
 from ..errors import LentilrunError
+from .memory import DEFAULT_MEMORY_LIMITS
+from .memory import MemoryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -30,10 +32,13 @@
     from types import TracebackType
 
     from ..config.ini import Address
+    from .memory import MemoryLimits
 
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 64 * 1024 * 1024
+# What is received but not handled yet; larger than any head or chunk.
+_MAX_BUFFERED_BYTES = 1024 * 1024
 _MAX_IDLE_CONNECTIONS = 64
 _READ_CHUNK_BYTES = 64 * 1024
 _MAX_MISMATCHED_RESPONSES = 4
@@ -86,7 +91,9 @@
         self.headers = HTTPHeaders()
         self.is_stopped = False
         self._chunks: list[bytes] = []
+        self._collected_bytes = 0
         self._close: Callable[[], None] | None = None
+        self._memory: MemoryBudget | None = None
 
     def stop(self) -> None:
         """End the exchange; a request that was not sent yet is not sent."""
@@ -94,9 +101,20 @@
         if self._close is not None:
             self._close()
 
-    def start(self, close: Callable[[], None]) -> None:
-        """Record how to close the connection that is used from now on."""
+    def start(self, close: Callable[[], None], memory: MemoryBudget) -> None:
+        """Record how to close the connection that is used from now on.
+
+        What is collected counts in ``memory`` until ``end``.
+        """
         self._close = close
+        self._memory = memory
+
+    def end(self) -> None:
+        """Record that the exchange has ended."""
+        if self._memory is not None:
+            self._memory.release(self._collected_bytes)
+        self._memory = None
+        self._collected_bytes = 0
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
         """Return whether a response belongs to the request.
@@ -114,7 +132,17 @@
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
-        """Handle a chunk of the body."""
+        """Handle a chunk of the body.
+
+        A response that exceeds the memory limits ends the exchange.
+        """
+        memory = self._memory
+        size = len(chunk)
+        if memory is not None and not memory.take(self._collected_bytes, size):
+            self._chunks.clear()
+            self.stop()
+            return None
+        self._collected_bytes += size
         self._chunks.append(chunk)
         return None
 
@@ -221,11 +249,13 @@
         self,
         connect_timeout: float = _CONNECT_TIMEOUT_S,
         max_idle: int = _MAX_IDLE_CONNECTIONS,
+        memory_limits: MemoryLimits = DEFAULT_MEMORY_LIMITS,
     ) -> None:
         """Keep up to ``max_idle`` idle connections for each address.
 
         ``connect_timeout`` is in seconds.
         """
+        self._memory = MemoryBudget(memory_limits)
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
         self._idle: dict[Address, list[_IdleConnection]] = {}
@@ -282,7 +312,7 @@
 
     async def _connect(self, address: Address, timeout: float) -> IOStream:
         connect_timeout = min(self._connect_timeout, timeout)
-        stream = IOStream(_make_socket(), max_buffer_size=_MAX_BODY_BYTES)
+        stream = IOStream(_make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES)
         try:
             async with asyncio.timeout(connect_timeout):
                 await stream.connect((address.host, address.port))
@@ -313,7 +343,7 @@
         if handler.is_stopped:
             stream.close()
             raise NotSentError(f'stopped before it was sent to {address}')
-        handler.start(stream.close)
+        handler.start(stream.close, self._memory)
         idle_timeout = 0.0
         try:
             async with asyncio.timeout(request.timeout):
@@ -327,6 +357,7 @@
             message = f'{address} gave no answer in time'
             raise InterruptedExchangeError(message) from error
         finally:
+            handler.end()
             if not idle_timeout:
                 stream.close()
         if idle_timeout:
@@ -353,7 +384,9 @@
                 if not delegate.finished or delegate.is_mismatched:
                     raise
                 return 0.0
-            if not delegate.finished:
+            if not delegate.finished or handler.is_stopped:
+                # A response without a length seems complete when the
+                # handler closes its connection.
                 break
             if not delegate.is_mismatched:
                 return (
--- a/tests/web/test_client.py
+++ b/tests/web/test_client.py
@@ -91,6 +91,18 @@
     assert not b''.join(received)
 
 
+def test_stopped_response_is_not_complete() -> None:
+    """A response without a length does not end because it was stopped."""
+
+    class _Stopping(ResponseHandler):
+        def receive_chunk(self, chunk: bytes) -> None:
+            self.stop()
+
+    serve = _respond_with(b'HTTP/1.1 200 OK\r\n\r\nfirst event')
+    with pytest.raises(InterruptedExchangeError):
+        asyncio.run(_exchange(serve, _Stopping()))
+
+
 def test_no_connection_is_not_sent() -> None:
     """Without a listening server no byte of the request is sent."""
 
