Keep the quota in fleets whose reports pass two hubs

VMs assumed that reports arrive within 0.35 s; over hubs they take up to 0.85 s. And a workspace that sends in bursts found the whole room free at each VM: what the others may admit was estimated from the rate of the last second, which is 0 before a burst is known.

Change: the lag follows from the fleet's topology, the share of the tolerance that is kept grows with it (0.4 at 0.35 s as before, 0.97 at 0.85 s; use beyond rate and burst isn't owed), and the highest rate in the window says how many requests compete for the room that is left.

--- a/src/lentilrun/decisions/quota.py
+++ b/src/lentilrun/decisions/quota.py
@@ -19,17 +19,15 @@
 
 # Use is counted in time slots of this length.
 _SLOT_S = 0.25
-# Share of the tolerance (overage and slack) that is added to what rate and
-# burst allow.
-_USED_TOLERANCE_SHARE = 0.6
+# Share of the tolerance (overage and slack) that is kept for what VMs admit
+# while they do not know of each other's use, for each second of that time.
+_KEPT_TOLERANCE_SHARE_PER_S = 1.14
 # Tokens that all VMs are assumed to have admitted before all of them
 # restarted, as a share of what rate and burst allow in a window. Use beyond
 # it is written to a checkpoint.
 _ASSUMED_PRIOR_USE_SHARE = 0.5
 
 
-# Approximate time until a VM knows the tokens that other VMs admitted.
-_REPORT_LAG_S = 0.35
 # The use of this many slots gives the rate at which VMs admit tokens that
 # they have not reported yet.
 _RECENT_SLOTS = 4
@@ -70,11 +68,15 @@
         """Return the tokens that rate and burst allow in a window."""
         return self.rate * self._tolerance.window + self.burst
 
-    def limit(self) -> float:
-        """Return the tokens that may be admitted during any window."""
+    def limit(self, report_lag: float) -> float:
+        """Return the tokens that a VM admits if it knows of all use.
+
+        It takes ``report_lag`` seconds until it does.
+        """
         entitlement = self.entitlement()
         excess = entitlement * self._tolerance.overage + self._tolerance.slack
-        return entitlement + excess * _USED_TOLERANCE_SHARE
+        used_share = max(0.0, 1.0 - _KEPT_TOLERANCE_SHARE_PER_S * report_lag)
+        return entitlement + excess * used_share
 
     def add(self, tokens: float, now: float) -> None:
         """Count admitted tokens; the number is negative for a refund."""
@@ -127,7 +129,7 @@
             > 0.0
         )
 
-    def _estimate_unreported(self, now: float) -> float:
+    def _estimate_unreported(self, now: float, report_lag: float) -> float:
         """Return the tokens that all VMs admit until they report them.
 
         The estimate uses the recent rate of all VMs.
@@ -136,7 +138,22 @@
         recent_tokens = sum(
             self._slots.get(newest_slot - i, 0.0) for i in range(_RECENT_SLOTS)
         )
-        return recent_tokens / (_RECENT_SLOTS * _SLOT_S) * _REPORT_LAG_S
+        return recent_tokens / (_RECENT_SLOTS * _SLOT_S) * report_lag
+
+    def _estimate_peak_unreported(self, report_lag: float) -> float:
+        """Return the tokens that were unreported at the highest rate.
+
+        A workspace that sends in bursts reaches this rate before any VM
+        knows of the next burst.
+        """
+        peak_tokens = max(
+            (
+                sum(self._slots.get(s + i, 0.0) for i in range(_RECENT_SLOTS))
+                for s in self._slots
+            ),
+            default=0.0,
+        )
+        return peak_tokens / (_RECENT_SLOTS * _SLOT_S) * report_lag
 
     def compute_delay(
         self,
@@ -144,25 +161,28 @@
         members: int,
         unresponsive: int,
         now: float,
+        report_lag: float,
         random_factor: float = 0.0,
     ) -> float:
         """Return the delay until a request fits, in seconds; 0 if now.
 
-        ``unresponsive`` of the ``members`` VMs have sent nothing lately.
+        ``unresponsive`` of the ``members`` VMs have sent nothing lately. It
+        takes ``report_lag`` seconds until a VM knows what others admitted.
         Near the limit, all others may admit requests into the same
         remaining tokens at the same time: ``random_factor``, a random
         number from 0 to 1, decides which of them do.
         """
         self.discard_expired(now)
-        limit = self.limit() * (1.0 - unresponsive / max(1, members))
+        limit = self.limit(report_lag) * (1.0 - unresponsive / max(1, members))
         others = max(1, members - unresponsive) - 1
-        max_unreported = self._estimate_unreported(now)
+        max_unreported = self._estimate_unreported(now, report_lag)
         unreported = min(self.unreported_tokens * others, max_unreported)
         available = limit - self.used_tokens - unreported
         if tokens > available:
             return self._compute_expiry_delay(tokens - available, now)
-        demand = tokens + min(others * tokens, max_unreported)
-        return 0.0 if random_factor * demand <= available else _REPORT_LAG_S
+        peak_unreported = self._estimate_peak_unreported(report_lag)
+        demand = tokens + min(others * tokens, peak_unreported)
+        return 0.0 if random_factor * demand <= available else report_lag
 
     def _compute_expiry_delay(self, excess: float, now: float) -> float:
         """Return the time until ``excess`` tokens leave the window, in s."""
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -36,6 +36,8 @@
 _MESH_INTERVAL_S = 0.25
 # In fleets of more than ``MESH_VMS``, reports are sent through hubs.
 _HUB_INTERVAL_S = 0.25
+# Time to send, receive and handle a message.
+_HANDLING_S = 0.1
 # A peer from which nothing came for this time is unresponsive.
 _PEER_TIMEOUT_S = 1.4
 # In a mesh, an unresponsive peer is removed after this time.
@@ -195,6 +197,16 @@
         # A report waits for half an interval at the VM and at its hub.
         return _HUB_INTERVAL_S
 
+    def report_lag(self) -> float:
+        """Return the longest time that a report usually takes, in seconds.
+
+        In a large fleet it waits at the VM, at its hub and at the hub of the
+        other data centre.
+        """
+        if self.is_mesh():
+            return _MESH_INTERVAL_S + _HANDLING_S
+        return 3.0 * _HUB_INTERVAL_S + _HANDLING_S
+
     def list_summary_senders(self) -> tuple[str, ...]:
         """Return the VMs that send this one summaries of other VMs."""
         if self.is_mesh():
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -73,6 +73,7 @@
             self._peers.count_members(),
             self._peers.count_unresponsive(),
             self._clock.now(),
+            self._peers.report_lag(),
             random.random(),
         )
         if not delay:
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -23,14 +23,16 @@
 class _Vm:
     """A VM that admits what fits, and reports it to the others later."""
 
-    def __init__(self) -> None:
+    def __init__(self, report_lag: float = 0.35) -> None:
         self.window = _make()
-        self.told = 0.0
+        self._report_lag = report_lag
 
     def try_charge(
         self, tokens: float, now: float, vms: int, random_factor: float
     ) -> bool:
-        if self.window.compute_delay(tokens, vms, 0, now, random_factor):
+        if self.window.compute_delay(
+            tokens, vms, 0, now, self._report_lag, random_factor
+        ):
             return False
         self.window.add(tokens, now)
         self.window.unreported_tokens += tokens
@@ -69,15 +71,52 @@
         vm.window.unreported_tokens = 0.0
 
 
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('is_burst', [True, False])
+def test_late_reports_of_a_large_fleet(seed: int, is_burst: bool) -> None:
+    """Reports pass two hubs on their way between 195 VMs.
+
+    A workspace sends eight times its rate, all the time or for a second
+    after it was idle.
+    """
+    rng = random.Random(seed)
+    lag = 0.85
+    vms = [_Vm(lag) for _ in range(195)]
+    admitted: list[tuple[float, float]] = []
+    reports: list[list[float]] = []
+    for step in range(1400):
+        now = 100.0 + step * 0.01
+        if not is_burst or step % 500 < 100:
+            vm = rng.choice(vms)
+            tokens = rng.choice([200.0, 1500.0, 3000.0])
+            if vm.try_charge(tokens, now, len(vms), rng.random()):
+                admitted.append((now, tokens))
+        if step % 25 == 24:
+            reports.append([vm.window.unreported_tokens for vm in vms])
+            for vm in vms:
+                vm.window.unreported_tokens = 0.0
+            if len(reports) > 2:
+                _deliver(vms, reports.pop(0), now)
+    for start, _ in admitted:
+        used = sum(t for at, t in admitted if start <= at < start + 8.0)
+        assert used <= _MAX_TOKENS
+
+
+def _deliver(vms: list[_Vm], unreported: list[float], now: float) -> None:
+    total = sum(unreported)
+    for vm, own in zip(vms, unreported, strict=True):
+        vm.window.add(total - own, now)
+
+
 def test_unresponsive_vms_keep_a_share() -> None:
     """A VM that receives no reports uses only its own share."""
     window = _make()
     now = 50.0
     used = 0.0
-    while not window.compute_delay(1000.0, 8, 7, now):
+    while not window.compute_delay(1000.0, 8, 7, now, 0.35):
         window.add(1000.0, now)
         used += 1000.0
-    assert used <= window.limit() / 8
+    assert used <= window.limit(0.35) / 8
 
 
 @pytest.mark.parametrize('age', [0.0, 1.0, 3.0])
