Leave idle targets out of messages before they are summed up

Cause: each message made a load report for each of 84 targets, of which a VM of a large fleet uses a few: 1.2 ms a message, four a second, on 195 VMs.

Change: targets without requests or failures are skipped.

--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -79,7 +79,7 @@
         sources = self._list_sources(scope)
         loads = self._list_loads(sources, now)
         message = self._make_message(
-            [r for r in loads if _is_significant(r)],
+            loads,
             self._quotas.export_admitted(_MAX_ORIGIN[scope]),
             scope,
         )
@@ -138,25 +138,31 @@
         return [n for n, p in peers.items() if p.member.data_centre == own]
 
     def _list_loads(self, sources: list[str], now: float) -> list[LoadReport]:
+        """Return the significant loads of this VM and of ``sources``."""
         loads = []
         for incarnation, state in self._targets.states.items():
+            if not state.has_requests() and not (sources and state.peer_loads):
+                continue
             state.decay_outcomes(now)
-            loads.append(_make_load_report(incarnation, state, sources, now))
+            load = _make_load_report(incarnation, state, sources, now)
+            if _is_significant(load):
+                loads.append(load)
         return loads
 
     def _exclude_peer(
         self, loads: list[LoadReport], peer: str, now: float
     ) -> list[LoadReport]:
         """Return the significant loads without a peer's own requests."""
+        states = self._targets.states
         remaining = []
         for load in loads:
-            peer_load = self._targets.states[load.incarnation].peer_loads.get(
-                peer
-            )
-            if peer_load is not None and peer_load.is_recent(now):
-                load = _subtract(load, peer_load)
-            if _is_significant(load):
+            peer_load = states[load.incarnation].peer_loads.get(peer)
+            if peer_load is None or not peer_load.is_recent(now):
                 remaining.append(load)
+                continue
+            others = _subtract(load, peer_load)
+            if _is_significant(others):
+                remaining.append(others)
         return remaining
 
     def _list_weights_loads(self) -> list[WeightsLoadReport]:
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -134,6 +134,10 @@
         """Return whether the last connections to the target failed."""
         return self.connect_failures > 0 and self.blocked_until > now
 
+    def has_requests(self) -> bool:
+        """Return whether this VM has requests at it, or had failures."""
+        return self.in_flight > 0 or self.failures > 0.0
+
     def busy_for(self, now: float) -> float:
         """Return the expected time until all requests end, in seconds."""
         peers = self.peer_loads.values()
