--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -255,10 +255,10 @@
 
     def _decide(self, assignment: Assignment) -> Decision:
         """Return whether to send the call now; raises ``Refusal``."""
-        prospect = self._make_prospect(assignment)
         if self._progress.has_started:
             # The caller waits for the rest of a stream.
             return Decision.SEND
+        prospect = self._make_prospect(assignment)
         decision = decide(prospect)
         if decision is Decision.REFUSE:
             retry_after = compute_retry_after(prospect, random.random())
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -76,12 +76,10 @@
     Counts are of this VM's requests, except for those in ``peer_loads``.
     """
 
-    def __init__(
-        self, target: Target, estimator: SpeedEstimator | None = None
-    ) -> None:
-        """Compare requests with the ``estimator`` of the service."""
+    def __init__(self, target: Target, estimator: SpeedEstimator) -> None:
+        """Decay the pace with the requests that ``estimator`` counts."""
         self.target = target
-        self.estimator = estimator or SpeedEstimator()
+        self._estimator = estimator
         self.weights_versions = dict(target.weights_versions)
         self.in_flight = 0
         self.long_in_flight = 0
@@ -184,7 +182,7 @@
         factor = 0.5 ** (age / _OUTCOME_HALF_LIFE_S)
         self.successes *= factor
         self.failures *= factor
-        requests = self.estimator.request_count
+        requests = self._estimator.request_count
         self._pace = self._pace.decay(age, requests - self._paced_at_request)
         self._paced_at_request = requests
         self._decayed_at = now
