--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -70,6 +70,20 @@
         return self._respond(self._changes[after:])
 
 
+class _Presence:
+    """The keys of the rows that are present for a follower's handler."""
+
+    def __init__(self) -> None:
+        self.keys: set[str] = set()
+
+    def handle(self, row: Row) -> None:
+        """Add the key of a row, or remove that of a deleted one."""
+        if row.is_deleted:
+            self.keys.discard(row.key)
+        else:
+            self.keys.add(row.key)
+
+
 class _Outage(NamedTuple):
     """What happens to the row ``a1`` around an outage of the store.
 
@@ -107,20 +121,13 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         table = _Table()
         table.put('a1')
-        present: set[str] = set()
-
-        def handle(row: Row) -> None:
-            if row.is_deleted:
-                present.discard(row.key)
-            else:
-                present.add(row.key)
-
+        present = _Presence()
         follower = Follower(
-            table, _TABLE, handle, loop, Log(loop, 'vm1', log_file)
+            table, _TABLE, present.handle, loop, Log(loop, 'vm1', log_file)
         )
         task = asyncio.ensure_future(follower.run())
         await asyncio.sleep(1.0)
-        assert present == {'a1'}
+        assert present.keys == {'a1'}
         table.is_down = True
         await asyncio.sleep(2.6)
         table.remove('a1')
@@ -132,7 +139,7 @@
             loop.call_at(regained_at + outage.restored_after, table.put, 'a1')
         for delay, is_present in outage.present_after.items():
             await asyncio.sleep(regained_at + delay - loop.time())
-            assert ('a1' in present) is is_present, delay
+            assert ('a1' in present.keys) is is_present, delay
         task.cancel()
 
     timeloop.run(main)
@@ -155,16 +162,9 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         table = _Table()
         table.put('a1')
-        present: set[str] = set()
-
-        def handle(row: Row) -> None:
-            if row.is_deleted:
-                present.discard(row.key)
-            else:
-                present.add(row.key)
-
+        present = _Presence()
         follower = Follower(
-            table, _TABLE, handle, loop, Log(loop, 'vm1', log_file)
+            table, _TABLE, present.handle, loop, Log(loop, 'vm1', log_file)
         )
         task = asyncio.ensure_future(follower.run())
         await asyncio.sleep(1.0)
@@ -185,7 +185,7 @@
             )
         for delay, is_present in present_after.items():
             await asyncio.sleep(relayed_at + delay - loop.time())
-            assert ('a1' in present) is is_present, delay
+            assert ('a1' in present.keys) is is_present, delay
         task.cancel()
 
     timeloop.run(main)
