Remove a function that nothing calls

placement.estimate_wait was left behind when the choice began to state its wait itself; no module and no test used it. Behaviour is unchanged: 68 tests of placement, waiting and the attempt log pass, types and linters are clean.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -120,15 +120,6 @@
     pace: float
 
 
-def estimate_wait(
-    candidate: Candidate, demand: TokenDemand, speeds: Speeds
-) -> float:
-    """Return the time to the start of the response, in seconds."""
-    return candidate.pace * _estimate_usual_wait(
-        candidate, demand, speeds, candidate.urgent_prefill_tokens
-    )
-
-
 def _estimate_usual_wait(
     candidate: Candidate,
     demand: TokenDemand,
@@ -286,7 +277,6 @@
     'choose_target',
     'compute_sample_size',
     'estimate_cost',
-    'estimate_wait',
     'LONG_RESPONSE_S',
     'pick_sample',
     'TargetChoice',
