Log for how long an attempt's weights had been replaced

Of a request that began on weights that were replaced too long ago, the logs could not tell whether the VM sent it too late, or sent it in time to an engine that began it late. An attempt now states the age (`stale`), and an announcement the age that is assumed for it and its row version.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -316,6 +316,19 @@
             return None
         return round(self._first_event_at - self._started_at, 3)
 
+    def _compute_stale_time(self) -> float | None:
+        """Return how long ago the weights were replaced, for the log.
+
+        It is in seconds, at the time when the attempt started.
+        """
+        prompt = self._call.prompt
+        version = self._assignment.weights_version
+        if prompt is None or version is None:
+            return None
+        elapsed = self._context.clock.now() - self._started_at
+        stale_for = self._context.view.stale_for(prompt.model, version)
+        return round(max(0.0, stale_for - elapsed), 3)
+
     def log(self, outcome: AttemptOutcome, sent_before: int) -> None:
         """Log how the attempt ended, after ``sent_before`` other ones."""
         assignment = self._assignment
@@ -336,6 +349,7 @@
             source=_format_source(assignment),
             tokens=_count_tokens(self._call),
             weights=assignment.weights_version,
+            stale=self._compute_stale_time(),
             sent=sent_before,
             left=round(self._time_left(), 3),
             events=self._progress.last_event_id,
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -110,6 +110,7 @@
         announcement = documents.decode_announcement(row.value)
         weights = self.announced.get(announcement.model)
         now = self._clock.now()
+        age = 0.0
         if weights is None:
             age = 0.0 if self._has_operator_rows else _PRIOR_VERSION_AGE_S
             first = AnnouncedVersion(announcement.version, now - age)
@@ -120,6 +121,8 @@
             'weights_wanted',
             model=announcement.model,
             version=announcement.version,
+            row_version=row.version,
+            age=age,
         )
         for callback in self.on_weights:
             callback()
