Show that a request may begin on weights replaced too long ago

The stand-in for a replica lets requests wait before they begin, and records when and on which weights each began.

--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -21,13 +21,19 @@
 
 
 class ExecutedRequest(NamedTuple):
-    """A request that the replica ran, with its received headers."""
+    """A request that the replica ran, with its received headers.
+
+    It began at ``started_at`` by the event loop's clock, in seconds, on the
+    versions of weights in ``versions``.
+    """
 
     request_id: str
     method: str
     uri: str
     headers: dict[str, str]
     body: bytes
+    started_at: float
+    versions: dict[str, int]
 
 
 class ReplicaPlan:
@@ -37,7 +43,8 @@
     stream; with ``echoes_request_id`` the body is the request's id.
     ``event_count`` events make a stream. ``fault`` is full, reset, cut,
     crossed, hang or unsigned and affects the next ``fault_count``
-    requests (-1: all). The next ``delayed_orders`` orders are handled
+    requests (-1: all). A request waits for ``queue_s`` seconds before it
+    begins. The next ``delayed_orders`` orders are handled
     after ``order_delay_s``.
     """
 
@@ -49,6 +56,7 @@
         self.event_interval_s = 0.0
         self.fault = ''
         self.fault_count = -1
+        self.queue_s = 0.0
         self.weights_load_s = 0.05
         self.delayed_orders = 0
         self.order_delay_s = 1.0
@@ -177,7 +185,7 @@
         if self.is_misdirected():
             self.reject(_MISDIRECTED)
             return
-        if fault == 'full' or self.state.is_busy:
+        if fault == 'full' or await self.is_busy_after_queue():
             self.reject(_UNAVAILABLE)
             return
         self.record_run()
@@ -189,6 +197,11 @@
         finally:
             self.state.in_flight -= 1
 
+    async def is_busy_after_queue(self) -> bool:
+        if self.state.plan.queue_s:
+            await asyncio.sleep(self.state.plan.queue_s)
+        return self.state.is_busy
+
     def record_run(self) -> None:
         request = self.request
         self.state.runs.append(
@@ -198,6 +211,8 @@
                 request.uri or '',
                 dict(request.headers),
                 request.body,
+                asyncio.get_running_loop().time(),
+                dict(self.state.versions),
             )
         )
 
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -95,9 +95,11 @@
             'op', f'version/{MODEL}', make_weights_announcement(version)
         )
 
-    def add_replica(self, name: str, service: str) -> replica.ReplicaState:
+    def add_replica(
+        self, name: str, service: str, weights_version: int = 1
+    ) -> replica.ReplicaState:
         """Start a replica and register it."""
-        models = {MODEL: 1} if service == 'llm' else {}
+        models = {MODEL: weights_version} if service == 'llm' else {}
         state = replica.ReplicaState(name, models)
         port = pick_free_port()
         server = HTTPServer(replica.make_application(state))
@@ -120,7 +122,7 @@
         server.stop()
         await server.close_all_connections()
 
-    async def start_node(self, name: str) -> Node:
+    async def start_node(self, name: str, bounds: Bounds = BOUNDS) -> Node:
         """Start a VM and wait until it is ready."""
         settings = NodeSettings(
             name,
@@ -131,7 +133,7 @@
             Address(_LOOPBACK, pick_free_port()),
             pick_free_port(socket.SOCK_DGRAM),
             Address(_LOOPBACK, self._store_port),
-            BOUNDS,
+            bounds,
         )
         node = await self._stack.enter_async_context(
             Node(settings, self._log_file)
