Take back requests that would begin on weights replaced too long ago

An engine that misses its order, as the VM that sends them was lost or the order got no answer, keeps its old weights, and in a burst a request waits there for longer. Nothing took it back. Class: a deadline that is checked when work is handed on, and not until it begins.

Ruled out: an engine with other weights than believed; requests name the version that they expect.

Change: the expected wait counts when an engine is chosen, and an attempt without an event is stopped 0.4 s before the limit, also if the weights are replaced after it was sent. It goes on elsewhere if it may run twice, else its caller gets 502 (old_weights), as it may have run. It is no failure of the target.

Before: two cases of test_late_starts failed, a request began 2.4 s after the announcement with a limit of 2.0 s. After: 292 tests of gateway/ and decisions/ pass.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -23,6 +23,7 @@
 from .recent import Origin
 from .relay import ResponseReceiver
 from .streammoves import StreamMove
+from .withdrawals import Withdrawal
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,7 +55,8 @@
     ``BROKEN`` covers connections that closed early and unusable responses,
     and also attempts that the router itself ends at the deadline or because
     the caller stopped waiting. ``MOVED`` is an attempt that the router ended
-    to continue its stream at another target.
+    to continue its stream at another target, and ``WITHDRAWN`` one that had
+    not begun when its weights became too old.
     """
 
     DELIVERED = 'delivered'
@@ -63,6 +65,10 @@
     FAILED = 'failed'
     BROKEN = 'broken'
     MOVED = 'moved'
+    WITHDRAWN = 'withdrawn'
+
+
+_ENDED_BY_ROUTER = frozenset((AttemptOutcome.MOVED, AttemptOutcome.WITHDRAWN))
 
 
 class AttemptResult(NamedTuple):
@@ -131,12 +137,16 @@
             receiver,
             self._may_move,
         )
-        with self._load, move, self._watch_first_event():
+        withdrawal = self._make_withdrawal()
+        with self._load, move, withdrawal, self._watch_first_event():
             outcome = await self._exchange(request)
             if outcome is AttemptOutcome.DELIVERED:
                 self._load.record_response()
-        if move.has_stopped and outcome is AttemptOutcome.BROKEN:
-            outcome = AttemptOutcome.MOVED
+        if outcome is AttemptOutcome.BROKEN:
+            if move.has_stopped:
+                outcome = AttemptOutcome.MOVED
+            elif withdrawal.has_stopped:
+                outcome = AttemptOutcome.WITHDRAWN
         self._record_outcome(outcome)
         if outcome is AttemptOutcome.DELIVERED:
             await receiver.deliver()
@@ -145,6 +155,23 @@
     def _time_left(self) -> float:
         return self._call.deadline - self._context.clock.now()
 
+    def _make_withdrawal(self) -> Withdrawal:
+        prompt = self._call.prompt
+        return Withdrawal(
+            self._context.view,
+            prompt.model if prompt is not None else '',
+            self._assignment.weights_version,
+            self._context.bounds.stale_weights_limit,
+            self._has_begun,
+            self._receiver.stop,
+        )
+
+    def _has_begun(self) -> bool:
+        """Return whether the target is known to run the request."""
+        if self._call.route.kind is RouteKind.STREAMING:
+            return self._first_event_at is not None
+        return self._receiver.head is not None
+
     def _record_prefill(self) -> None:
         """Record the segments that the target is to prefill, for all VMs."""
         assignment = self._assignment
@@ -281,7 +308,7 @@
         elif outcome is AttemptOutcome.DELIVERED:
             targets.record_success(state)
             self._context.crashes.clear(self._call.fingerprint)
-        elif outcome is not AttemptOutcome.MOVED:
+        elif outcome not in _ENDED_BY_ROUTER:
             targets.record_failure(state)
             if outcome is AttemptOutcome.BROKEN:
                 self._context.crashes.record_crash(
--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -81,6 +81,7 @@
     LEAVING = 'leaving'
     DEADLINE = 'deadline'
     TARGET_FAILED = 'target_failed'
+    OLD_WEIGHTS = 'old_weights'
     INTERNAL = 'internal'
 
 
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -10,6 +10,7 @@
 from ..decisions.placement import compute_sample_size
 from ..decisions.placement import pick_sample
 from ..decisions.placement import TokenDemand
+from ..decisions.weightsage import may_begin_in_time
 from .prefillplans import PrefillPlanner
 
 if TYPE_CHECKING:
@@ -24,9 +25,6 @@
 
 # Responses on weights that were replaced longer ago have a lower value.
 _FULL_VALUE_S = 1.5
-# No request is sent to stale weights this long before the limit on their
-# age, because it may still wait at the target before it starts.
-_STALE_LIMIT_MARGIN_S = 1.2
 
 _random = random.Random()
 
@@ -89,10 +87,8 @@
         plans = self._planner.plan(
             states, [cached_tokens[i] for i in sample], service, configuration
         )
-        choice = choose_target(
-            self._make_candidates(states, plans, service),
-            demand,
-            self._targets.get_estimator(service.name).speeds(),
+        choice = self._choose(
+            self._make_candidates(states, plans, service), demand
         )
         if choice is None:
             return None
@@ -106,6 +102,28 @@
             self._planner.make_salt(state),
         )
 
+    def _choose(
+        self, candidates: list[Candidate], demand: TokenDemand
+    ) -> TargetChoice | None:
+        """Return the best target at which the call will begin in time."""
+        speeds = self._targets.get_estimator(self._service).speeds()
+        while True:
+            choice = choose_target(candidates, demand, speeds)
+            if choice is None or self._may_begin_in_time(
+                self._targets.states[choice.name], choice.estimated_wait
+            ):
+                return choice
+            candidates = [c for c in candidates if c.name != choice.name]
+
+    def _may_begin_in_time(
+        self, state: TargetState, estimated_wait: float = 0.0
+    ) -> bool:
+        return may_begin_in_time(
+            self._stale_for(state),
+            self._bounds.stale_weights_limit,
+            estimated_wait,
+        )
+
     def _make_demand(self, service: Service) -> TokenDemand:
         prompt = self._call.prompt
         if service.engine is None or prompt is None:
@@ -188,12 +206,11 @@
         if service.engine is None or prompt is None:
             return states
         # No request may start on weights that were replaced too long ago.
-        max_stale_s = self._bounds.stale_weights_limit - _STALE_LIMIT_MARGIN_S
         return [
             s
             for s in states
             if prompt.model in s.weights_versions
-            and self._stale_for(s) < max_stale_s
+            and self._may_begin_in_time(s)
         ]
 
     def _is_below_connection_limit(
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -225,7 +225,10 @@
         ):
             await receiver.deliver()
             return
-        raise self._make_refusal(Reason.TARGET_FAILED)
+        reason = Reason.TARGET_FAILED
+        if result.outcome is AttemptOutcome.WITHDRAWN:
+            reason = Reason.OLD_WEIGHTS
+        raise self._make_refusal(reason)
 
     def _make_refusal(
         self, reason: Reason, retry_after: float = _RETRY_AFTER_S
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -127,17 +127,22 @@
         for callback in self.on_weights:
             callback()
 
+    def is_replaced(self, model: str, version: int) -> bool:
+        """Return whether a newer weights version was announced."""
+        return self._replaced_at(model, version) is not None
+
     def stale_for(self, model: str, version: int) -> float:
         """Return the time since a weights version was replaced, in s.
 
         It is 0 for the newest version.
         """
-        weights = self.announced.get(model)
-        replaced_at = (
-            weights.replaced_at(version) if weights is not None else None
-        )
+        replaced_at = self._replaced_at(model, version)
         return 0.0 if replaced_at is None else self._clock.now() - replaced_at
 
+    def _replaced_at(self, model: str, version: int) -> float | None:
+        weights = self.announced.get(model)
+        return None if weights is None else weights.replaced_at(version)
+
     def apply_target_row(self, row: Row) -> None:
         """Apply the row where a target registered itself."""
         if row.is_deleted:
--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -33,6 +33,7 @@
     'leaving': 'the VM was stopping',
     'deadline': 'the deadline passed',
     'target_failed': 'the target broke off, and it must not run again',
+    'old_weights': 'it waited too long at an engine with old weights',
     'internal': 'the router itself failed',
 }
 _OUTCOMES = {
@@ -41,6 +42,8 @@
     'broken': 'the target broke off',
     'not_run': 'the target turned it away',
     'not_sent': 'no connection to the target',
+    'moved': 'the stream was moved to newer weights',
+    'withdrawn': 'it had not begun when the weights became too old',
 }
 
 
--- a/tests/gateway/test_late_starts.py
+++ b/tests/gateway/test_late_starts.py
@@ -77,3 +77,21 @@
             assert response.status == expected_status
 
     asyncio.run(body())
+
+
+def test_stream_that_began_in_time_goes_on() -> None:
+    """A stream that is under way at the limit is not taken back."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            node = await _announce_to_deaf_engine(deployment)
+            plan = deployment.replicas['e1'].plan
+            plan.event_count = 6
+            plan.event_interval_s = 0.4
+            response = await deployment.ask(
+                node, '/chat/x', b'{}', '1000,20', X_Deadline_Ms='9000'
+            )
+            assert node.view.stale_for(MODEL, 1) > _STALE_LIMIT_S
+            assert response.is_whole
+
+    asyncio.run(body())
