Count the age of an announcement from when the first VM saw it

A VM that stood still for 5 s, or whose connection to the store had gone silent, counted seconds less than the others, counted as in touch 3 s later, and sent requests to engines with old weights for up to 6.8 s by its own count. In fleets with hubs a lost relay datagram cost 1.2 s. One that started assumed 5 s. Class: a duration measured from the time of learning in place of the event.

Ruled out: the clock; it counts a suspension (CLOCK_BOOTTIME).

Change: messages state the age of the newest announcements that any VM observed. The earliest observation counts, assumed ages give way to it, and versions that a VM missed are added. A version that this VM has not read itself changes nothing until it has.

--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -26,6 +26,7 @@
     from .storedsegments import StoredSegments
     from .targets import Targets
     from .targets import TargetState
+    from .view import View
 
 # The most remote origin of the reports that a message includes, by scope.
 _MAX_ORIGIN = {
@@ -50,6 +51,7 @@
         crashes: CrashTracker,
         stored_segments: StoredSegments,
         row_relay: RowRelay,
+        view: View,
     ) -> None:
         self._address = address
         self._clock = clock
@@ -59,6 +61,7 @@
         self._crashes = crashes
         self._stored_segments = stored_segments
         self._row_relay = row_relay
+        self._view = view
         self.is_leaving = False
         self._summary_senders: tuple[str, ...] = ()
         self._adopts_next_usage = False
@@ -125,6 +128,7 @@
             self._row_relay.newest_row_versions(),
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
+            self._view.export_announcements(),
         )
 
     def _list_sources(self, scope: Scope) -> list[str]:
@@ -201,6 +205,7 @@
             message if is_counted else message._replace(loads=[])
         )
         self._apply_weights_reports(message)
+        self._view.receive_announcements(message.announcements)
         self._crashes.receive(message.crashes, self._get_origin(message))
         self._apply_cache_reports(message)
         if self._peers.is_starting() or (
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -59,6 +59,14 @@
     version: int
 
 
+class AnnouncementReport(NamedTuple):
+    """A version of a model's weights, announced ``age`` seconds ago."""
+
+    model: str
+    version: int
+    age: float
+
+
 class CrashReport(NamedTuple):
     """An attempt that was aborted after it was sent to a target.
 
@@ -117,6 +125,7 @@
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
+    announcements: list[AnnouncementReport] = []  # noqa: RUF012
 
 
 class RelayedRow(NamedTuple):
@@ -177,6 +186,7 @@
 ] = {_GOSSIP_KIND: _gossip_decoder, _ROWS_KIND: _rows_decoder}
 
 __all__ = [
+    'AnnouncementReport',
     'BadMessageError',
     'CrashReport',
     'decode',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -195,6 +195,7 @@
             self.crashes,
             self.stored_segments,
             self.row_relay,
+            self.view,
         )
         self.usage_checkpointer = UsageCheckpointer(
             self.store, self.peers, self.quotas, self.log
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -7,6 +7,7 @@
 
 from ..platform import documents
 from ..platform.documents import BadDocumentError
+from .messages import AnnouncementReport
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,16 +22,24 @@
 
 # Number of announcements that are kept for a model.
 _MAX_ANNOUNCEMENTS = 32
+# Number of announcements of a model that a message reports.
+_MAX_REPORTED_ANNOUNCEMENTS = 4
+# Reports of the same observation differ by the time that messages take.
+_MIN_CORRECTION_S = 0.02
 # Assumed age of a version that was announced before this process first read
 # the operators' rows.
 _PRIOR_VERSION_AGE_S = 5.0
 
 
 class AnnouncedVersion(NamedTuple):
-    """A version that was announced; ``announced_at`` in s by the clock."""
+    """A version that was announced; ``announced_at`` in s by the clock.
+
+    The time is only assumed if the announcement was older than the process.
+    """
 
     version: int
     announced_at: float
+    is_assumed: bool = False
 
 
 class AnnouncedWeights:
@@ -52,12 +61,39 @@
         del self._announcements[:-_MAX_ANNOUNCEMENTS]
         return True
 
+    def correct(self, observed: AnnouncedVersion) -> bool:
+        """Apply the time that another VM observed; return if it counts.
+
+        The earliest observed time of a version counts, and versions that
+        this VM missed are added. Versions above the newest are ignored.
+        """
+        if observed.version > self.newest_version:
+            return False
+        known = [
+            a for a in self._announcements if a.version == observed.version
+        ]
+        if any(
+            not a.is_assumed
+            and a.announced_at - observed.announced_at < _MIN_CORRECTION_S
+            for a in known
+        ):
+            return False
+        others = [a for a in self._announcements if a not in known]
+        announcements = sorted([*others, observed])
+        self._announcements = announcements[-_MAX_ANNOUNCEMENTS:]
+        return True
+
+    def list_observed(self) -> list[AnnouncedVersion]:
+        """Return the newest versions whose time was observed by a VM."""
+        observed = [a for a in self._announcements if not a.is_assumed]
+        return observed[-_MAX_REPORTED_ANNOUNCEMENTS:]
+
     def replaced_at(self, version: int) -> float | None:
         """Return when the first newer version was announced, if any was."""
-        for announcement in self._announcements:
-            if announcement.version > version:
-                return announcement.announced_at
-        return None
+        newer = [
+            a.announced_at for a in self._announcements if a.version > version
+        ]
+        return min(newer, default=None)
 
 
 class View:
@@ -112,8 +148,11 @@
         now = self._clock.now()
         age = 0.0
         if weights is None:
-            age = 0.0 if self._has_operator_rows else _PRIOR_VERSION_AGE_S
-            first = AnnouncedVersion(announcement.version, now - age)
+            is_assumed = not self._has_operator_rows
+            age = _PRIOR_VERSION_AGE_S if is_assumed else 0.0
+            first = AnnouncedVersion(
+                announcement.version, now - age, is_assumed
+            )
             self.announced[announcement.model] = AnnouncedWeights(first)
         elif not weights.add(AnnouncedVersion(announcement.version, now)):
             return
@@ -124,9 +163,50 @@
             row_version=row.version,
             age=age,
         )
-        for callback in self.on_weights:
+        self._notify_weights()
+
+    def _notify_weights(self) -> None:
+        # A callback may add or remove others.
+        for callback in list(self.on_weights):
             callback()
 
+    def export_announcements(self) -> list[AnnouncementReport]:
+        """Return the age of the newest announcements, for other VMs."""
+        now = self._clock.now()
+        return [
+            AnnouncementReport(m, a.version, round(now - a.announced_at, 3))
+            for m, w in self.announced.items()
+            for a in w.list_observed()
+        ]
+
+    def receive_announcements(self, reports: list[AnnouncementReport]) -> None:
+        """Correct the age of announcements that another VM saw earlier.
+
+        A VM may learn of one late: its connection to the store was silent,
+        it stood still, or it has just started.
+        """
+        now = self._clock.now()
+        corrected = [r for r in reports if self._correct_announcement(r, now)]
+        if corrected:
+            self._notify_weights()
+
+    def _correct_announcement(
+        self, report: AnnouncementReport, now: float
+    ) -> bool:
+        weights = self.announced.get(report.model)
+        if weights is None:
+            return False
+        observed = AnnouncedVersion(report.version, now - report.age)
+        if not weights.correct(observed):
+            return False
+        self._log.write(
+            'weights_age_corrected',
+            model=report.model,
+            version=report.version,
+            age=report.age,
+        )
+        return True
+
     def is_replaced(self, model: str, version: int) -> bool:
         """Return whether a newer weights version was announced."""
         return self._replaced_at(model, version) is not None
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -33,6 +33,49 @@
     assert weights.replaced_at(version) == expected
 
 
+@pytest.mark.parametrize(
+    ('observed', 'expected'),
+    [
+        # Another VM saw the announcement earlier, or a little later.
+        (AnnouncedVersion(3, 12.0), [10.0, 12.0]),
+        (AnnouncedVersion(3, 15.0), [10.0, 14.0]),
+        (AnnouncedVersion(3, 13.99), [10.0, 14.0]),
+        # This VM only assumed when the first was announced.
+        (AnnouncedVersion(2, 11.0), [11.0, 14.0]),
+        # This VM missed a version.
+        (AnnouncedVersion(1, 8.0), [10.0, 14.0]),
+        # A version that this VM has not read yet counts from its row.
+        (AnnouncedVersion(9, 13.0), [10.0, 14.0]),
+    ],
+)
+def test_times_observed_by_others(
+    observed: AnnouncedVersion, expected: list[float]
+) -> None:
+    """The earliest time that any VM observed counts."""
+    weights = AnnouncedWeights(AnnouncedVersion(2, 10.0, True))
+    assert weights.add(AnnouncedVersion(3, 14.0))
+    weights.correct(observed)
+    assert [weights.replaced_at(v) for v in (1, 2)] == expected
+
+
+def test_missed_version_replaces_older_ones() -> None:
+    """A version that this VM missed counts from when others saw it."""
+    weights = AnnouncedWeights(AnnouncedVersion(2, 10.0))
+    weights.add(AnnouncedVersion(5, 20.0))
+    assert weights.correct(AnnouncedVersion(4, 16.0))
+    assert [weights.replaced_at(v) for v in (1, 2, 4)] == [10.0, 16.0, 20.0]
+    assert weights.newest_version == 5
+
+
+def test_assumed_times_are_not_reported() -> None:
+    """Only observed times go to other VMs, at most the newest four."""
+    weights = AnnouncedWeights(AnnouncedVersion(1, 0.0, True))
+    for number in range(2, 8):
+        weights.add(AnnouncedVersion(number, float(number)))
+    assert [a.version for a in weights.list_observed()] == [4, 5, 6, 7]
+    assert not AnnouncedWeights(AnnouncedVersion(1, 0.0, True)).list_observed()
+
+
 @pytest.fixture
 def log_file() -> Iterator[int]:
     """Open a file descriptor that takes the log."""
