Reset the connection of a request that is given up

Ruled out: that it is sent at all after the caller has gone; the attempt is stopped before it connects.

Change: an exchange that ends without its whole response closes with a linger time of 0, which discards the unsent bytes and resets the connection. After a whole response the close is as before.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -9,6 +9,7 @@
 import asyncio
 import re
 import socket
+import struct
 import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -54,6 +55,8 @@
 # the server closes the connection.
 _IDLE_TIMEOUT_MARGIN_S = 0.7
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
+# Lingering is on, for 0 s.
+_DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 _IDLE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
 
 
@@ -242,6 +245,19 @@
     return client_socket
 
 
+def _abort(stream: IOStream) -> None:
+    """Close a stream; bytes that were not delivered yet are discarded.
+
+    A plain close would still deliver them, so that a server could start a
+    request that was given up.
+    """
+    if not stream.closed():
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_ON_CLOSE
+        )
+    stream.close()
+
+
 class Client:
     """Pools connections by address; closes the idle ones on exit."""
 
@@ -343,13 +359,15 @@
         if handler.is_stopped:
             stream.close()
             raise NotSentError(f'stopped before it was sent to {address}')
-        handler.start(stream.close, self._memory)
+        handler.start(lambda: _abort(stream), self._memory)
         idle_timeout = 0.0
+        is_complete = False
         try:
             async with asyncio.timeout(request.timeout):
                 idle_timeout = await self._send_and_receive(
                     stream, address, request, handler
                 )
+            is_complete = True
         except (StreamClosedError, OSError) as error:
             message = f'{address} closed the connection'
             raise InterruptedExchangeError(message) from error
@@ -358,7 +376,9 @@
             raise InterruptedExchangeError(message) from error
         finally:
             handler.end()
-            if not idle_timeout:
+            if not is_complete:
+                _abort(stream)
+            elif not idle_timeout:
                 stream.close()
         if idle_timeout:
             self._add_idle(address, stream, idle_timeout)
