--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -44,6 +44,7 @@
 # A target that refused a request because it was full gets no requests for
 # this long.
 _FULL_TARGET_BACKOFF_S = 0.08
+_MAX_LOGGED_SEGMENTS = 8
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -335,6 +336,7 @@
             cached=int(assignment.choice.prefill_plan.cached_tokens),
             source=_format_source(assignment),
             tokens=_count_tokens(self._call),
+            segments=_list_segments(self._call),
             weights=assignment.weights_version,
             sent=sent_before,
             left=round(self._time_left(), 3),
@@ -357,6 +359,13 @@
     return call.prompt.input_tokens, call.prompt.output_tokens
 
 
+def _list_segments(call: Call) -> list[str]:
+    """Return the identities of a call's first segments, for the log."""
+    if call.prompt is None:
+        return []
+    return [s.identity for s in call.prompt.segments[:_MAX_LOGGED_SEGMENTS]]
+
+
 __all__ = [
     'Attempt',
     'AttemptOutcome',
--- a/tests/gateway/test_attempt_log.py
+++ b/tests/gateway/test_attempt_log.py
@@ -5,14 +5,17 @@
 import asyncio
 import os
 import pathlib
+from typing import Any
 
 from deployments import Deployment
 from deployments import plan_fault
 import msgspec
 
 
-def test_first_event_of_each_attempt(tmp_path: pathlib.Path) -> None:
-    """The time to a resumed stream's first event starts at its attempt."""
+def _log_attempts(
+    tmp_path: pathlib.Path, **headers: str
+) -> list[dict[str, Any]]:
+    """Return the log lines of a stream that breaks off once."""
     path = tmp_path / 'log'
     log_file = os.open(path, os.O_WRONLY | os.O_CREAT)
 
@@ -23,12 +26,26 @@
             node = await deployment.start_node('vm1')
             plan_fault(deployment, 'cut', 1)
             response = await deployment.ask(
-                node, '/talk/x', b'{}', tokens='1000,20'
+                node, '/talk/x', b'{}', tokens='1000,20', **headers
             )
             assert response.is_whole
 
     asyncio.run(body())
     lines = [msgspec.json.decode(t) for t in path.read_bytes().splitlines()]
-    attempts = [e for e in lines if e['event'] == 'attempt']
+    return [e for e in lines if e['event'] == 'attempt']
+
+
+def test_first_event_of_each_attempt(tmp_path: pathlib.Path) -> None:
+    """The time to a resumed stream's first event starts at its attempt."""
+    attempts = _log_attempts(tmp_path)
     assert [a['fate'] for a in attempts] == ['broken', 'delivered']
     assert all(0.0 <= a['first'] <= a['seconds'] for a in attempts)
+
+
+def test_segments_of_a_prompt(tmp_path: pathlib.Path) -> None:
+    """Each line names the first of the prompt's segments."""
+    names = [f'{n:02x}' for n in range(20)]
+    attempts = _log_attempts(
+        tmp_path, X_Prefix_Hash=','.join(f'{n}:50' for n in names)
+    )
+    assert [a['segments'] for a in attempts] == [names[:8]] * 2
