Reproduce engines that crash under one segment of a prompt

Fourteen requests at two VMs, no two alike, share one segment in the middle, under which the stand-in of an engine now resets all its connections before the first event.

--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import msgspec
+from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 from tornado.web import Application
 from tornado.web import RequestHandler
@@ -18,6 +19,8 @@
 _OK = 200
 # Delay before a stream is cut, so that the previous event arrives.
 _CUT_DELAY_S = 0.05
+# Time until a replica begins to write an answer that crashes it.
+_PREFILL_S = 0.02
 
 
 class ExecutedRequest(NamedTuple):
@@ -37,8 +40,9 @@
     stream; with ``echoes_request_id`` the body is the request's id.
     ``event_count`` events make a stream. ``fault`` is full, reset, cut,
     crossed, hang or unsigned and affects the next ``fault_count``
-    requests (-1: all). The next ``delayed_orders`` orders are handled
-    after ``order_delay_s``.
+    requests (-1: all). A stream whose prompt has ``crash_segment`` crashes
+    the replica before its first event. The next ``delayed_orders`` orders
+    are handled after ``order_delay_s``.
     """
 
     def __init__(self) -> None:
@@ -49,6 +53,7 @@
         self.event_interval_s = 0.0
         self.fault = ''
         self.fault_count = -1
+        self.crash_segment = ''
         self.weights_load_s = 0.05
         self.delayed_orders = 0
         self.order_delay_s = 1.0
@@ -65,6 +70,8 @@
         self.runs: list[ExecutedRequest] = []
         self.in_flight = 0
         self.cancelled = 0
+        self.has_crashed = False
+        self.streams: set[IOStream] = set()
         self._loading: asyncio.Future[None] | None = None
         self.plan = ReplicaPlan()
 
@@ -76,6 +83,12 @@
         plan.fault_count -= 1
         return plan.fault
 
+    def crash(self) -> None:
+        """Close the connections of all requests, and of all that follow."""
+        self.has_crashed = True
+        for stream in list(self.streams):
+            stream.close()
+
     def start_weights_load(self, order: dict[str, Any]) -> None:
         """Start loading the weights version of an order."""
         self.is_busy = True
@@ -174,6 +187,10 @@
     async def execute(self) -> None:
         self.task = asyncio.current_task()
         fault = self.state.next_fault()
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        if self.state.has_crashed:
+            stream.close()
+            return
         if self.is_misdirected():
             self.reject(_MISDIRECTED)
             return
@@ -182,12 +199,14 @@
             return
         self.record_run()
         self.state.in_flight += 1
+        self.state.streams.add(stream)
         try:
             await self.respond(fault)
         except (StreamClosedError, asyncio.CancelledError):
             return
         finally:
             self.state.in_flight -= 1
+            self.state.streams.discard(stream)
 
     def record_run(self) -> None:
         request = self.request
@@ -227,8 +246,18 @@
             return
         self.finish(self.state.plan.body)
 
+    def crashes_replica(self) -> bool:
+        segments = self.request.headers.get('X-Prefix-Hash', '').split(',')
+        identities = {s.partition(':')[0] for s in segments}
+        return self.state.plan.crash_segment in identities
+
     async def send_events(self, fault: str) -> None:
         self.set_header('Content-Type', 'text/event-stream')
+        if self.crashes_replica():
+            await self.flush()
+            await asyncio.sleep(_PREFILL_S)
+            self.state.crash()
+            return
         first = int(self.request.headers.get('Last-Event-Id', '0')) + 1
         for number in range(first, self.state.plan.event_count + 1):
             if fault == 'cut' and number == 2:
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -120,6 +120,16 @@
         server.stop()
         await server.close_all_connections()
 
+    async def replace_crashed(self, service: str) -> None:
+        """Start each crashed replica again, under a new name."""
+        for name, state in list(self.replicas.items()):
+            if not state.has_crashed or name not in self._servers:
+                continue
+            await self.stop_replica(name)
+            self.store.put('servers', name, None)
+            new_state = self.add_replica(f'{name}-again', service)
+            new_state.plan = state.plan
+
     async def start_node(self, name: str) -> Node:
         """Start a VM and wait until it is ready."""
         settings = NodeSettings(
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -69,6 +69,66 @@
     assert not crashes.is_quarantined(_FINGERPRINT)
 
 
+_POISON = 'dead'
+# Crashes after which requests with a segment must not be sent any more, and
+# the sends that are tolerated after them.
+_MAX_POISON_RUNS = 5 + 3
+
+
+def _count_poison_runs(deployment: Deployment) -> int:
+    return sum(
+        _POISON in run.headers['X-Prefix-Hash']
+        for state in deployment.replicas.values()
+        for run in state.runs
+    )
+
+
+async def _ask_with(
+    deployment: Deployment, vm: str, segments: str, number: int
+) -> int:
+    """Return the status of a request that is like no other."""
+    response = await deployment.ask(
+        deployment.nodes[vm],
+        '/chat/x',
+        f'body {number}'.encode(),
+        '1000,20',
+        X_Prefix_Hash=f'{segments},ee{number:02x}:100',
+    )
+    return response.status if response.is_whole else 0
+
+
+def test_segment_that_crashes_engines() -> None:
+    """Requests that share only a segment stop reaching engines."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for name in ('e1', 'e2', 'e3', 'e4'):
+                state = deployment.add_replica(name, 'llm')
+                state.plan.crash_segment = _POISON
+            for name in ('vm1', 'vm2'):
+                await deployment.start_node(name)
+            sound = []
+            for number in range(14):
+                vm = f'vm{number % 2 + 1}'
+                await _ask_with(
+                    deployment,
+                    vm,
+                    f'aa:400,bb{number:02x}:200,{_POISON}:200',
+                    number,
+                )
+                await deployment.replace_crashed('llm')
+                await asyncio.sleep(0.3)
+                sound.append(
+                    await _ask_with(
+                        deployment, vm, 'aa:400,bb:200', number + 100
+                    )
+                )
+            assert _count_poison_runs(deployment) <= _MAX_POISON_RUNS
+            assert sound[-7:] == [200] * 7
+
+    asyncio.run(body())
+
+
 def test_repeated_crash_request() -> None:
     """A request that its caller repeats runs three times at most."""
 
