Give attempts that the router ends an outcome of their own

What callers saw: a sound request that three slow targets didn't answer in time was refused with 503 for a minute, as if it had crashed them; explain said that the target broke off. Cause: the outcome 'broken' covered the router's own timeouts, and each counted as a crash. The client's branch for timeouts was never reached, as TimeoutError is an OSError.

Now they are 'timed_out', and record no crash. They count as the target's failure as before: whether a slow target should is another question, which needs measured runs. Seen red before the change: the three new tests (503 at the fourth request instead of 504; 'broken' in log and counts; no cause).

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -15,6 +15,7 @@
 from ..metrics.registry import Timing
 from ..platform import dialect
 from ..platform.dialect import ForwardedHeaders
+from ..web.client import ExchangeTimeoutError
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
@@ -52,10 +53,10 @@
 
     ``NOT_RUN`` means that the target states that it has not run the request,
     and ``FAILED`` that its response is whole and reports a server error.
-    ``BROKEN`` covers connections that closed early and unusable responses,
-    and also attempts that the router itself ends at the deadline or because
-    the caller stopped waiting. ``MOVED`` is an attempt that the router ended
-    to continue its stream at another target.
+    ``BROKEN`` covers connections that closed early and unusable responses.
+    ``TIMED_OUT`` is an attempt that the router ended at the deadline or
+    because the caller stopped waiting, and ``MOVED`` one that it ended to
+    continue its stream at another target.
     """
 
     DELIVERED = 'delivered'
@@ -63,6 +64,7 @@
     NOT_RUN = 'not_run'
     FAILED = 'failed'
     BROKEN = 'broken'
+    TIMED_OUT = 'timed_out'
     MOVED = 'moved'
 
 
@@ -206,9 +208,13 @@
             )
         except NotSentError:
             return AttemptOutcome.NOT_SENT
+        except ExchangeTimeoutError:
+            return AttemptOutcome.TIMED_OUT
         except InterruptedExchangeError as error:
             if receiver.caller_disconnected:
                 raise StreamClosedError from error
+            if self._is_abandoned:
+                return AttemptOutcome.TIMED_OUT
             return AttemptOutcome.BROKEN
         head = receiver.head
         if head is None or receiver.is_truncated():
--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -39,6 +39,7 @@
     'delivered': 'the answer was delivered',
     'failed': 'the target answered with a failure',
     'broken': 'the target broke off',
+    'timed_out': 'the router ended it, as no answer came in time',
     'not_run': 'the target turned it away',
     'not_sent': 'no connection to the target',
 }
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -65,6 +65,10 @@
     """The exchange failed after bytes of the request may have been sent."""
 
 
+class ExchangeTimeoutError(InterruptedExchangeError):
+    """The client itself ended the exchange at the request's timeout."""
+
+
 class Request(NamedTuple):
     """A request; ``timeout`` in seconds covers the whole exchange."""
 
@@ -350,11 +354,11 @@
                 idle_timeout = await self._send_and_receive(
                     stream, address, request, handler
                 )
-        except (StreamClosedError, OSError) as error:
-            message = f'{address} closed the connection'
-            raise InterruptedExchangeError(message) from error
         except TimeoutError as error:
             message = f'{address} gave no answer in time'
+            raise ExchangeTimeoutError(message) from error
+        except (StreamClosedError, OSError) as error:
+            message = f'{address} closed the connection'
             raise InterruptedExchangeError(message) from error
         finally:
             handler.end()
@@ -426,6 +430,7 @@
 
 __all__ = [
     'Client',
+    'ExchangeTimeoutError',
     'InterruptedExchangeError',
     'NotSentError',
     'Request',
--- a/tests/gateway/test_attempt_log.py
+++ b/tests/gateway/test_attempt_log.py
@@ -9,6 +9,7 @@
 
 from deployments import Deployment
 from deployments import plan_fault
+from lentilrun.metrics.registry import Count
 import msgspec
 
 
@@ -49,3 +50,25 @@
         tmp_path, X_Prefix_Hash=','.join(f'{n}:50' for n in names)
     )
     assert [a['segments'] for a in attempts] == [names[:8]] * 2
+
+
+def test_attempts_that_the_router_ends(tmp_path: pathlib.Path) -> None:
+    """They have an outcome of their own, in the log and in the counts."""
+    path = tmp_path / 'log'
+    log_file = os.open(path, os.O_WRONLY | os.O_CREAT)
+
+    async def body() -> None:
+        async with Deployment(log_file) as deployment:
+            deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            plan_fault(deployment, 'hang', 1)
+            response = await deployment.ask(
+                node, '/once/x', b'x', X_Deadline_Ms='200'
+            )
+            assert response.status == 504
+            assert node.metrics.get(Count.ATTEMPTS, 'timed_out') == 1
+
+    asyncio.run(body())
+    lines = [msgspec.json.decode(t) for t in path.read_bytes().splitlines()]
+    fates = [e['fate'] for e in lines if e['event'] == 'attempt']
+    assert fates == ['timed_out']
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -147,3 +147,23 @@
             assert statuses == [502] * 3 + [503] * 3
 
     asyncio.run(body())
+
+
+def test_slow_targets_quarantine_nothing() -> None:
+    """Attempts that the router ends at the deadline are no crashes."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for name in ('a1', 'a2', 'a3', 'a4'):
+                deployment.add_replica(name, 'app')
+            node = await deployment.start_node('vm1')
+            plan_fault(deployment, 'hang', -1)
+            statuses = []
+            for _ in range(5):
+                response = await deployment.ask(
+                    node, '/once/x', b'slow', X_Deadline_Ms='200'
+                )
+                statuses.append(response.status)
+            assert statuses == [504] * 5
+
+    asyncio.run(body())
--- a/tests/gateway/test_explanations.py
+++ b/tests/gateway/test_explanations.py
@@ -73,6 +73,14 @@
     assert case.cause in find_cause(events)
 
 
+def test_router_ends_an_attempt() -> None:
+    """An attempt that the router ends is not the target's breaking off."""
+    line = '{"event":"attempt","id":"wanted","fate":"timed_out"}'
+    cause = find_cause(find_events([line], 'wanted'))
+    assert 'the router ended it' in cause
+    assert 'broke off' not in cause
+
+
 def test_full_output_blocks_nothing(tmp_path: pathlib.Path) -> None:
     """If the log is not read, requests continue and lines are counted."""
 
