Quarantine segments of prompts that crash engines

Cause: crashes were counted by a digest of host, path, key and body, so requests that are no two alike were new each time and never refused. Class of fault: the unit that is counted is not the unit that is guilty.

Change: crashes count by whole request, as before, and by each segment of the prompt but the last (decisions/quarantine.py, without I/O). Segments are suspected only if the target broke off before 0.1 s after the first event; a stream that lasts longer, or a delivered response, clears them at all VMs. A crash and its clearing are pairs of suspect and target start, so that their order on the way between VMs doesn't matter. Three target starts without a response convict, five if the segment had responses before. If segments can't be told apart, a request that lacks one of them is sent on trial, at most once a second at a VM. Convicted requests get 503 at once, also while they wait for an engine; a VM that starts is told what counts.

Ruled out: reports that get lost (the first seven crashes are before any restart, and no id is in two crashes); engines that end by themselves (each crash has an attempt with only its head).

Without the repeated reports test_started_vm_learns_of_crashes fails; with streams under way blamed, test_streams_under_way_are_victims does.

Changed tests: they name suspects in place of a digest of bytes. A conviction now lasts 300 s after the last crash (60 s before), as the segment comes again and again; suspicions still expire after 60 s, which test_old_crashes_expire checks in addition.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -11,6 +11,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.facts import RouteKind
+from ..decisions.quarantine import list_segments
 from ..decisions.sources import pick_kv_cache_store
 from ..metrics.registry import Timing
 from ..platform import dialect
@@ -19,6 +20,7 @@
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
+from .crashes import list_suspects
 from .loads import LoadReservation
 from .messages import PrefillReport
 from .recent import Origin
@@ -32,6 +34,7 @@
     from tornado.httputil import HTTPHeaders
 
     from ..config.ini import Address
+    from ..decisions.facts import Target
     from .call import Call
     from .call import ResponseWriter
     from .choice import Assignment
@@ -46,6 +49,9 @@
 # this long.
 _FULL_TARGET_BACKOFF_S = 0.08
 _MAX_LOGGED_SEGMENTS = 8
+# A target has begun to answer without a crash once a stream lasts this long
+# after its first event.
+_CRASH_DELAY_S = 0.1
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -103,6 +109,7 @@
         self._may_move = may_move
         self._started_at = context.clock.now()
         self._first_event_at: float | None = None
+        self._has_answered = False
         self._is_abandoned = False
         self._load = LoadReservation(
             assignment,
@@ -193,12 +200,26 @@
         self._load.record_first_event()
         if self._first_event_at is None:
             self._first_event_at = self._context.clock.now()
+        if not self._has_answered and not self._is_beginning():
+            self._has_answered = True
+            self._context.crashes.record_response(
+                list_segments(self._call.prompt)
+            )
         if not self._progress.has_started:
             elapsed = (
                 self._context.clock.now() - self._call.incoming.arrived_at
             )
             self._context.metrics.record_time(Timing.FIRST_TOKEN, elapsed)
 
+    def _is_beginning(self) -> bool:
+        """Return whether the target has at most begun to answer."""
+        if self._has_answered:
+            return False
+        if self._first_event_at is None:
+            return True
+        elapsed = self._context.clock.now() - self._first_event_at
+        return elapsed < _CRASH_DELAY_S
+
     async def _exchange(self, request: Request) -> AttemptOutcome:
         receiver = self._receiver
         target = self._assignment.state.target
@@ -222,6 +243,7 @@
         if head.not_run:
             return AttemptOutcome.NOT_RUN
         if not receiver.is_usable():
+            self._has_answered = True
             return AttemptOutcome.BROKEN
         if head.status >= _SERVER_ERROR:
             return AttemptOutcome.FAILED
@@ -287,13 +309,28 @@
             self._record_not_run(state)
         elif outcome is AttemptOutcome.DELIVERED:
             targets.record_success(state)
-            self._context.crashes.clear(self._call.fingerprint)
+            self._record_response()
         elif outcome is not AttemptOutcome.MOVED:
             targets.record_failure(state)
             if outcome is AttemptOutcome.BROKEN:
-                self._context.crashes.record_crash(
-                    self._call.fingerprint, state.target
-                )
+                self._record_crash(state.target)
+
+    def _record_crash(self, target: Target) -> None:
+        """Record that the target may have crashed under the call.
+
+        Segments are suspected only if it broke off as it began to answer.
+        """
+        suspects = list_suspects(self._call)
+        if self._receiver.is_stopped or not self._is_beginning():
+            suspects = suspects[:1]
+        self._context.crashes.record_crash(suspects, target)
+
+    def _record_response(self) -> None:
+        """Record that the target responded, unless a stream had no event."""
+        head = self._receiver.head
+        if head is None or (head.is_stream and self._first_event_at is None):
+            return
+        self._context.crashes.record_response(list_suspects(self._call))
 
     def _record_not_run(self, state: TargetState) -> None:
         """Learn why a target did not run the request, where it says so.
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -22,6 +22,7 @@
 from .call import Reason
 from .call import Refusal
 from .choice import TargetSelector
+from .crashes import list_suspects
 from .relay import StreamProgress
 
 if TYPE_CHECKING:
@@ -37,6 +38,7 @@
 # Longest wait of a call for a usable target, as a share of its time left.
 _MAX_WAIT_SHARE = 0.6
 _RETRY_AFTER_S = 0.25
+_QUARANTINE_RETRY_AFTER_S = 1.0
 # A waiting call looks for a target at intervals in this range; they differ so
 # that the VMs do not send their calls at the same time.
 _QUEUE_POLL_RANGE_S = (0.03, 0.07)
@@ -98,6 +100,7 @@
         self._context = context
         self._call = call
         self._writer = writer
+        self._suspects = list_suspects(call)
         self._progress = StreamProgress(call.last_event_id)
         self._avoid: set[str] = set()
         self._sent_attempts = 0
@@ -125,12 +128,11 @@
     async def run(self) -> None:
         now = self._context.clock.now()
         self._budget.record_request(now)
-        if self._context.crashes.is_quarantined(self._call.fingerprint):
-            raise Refusal(_UNAVAILABLE, Reason.QUARANTINED, 1.0)
         while True:
             assignment = await self._acquire()
             if self._sent_attempts and not self._spend_retry():
                 raise self._make_refusal(Reason.RETRIES_SPENT)
+            self._context.crashes.record_attempt(self._suspects)
             result = await self._attempt(assignment)
             if result.outcome is AttemptOutcome.DELIVERED:
                 return
@@ -201,7 +203,7 @@
             return False
         if self._possible_runs >= call.route.max_attempts:
             return False
-        if self._context.crashes.is_quarantined(call.fingerprint):
+        if self._context.crashes.is_quarantined(self._suspects):
             return False
         return self._time_left() > MIN_ATTEMPT_TIME_S
 
@@ -243,6 +245,10 @@
         while True:
             if self._time_left() <= MIN_ATTEMPT_TIME_S:
                 raise self._make_refusal(Reason.DEADLINE)
+            if self._is_quarantined():
+                raise self._make_refusal(
+                    Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
+                )
             assignment = self._selector.select(self._avoid)
             if assignment is not None:
                 if self._decide(assignment) is Decision.SEND:
@@ -253,6 +259,12 @@
                 random.uniform(*_QUEUE_POLL_RANGE_S)
             )
 
+    def _is_quarantined(self) -> bool:
+        # A stream that has begun, and moves, has crashed no target.
+        if self._progress.has_started:
+            return False
+        return self._context.crashes.is_quarantined(self._suspects)
+
     def _decide(self, assignment: Assignment) -> Decision:
         """Return whether to send the call now; raises ``Refusal``."""
         if self._progress.has_started:
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -65,6 +65,7 @@
         peers.make_messages = self.make_messages
         peers.on_message.append(self.receive)
         peers.on_restart.append(self._remove_peer)
+        peers.on_restart.append(lambda _: crashes.repeat_reports())
 
     def make_messages(
         self, scope: Scope, recipients: list[str]
@@ -125,6 +126,7 @@
             self._row_relay.newest_row_versions(),
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
+            self._crashes.recent_cleared.export(max_origin),
         )
 
     def _list_sources(self, scope: Scope) -> list[str]:
@@ -201,7 +203,7 @@
             message if is_counted else message._replace(loads=[])
         )
         self._apply_weights_reports(message)
-        self._crashes.receive(message.crashes, self._get_origin(message))
+        self._apply_crashes(message)
         self._apply_cache_reports(message)
         if self._peers.is_starting() or (
             is_counted and self._adopts_next_usage
@@ -249,6 +251,11 @@
                     now,
                 )
 
+    def _apply_crashes(self, message: GossipMessage) -> None:
+        origin = self._get_origin(message)
+        self._crashes.receive(message.crashes, origin)
+        self._crashes.receive_cleared(message.cleared_crashes, origin)
+
     def _apply_cache_reports(self, message: GossipMessage) -> None:
         origin = self._get_origin(message)
         self._stored_segments.receive(message.stored_segments, origin)
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..decisions.facts import PromptSegment
+from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
 
 
@@ -59,17 +60,6 @@
     version: int
 
 
-class CrashReport(NamedTuple):
-    """An attempt that was aborted after it was sent to a target.
-
-    ``fingerprint`` identifies the request. ``target_start`` is the target's
-    incarnation with the time at which it started.
-    """
-
-    fingerprint: str
-    target_start: str
-
-
 class StoredSegmentReport(NamedTuple):
     """A prompt segment that an engine saves in the KV cache store."""
 
@@ -96,6 +86,7 @@
     of VMs that count as unresponsive for the sender. ``row_versions`` are
     the versions of the newest rows that it knows of, by table of the
     store; it ``has_lost_store`` while the store does not answer it.
+    ``cleared_crashes`` came before a response to the same suspect.
     """
 
     node: str
@@ -111,12 +102,13 @@
     loads: list[LoadReport]
     weights_loads: list[WeightsLoadReport]
     weights_versions: list[WeightsVersionReport]
-    crashes: list[CrashReport]
+    crashes: list[Crash]
     admitted_tokens: dict[str, float]
     used_per_second: dict[str, list[int]]
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
+    cleared_crashes: list[Crash] = []  # noqa: RUF012
 
 
 class RelayedRow(NamedTuple):
@@ -178,7 +170,6 @@
 
 __all__ = [
     'BadMessageError',
-    'CrashReport',
     'decode',
     'encode',
     'GossipMessage',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -145,7 +145,7 @@
         self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
         self.view = View(self.clock, self.targets, self.log)
-        self.crashes = CrashTracker(self.clock)
+        self.crashes = CrashTracker(self.clock, self.log)
         self.stored_segments = StoredSegments(self.clock)
         self.version_reader = VersionReader(
             self.clock, self.target_client, self.targets, self.log
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -3,21 +3,32 @@
 from __future__ import annotations
 
 import asyncio
+import os
 
 from deployments import Deployment
 from deployments import plan_fault
+from deployments import wait_until
 from lentilrun.config.ini import Address
+from lentilrun.coordination.clock import Clock
 from lentilrun.coordination.clock import ManualClock
 from lentilrun.decisions.facts import Target
+from lentilrun.decisions.quarantine import Crash
+from lentilrun.decisions.quarantine import Suspect
+from lentilrun.decisions.quarantine import SuspectKind
 from lentilrun.gateway.crashes import CrashTracker
-from lentilrun.gateway.messages import CrashReport
+from lentilrun.gateway.logs import Log
 from lentilrun.gateway.recent import Origin
 import pytest
 
-_FINGERPRINT = b'fingerpr'
+_REQUEST = Suspect(SuspectKind.REQUEST, 'fingerprint')
+_NO_LOG = os.open(os.devnull, os.O_WRONLY)
 _TARGET = Target('a1', 7, 'app', Address('10.0.0.1', 1), 'a', 6, False, {})
 _OTHERS = [_TARGET._replace(incarnation=f'a{n}') for n in range(2, 4)]
-_REPORTS = [CrashReport(_FINGERPRINT.hex(), f'a{n}/7') for n in range(1, 4)]
+_REPORTS = [Crash(_REQUEST, f'a{n}/7') for n in range(1, 4)]
+
+
+def _make_tracker(clock: Clock) -> CrashTracker:
+    return CrashTracker(clock, Log(clock, 'vm1', _NO_LOG))
 
 
 @pytest.mark.parametrize(
@@ -40,33 +51,33 @@
     ],
 )
 def test_counts_targets_over_all_vms(
-    own: list[Target], others: list[CrashReport], expected: bool
+    own: list[Target], others: list[Crash], expected: bool
 ) -> None:
     """Three targets anywhere put a request into quarantine."""
-    crashes = CrashTracker(ManualClock())
+    crashes = _make_tracker(ManualClock())
     for target in own:
-        crashes.record_crash(_FINGERPRINT, target)
+        crashes.record_crash([_REQUEST], target)
     crashes.receive(others, Origin.LOCAL)
-    assert crashes.is_quarantined(_FINGERPRINT) is expected
+    assert crashes.is_quarantined([_REQUEST]) is expected
 
 
 def test_old_crashes_are_discarded() -> None:
     """A quarantine ends after a time."""
     clock = ManualClock()
-    crashes = CrashTracker(clock)
+    crashes = _make_tracker(clock)
     crashes.receive(_REPORTS, Origin.LOCAL)
-    assert crashes.is_quarantined(_FINGERPRINT)
-    clock.advance(61.0)
-    assert not crashes.is_quarantined(_FINGERPRINT)
+    assert crashes.is_quarantined([_REQUEST])
+    clock.advance(301.0)
+    assert not crashes.is_quarantined([_REQUEST])
 
 
 def test_response_clears_a_request() -> None:
     """A request that got a response from any target is cleared."""
-    crashes = CrashTracker(ManualClock())
+    crashes = _make_tracker(ManualClock())
     crashes.receive(_REPORTS[:2], Origin.LOCAL)
-    crashes.clear(_FINGERPRINT)
-    crashes.record_crash(_FINGERPRINT, _OTHERS[1])
-    assert not crashes.is_quarantined(_FINGERPRINT)
+    crashes.record_response([_REQUEST])
+    crashes.record_crash([_REQUEST], _OTHERS[1])
+    assert not crashes.is_quarantined([_REQUEST])
 
 
 _POISON = 'dead'
@@ -129,6 +140,85 @@
     asyncio.run(body())
 
 
+def _convict(deployment: Deployment, vm: str, name: str) -> None:
+    """Let a VM know of crashes under a segment."""
+    suspect = Suspect(SuspectKind.SEGMENT, name)
+    crashes = deployment.nodes[vm].crashes
+    crashes.receive([Crash(suspect, f'x{n}/1') for n in range(3)], Origin.OWN)
+
+
+def test_started_vm_learns_of_crashes() -> None:
+    """A VM that starts refuses what the others refuse already."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('e1', 'llm')
+            await deployment.start_node('vm1')
+            _convict(deployment, 'vm1', _POISON)
+            # Longer than reports go into messages.
+            await asyncio.sleep(1.5)
+            await deployment.start_node('vm2')
+            crashes = deployment.nodes['vm2'].crashes
+            poison = Suspect(SuspectKind.SEGMENT, _POISON)
+            await wait_until(lambda: crashes.is_quarantined([poison]), 3.0)
+            status = await _ask_with(
+                deployment, 'vm2', f'aa:400,{_POISON}:200', 1
+            )
+            assert status == 503
+            assert _count_poison_runs(deployment) == 0
+
+    asyncio.run(body())
+
+
+def test_waiting_call_is_refused() -> None:
+    """A call that waits for an engine is not sent after the conviction."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            node = await deployment.start_node('vm1')
+            call = asyncio.ensure_future(
+                _ask_with(deployment, 'vm1', f'aa:400,{_POISON}:200', 1)
+            )
+            await wait_until(lambda: node.caller_port.in_flight)
+            _convict(deployment, 'vm1', _POISON)
+            async with asyncio.timeout(0.5):
+                assert await call == 503
+
+    asyncio.run(body())
+
+
+def test_streams_under_way_are_victims() -> None:
+    """What breaks off well after its first event crashed nothing."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for number in range(5):
+                state = deployment.add_replica(f'e{number}', 'llm')
+                state.plan.event_count = 100
+                state.plan.event_interval_s = 0.02
+            node = await deployment.start_node('vm1')
+            for number in range(5):
+                call = asyncio.ensure_future(
+                    _ask_with(deployment, 'vm1', 'aa:400,bb:200', number)
+                )
+                await wait_until(
+                    lambda: any(
+                        r.in_flight for r in deployment.replicas.values()
+                    )
+                )
+                await asyncio.sleep(0.3)
+                for state in deployment.replicas.values():
+                    if state.in_flight:
+                        state.crash()
+                assert await call == 0
+                await deployment.replace_crashed('llm')
+                await asyncio.sleep(0.1)
+            segments = [Suspect(SuspectKind.SEGMENT, n) for n in ('aa', 'bb')]
+            assert not node.crashes.is_quarantined(segments)
+
+    asyncio.run(body())
+
+
 def test_repeated_crash_request() -> None:
     """A request that its caller repeats runs three times at most."""
 
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -10,6 +10,8 @@
 from deployments import Deployment
 from deployments import make_configuration
 from deployments import wait_until
+from lentilrun.decisions.quarantine import Suspect
+from lentilrun.decisions.quarantine import SuspectKind
 from lentilrun.decisions import topology
 from lentilrun.errors import PlatformError
 from lentilrun.gateway.node import Node
@@ -216,6 +218,7 @@
     """Targets that crash under a request count at all VMs.
 
     Guards against hubs that report only crashes that they saw themselves.
+    A response at one VM ends the quarantine at all.
     """
 
     async def body() -> None:
@@ -223,13 +226,19 @@
             nodes = await _start(deployment)
             await asyncio.sleep(peers.STARTING_S)
             target = nodes[0].targets.states['a1'].target
+            poison = Suspect(SuspectKind.SEGMENT, 'dead')
             for number, node in enumerate(nodes[2:]):
                 node.crashes.record_crash(
-                    b'poison', target._replace(started_at_ms=number)
+                    [poison], target._replace(started_at_ms=number)
                 )
             await wait_until(
-                lambda: all(
-                    n.crashes.is_quarantined(b'poison') for n in nodes
+                lambda: all(n.crashes.is_quarantined([poison]) for n in nodes),
+                2.0,
+            )
+            nodes[-1].crashes.record_response([poison])
+            await wait_until(
+                lambda: (
+                    not any(n.crashes.is_quarantined([poison]) for n in nodes)
                 ),
                 2.0,
             )
