--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -11,13 +11,16 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.facts import RouteKind
+from ..decisions.quarantine import list_segments
 from ..decisions.sources import pick_kv_cache_store
 from ..metrics.registry import Timing
 from ..platform import dialect
 from ..platform.dialect import ForwardedHeaders
+from ..web.client import ExchangeTimeoutError
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
+from .crashes import list_suspects
 from .loads import LoadReservation
 from .messages import PrefillReport
 from .recent import Origin
@@ -32,6 +35,7 @@
     from tornado.httputil import HTTPHeaders
 
     from ..config.ini import Address
+    from ..decisions.facts import Target
     from .call import Call
     from .call import ResponseWriter
     from .choice import Assignment
@@ -45,6 +49,10 @@
 # A target that refused a request because it was full gets no requests for
 # this long.
 _FULL_TARGET_BACKOFF_S = 0.08
+_MAX_LOGGED_SEGMENTS = 8
+# A target has begun to answer without a crash once a stream lasts this long
+# after its first event.
+_CRASH_DELAY_S = 0.1
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -52,10 +60,10 @@
 
     ``NOT_RUN`` means that the target states that it has not run the request,
     and ``FAILED`` that its response is whole and reports a server error.
-    ``BROKEN`` covers connections that closed early and unusable responses,
-    and also attempts that the router itself ends at the deadline or because
-    the caller stopped waiting. ``MOVED`` is an attempt that the router ended
-    to continue its stream at another target, and ``WITHDRAWN`` one that had
+    ``BROKEN`` covers connections that closed early and unusable responses.
+    ``TIMED_OUT`` is an attempt that the router ended at the deadline or
+    because the caller stopped waiting, ``MOVED`` one that it ended to
+    continue its stream at another target, and ``WITHDRAWN`` one that had
     not begun when its weights became too old.
     """
 
@@ -64,6 +72,7 @@
     NOT_RUN = 'not_run'
     FAILED = 'failed'
     BROKEN = 'broken'
+    TIMED_OUT = 'timed_out'
     MOVED = 'moved'
     WITHDRAWN = 'withdrawn'
 
@@ -106,6 +115,7 @@
         self._may_move = may_move
         self._started_at = context.clock.now()
         self._first_event_at: float | None = None
+        self._has_answered = False
         self._is_abandoned = False
         self._load = LoadReservation(
             assignment,
@@ -217,12 +227,26 @@
         self._load.record_first_event()
         if self._first_event_at is None:
             self._first_event_at = self._context.clock.now()
+        if not self._has_answered and not self._is_beginning():
+            self._has_answered = True
+            self._context.crashes.record_response(
+                list_segments(self._call.prompt)
+            )
         if not self._progress.has_started:
             elapsed = (
                 self._context.clock.now() - self._call.incoming.arrived_at
             )
             self._context.metrics.record_time(Timing.FIRST_TOKEN, elapsed)
 
+    def _is_beginning(self) -> bool:
+        """Return whether the target has at most begun to answer."""
+        if self._has_answered:
+            return False
+        if self._first_event_at is None:
+            return True
+        elapsed = self._context.clock.now() - self._first_event_at
+        return elapsed < _CRASH_DELAY_S
+
     async def _exchange(self, request: Request) -> AttemptOutcome:
         receiver = self._receiver
         target = self._assignment.state.target
@@ -232,9 +256,13 @@
             )
         except NotSentError:
             return AttemptOutcome.NOT_SENT
+        except ExchangeTimeoutError:
+            return AttemptOutcome.TIMED_OUT
         except InterruptedExchangeError as error:
             if receiver.caller_disconnected:
                 raise StreamClosedError from error
+            if self._is_abandoned:
+                return AttemptOutcome.TIMED_OUT
             return AttemptOutcome.BROKEN
         head = receiver.head
         if head is None or receiver.is_truncated():
@@ -242,6 +270,7 @@
         if head.not_run:
             return AttemptOutcome.NOT_RUN
         if not receiver.is_usable():
+            self._has_answered = True
             return AttemptOutcome.BROKEN
         if head.status >= _SERVER_ERROR:
             return AttemptOutcome.FAILED
@@ -307,13 +336,28 @@
             self._record_not_run(state)
         elif outcome is AttemptOutcome.DELIVERED:
             targets.record_success(state)
-            self._context.crashes.clear(self._call.fingerprint)
+            self._record_response()
         elif outcome not in _ENDED_BY_ROUTER:
             targets.record_failure(state)
             if outcome is AttemptOutcome.BROKEN:
-                self._context.crashes.record_crash(
-                    self._call.fingerprint, state.target
-                )
+                self._record_crash(state.target)
+
+    def _record_crash(self, target: Target) -> None:
+        """Record that the target may have crashed under the call.
+
+        Segments are suspected only if it broke off as it began to answer.
+        """
+        suspects = list_suspects(self._call)
+        if self._receiver.is_stopped or not self._is_beginning():
+            suspects = suspects[:1]
+        self._context.crashes.record_crash(suspects, target)
+
+    def _record_response(self) -> None:
+        """Record that the target responded, unless a stream had no event."""
+        head = self._receiver.head
+        if head is None or (head.is_stream and self._first_event_at is None):
+            return
+        self._context.crashes.record_response(list_suspects(self._call))
 
     def _record_not_run(self, state: TargetState) -> None:
         """Learn why a target did not run the request, where it says so.
@@ -375,6 +419,7 @@
             cached=int(assignment.choice.prefill_plan.cached_tokens),
             source=_format_source(assignment),
             tokens=_count_tokens(self._call),
+            segments=_list_segments(self._call),
             weights=assignment.weights_version,
             stale=self._compute_stale_time(),
             sent=sent_before,
@@ -398,6 +443,13 @@
     return call.prompt.input_tokens, call.prompt.output_tokens
 
 
+def _list_segments(call: Call) -> list[str]:
+    """Return the identities of a call's first segments, for the log."""
+    if call.prompt is None:
+        return []
+    return [s.identity for s in call.prompt.segments[:_MAX_LOGGED_SEGMENTS]]
+
+
 __all__ = [
     'Attempt',
     'AttemptOutcome',
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..decisions.facts import PromptSegment
+from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
 
 
@@ -67,17 +68,6 @@
     age: float
 
 
-class CrashReport(NamedTuple):
-    """An attempt that was aborted after it was sent to a target.
-
-    ``fingerprint`` identifies the request. ``target_start`` is the target's
-    incarnation with the time at which it started.
-    """
-
-    fingerprint: str
-    target_start: str
-
-
 class StoredSegmentReport(NamedTuple):
     """A prompt segment that an engine saves in the KV cache store."""
 
@@ -104,6 +94,7 @@
     of VMs that count as unresponsive for the sender. ``row_versions`` are
     the versions of the newest rows that it knows of, by table of the
     store; it ``has_lost_store`` while the store does not answer it.
+    ``cleared_crashes`` came before a response to the same suspect.
     """
 
     node: str
@@ -119,13 +110,14 @@
     loads: list[LoadReport]
     weights_loads: list[WeightsLoadReport]
     weights_versions: list[WeightsVersionReport]
-    crashes: list[CrashReport]
+    crashes: list[Crash]
     admitted_tokens: dict[str, float]
     used_per_second: dict[str, list[int]]
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
     announcements: list[AnnouncementReport] = []  # noqa: RUF012
+    cleared_crashes: list[Crash] = []  # noqa: RUF012
 
 
 class RelayedRow(NamedTuple):
@@ -188,7 +180,6 @@
 __all__ = [
     'AnnouncementReport',
     'BadMessageError',
-    'CrashReport',
     'decode',
     'encode',
     'GossipMessage',
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -68,6 +68,10 @@
     """The exchange failed after bytes of the request may have been sent."""
 
 
+class ExchangeTimeoutError(InterruptedExchangeError):
+    """The client itself ended the exchange at the request's timeout."""
+
+
 class Request(NamedTuple):
     """A request; ``timeout`` in seconds covers the whole exchange."""
 
@@ -154,6 +158,15 @@
         return Response(self.status, self.headers, b''.join(self._chunks))
 
 
+def is_delimited(headers: HTTPHeaders) -> bool:
+    """Return whether a response states where it ends.
+
+    Any other one ends as its connection does.
+    """
+    encoding = headers.get('Transfer-Encoding', '')
+    return 'Content-Length' in headers or encoding.lower() == 'chunked'
+
+
 def _read_idle_timeout(headers: HTTPHeaders) -> float:
     """Return for how long the server keeps idle connections, in seconds."""
     match = _IDLE_TIMEOUT_PATTERN.search(headers.get('Keep-Alive', ''))
@@ -177,12 +190,11 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
             return None
-        is_delimited = 'Content-Length' in headers or (
-            headers.get('Transfer-Encoding', '').lower() == 'chunked'
-        )
         connection_option = headers.get('Connection', '').lower()
         self.idle_timeout = _read_idle_timeout(headers)
-        self.keep_alive = is_delimited and connection_option != 'close'
+        self.keep_alive = (
+            is_delimited(headers) and connection_option != 'close'
+        )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
@@ -368,11 +380,11 @@
                     stream, address, request, handler
                 )
             is_complete = True
-        except (StreamClosedError, OSError) as error:
-            message = f'{address} closed the connection'
-            raise InterruptedExchangeError(message) from error
         except TimeoutError as error:
             message = f'{address} gave no answer in time'
+            raise ExchangeTimeoutError(message) from error
+        except (StreamClosedError, OSError) as error:
+            message = f'{address} closed the connection'
             raise InterruptedExchangeError(message) from error
         finally:
             handler.end()
@@ -446,7 +458,9 @@
 
 __all__ = [
     'Client',
+    'ExchangeTimeoutError',
     'InterruptedExchangeError',
+    'is_delimited',
     'NotSentError',
     'Request',
     'Response',
