Order weights for all engines that may get no more requests

Engines in reach kept replaced weights past the limit, got no requests, and their callers waited or were refused.

Cause: at most 45 in 100 of the engines are out of service at once to load weights. One that was ordered counts until its last stream ends, so long streams (or slow engines) held back the orders of all others. Class: a limit that protects service, kept where there is no service left to protect.

Ruled out: the lease and the orders themselves; a single VM held the lease.

Change: the limit does not hold for engines whose weights are too old for any more requests. They complete their streams, and serve nobody until they have the weights.

--- a/src/lentilrun/decisions/upgrades.py
+++ b/src/lentilrun/decisions/upgrades.py
@@ -34,7 +34,7 @@
     """An engine that may load new weights; times in seconds.
 
     It is idle after ``busy_for``; its weights were replaced ``stale_for``
-    ago.
+    ago. ``is_overdue`` if that is too long for any more requests.
     """
 
     name: str
@@ -42,12 +42,16 @@
     is_out_of_service: bool
     busy_for: float
     stale_for: float
+    is_overdue: bool = False
 
 
 def pick_upgrade_round(
     engines: Sequence[UpgradeCandidate], newest_version: int
 ) -> list[str]:
-    """Return the names of the engines to take out of service now."""
+    """Return the names of the engines to take out of service now.
+
+    Overdue engines serve nobody, so all of them are taken.
+    """
     max_out = max(1, int(len(engines) * _MAX_OUT_OF_SERVICE_SHARE))
     max_picked = max_out - sum(e.is_out_of_service for e in engines)
     outdated = [
@@ -57,8 +61,14 @@
     ]
     if not any(e.weights_version >= newest_version for e in engines):
         outdated = [e for e in outdated if _is_due(e)]
-    outdated.sort(key=lambda e: (e.busy_for - e.stale_for, e.name))
-    return [e.name for e in outdated[: max(0, max_picked)]]
+    outdated.sort(key=_rank)
+    overdue = sum(e.is_overdue for e in outdated)
+    return [e.name for e in outdated[: max(overdue, max_picked)]]
+
+
+def _rank(engine: UpgradeCandidate) -> tuple[bool, float, str]:
+    delay = engine.busy_for - engine.stale_for
+    return not engine.is_overdue, delay, engine.name
 
 
 def _is_due(engine: UpgradeCandidate) -> bool:
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -9,6 +9,7 @@
 from ..decisions.upgrades import compute_takeover_delay
 from ..decisions.upgrades import pick_upgrade_round
 from ..decisions.upgrades import UpgradeCandidate
+from ..decisions.weightsage import may_begin_in_time
 from ..errors import ConflictError
 from ..errors import PlatformError
 from ..platform import engines
@@ -141,13 +142,7 @@
         now = self._clock.now()
         for model, announced in self._view.announced.items():
             candidates = [
-                UpgradeCandidate(
-                    n,
-                    s.weights_versions[model],
-                    self._is_out_of_service(n, s),
-                    s.busy_for(now),
-                    self._view.stale_for(model, s.weights_versions[model]),
-                )
+                self._make_candidate(model, n, s)
                 for n, s in self._targets.states.items()
                 if model in s.weights_versions
                 and not s.target.is_draining
@@ -158,6 +153,20 @@
                 work[model] = names
         return work
 
+    def _make_candidate(
+        self, model: str, name: str, state: TargetState
+    ) -> UpgradeCandidate:
+        version = state.weights_versions[model]
+        stale_for = self._view.stale_for(model, version)
+        return UpgradeCandidate(
+            name,
+            version,
+            self._is_out_of_service(name, state),
+            state.busy_for(self._clock.now()),
+            stale_for,
+            not may_begin_in_time(stale_for, self._stale_limit),
+        )
+
     def _is_out_of_service(self, name: str, state: TargetState) -> bool:
         now = self._clock.now()
         return (
--- a/tests/decisions/test_upgrades.py
+++ b/tests/decisions/test_upgrades.py
@@ -41,6 +41,15 @@
         # Engines with the oldest weights are first.
         ([_make(2, 0.0), _make(1, 2.0, 4.0), _make(1, 1.0, 0.1)], ['1']),
         ([_make(2, 0.0)] * 3, []),
+        # Overdue engines do not wait for those that are out of service.
+        (
+            [
+                _make(1, 5.0)._replace(is_out_of_service=True),
+                _make(1, 0.0, 2.0),
+                *[_make(1, 9.0, 7.0)._replace(is_overdue=True)] * 2,
+            ],
+            ['2', '3'],
+        ),
     ],
 )
 def test_upgrade_round(
