Assume that rows read after a break are as old as the break

A request began on weights replaced more than 8 s before, sent by VMs in touch.

Cause: the age of an announcement counted from when the first VM read it. If the connections of all VMs to the store go silent at once, all notice only when their calls time out, up to 2.9 s later, and none knows better. The same for a VM that was suspended while the others were restarted: its late observation replaced the age that they assumed (by reading, not by a test). Class: a duration measured from the time of learning in place of the event.

Ruled out: the withdrawal; it counts from the same late time.

Change: a row that is read after a longer interval than the feed's counts as written at the last response before, 3.5 s ago at most. Such a time is assumed: it is not passed on in gossip, and gives way to one that a VM observed. A hub relays the interval with the rows; a VM that reads a row that was not relayed in time takes the 1.15 s after which it looks.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -32,6 +32,9 @@
 _RELAY_DELAY_S = 0.15
 _MIN_RETRY_PAUSE_S = 0.1
 _MAX_RETRY_PAUSE_S = 0.8
+# A feed that is read without a break answers at most this much later than
+# the pause before a call and its wait.
+_MAX_FEED_LAG_S = 0.25
 # Rows that expired during an outage of the store, as their writers could
 # not renew them, are written again within this time after it.
 _EXPIRY_GRACE_S = 2.2
@@ -71,6 +74,9 @@
         self._regained_at = float('-inf')
         self._relayed_at = float('-inf')
         self.last_read = float('-inf')
+        # Rows of the response that is being applied may have been written
+        # this long ago, in seconds; 0 if they were read without a break.
+        self.unread_for = 0.0
         self._newer_rows_reported = asyncio.Event()
         # By the gossip of other VMs; this VM may not have that row yet.
         self._reported_row_version = 0
@@ -114,7 +120,7 @@
     async def _step(self) -> None:
         if self._needs_full_read:
             table_rows = await self._store.read(self.table)
-            self._record_response()
+            self._record_response(0.0)
             self._apply_full_read(table_rows)
             return
         if self.is_relayed() and not self._delayed_deletions:
@@ -131,7 +137,7 @@
         )
         previous_version = self.newest_row_version
         changes = await self._store.follow(self.table, self._position, wait)
-        self._record_response()
+        self._record_response(_BATCH_PAUSE_S + wait + _MAX_FEED_LAG_S)
         for row in changes.rows:
             self._apply_row(row)
         self._position = max(self._position, changes.store_version)
@@ -150,12 +156,14 @@
             return
         await asyncio.sleep(_RELAY_DELAY_S)
 
-    def apply_relayed(self, previous_version: int, changes: Rows) -> None:
+    def apply_relayed(
+        self, previous_version: int, changes: Rows, unread_for: float = 0.0
+    ) -> None:
         """Apply rows that another VM read from the feed.
 
         ``previous_version`` is that of the newest row that the other VM had
-        before. If this VM lacks rows up to that version, it reads the store
-        instead.
+        before, and ``unread_for`` what it recorded for these rows. If this
+        VM lacks rows up to that version, it reads the store instead.
         """
         if self._needs_full_read or previous_version > self.newest_row_version:
             self.record_newest_row_version(
@@ -163,6 +171,7 @@
             )
             return
         self._record_relay()
+        self.unread_for = unread_for
         for row in changes.rows:
             self._apply_row(row)
         self._position = max(self._position, changes.store_version)
@@ -226,8 +235,17 @@
             self._handle_row(row)
         self._delayed_deletions.clear()
 
-    def _record_response(self) -> None:
+    def _record_response(self, longest_interval: float) -> None:
+        """Record a response that came in time within ``longest_interval`` s.
+
+        It counts from the response before. While another VM relays rows,
+        this one reads only those that were not relayed in time.
+        """
         now = self._clock.now()
+        interval = now - self.last_read
+        if self.is_relayed():
+            interval = _RELAY_CHECK_S + _RELAY_DELAY_S
+        self.unread_for = interval if interval > longest_interval else 0.0
         self.last_read = now
         self._retry_pause = _MIN_RETRY_PAUSE_S
         if self._lost_since is not None:
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -141,7 +141,8 @@
     """All changes of a table after a version, up to ``store_version``.
 
     ``previous_version`` is the version of the newest row that the sender
-    had until then.
+    had until then. The rows may have been written ``unread_for`` seconds
+    before it read them, 0 if it read them at once.
     """
 
     node: str
@@ -149,6 +150,7 @@
     previous_version: int
     store_version: int
     rows: list[RelayedRow]
+    unread_for: float = 0.0
 
 
 class BadMessageError(LentilrunError):
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -176,6 +176,9 @@
         self.operator_rows.on_full_read.append(
             self.view.mark_operator_rows_read
         )
+        self.view.operator_rows_unread_for = lambda: (
+            self.operator_rows.unread_for
+        )
         self.target_rows = Follower(
             self.store,
             documents.TARGET_TABLE,
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -32,7 +32,7 @@
         peers.on_relayed_rows.append(self._apply_rows)
         for follower in followers:
             follower.is_relayed = self._is_relayed
-            follower.on_rows.append(self._make_relay_callback(follower.table))
+            follower.on_rows.append(self._make_relay_callback(follower))
 
     def _is_relayed(self) -> bool:
         hub = self._peers.find_hub()
@@ -52,16 +52,19 @@
             t: f.newest_known_row_version() for t, f in self._followers.items()
         }
 
-    def _make_relay_callback(self, table: str) -> Callable[[int, Rows], None]:
+    def _make_relay_callback(
+        self, follower: Follower
+    ) -> Callable[[int, Rows], None]:
         def relay(previous_version: int, changes: Rows) -> None:
             rows = [RelayedRow(*row) for row in changes.rows]
             self._peers.relay_rows(
                 RelayedRows(
                     self._peers.own_member.name,
-                    table,
+                    follower.table,
                     previous_version,
                     changes.store_version,
                     rows,
+                    follower.unread_for,
                 )
             )
 
@@ -79,7 +82,9 @@
             return
         rows = tuple(Row(*row) for row in relayed.rows)
         follower.apply_relayed(
-            relayed.previous_version, Rows(rows, relayed.store_version, 0.0)
+            relayed.previous_version,
+            Rows(rows, relayed.store_version, 0.0),
+            relayed.unread_for,
         )
 
 
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -29,12 +29,16 @@
 # Assumed age of a version that was announced before this process first read
 # the operators' rows.
 _PRIOR_VERSION_AGE_S = 5.0
+# While the store answers, a feed that went silent is read again within this
+# time.
+_MAX_UNREAD_AGE_S = 3.5
 
 
 class AnnouncedVersion(NamedTuple):
     """A version that was announced; ``announced_at`` in s by the clock.
 
-    The time is only assumed if the announcement was older than the process.
+    The time is only assumed, as the earliest one, if the announcement was
+    older than the process or this VM had not read the store for a time.
     """
 
     version: int
@@ -106,6 +110,8 @@
         self.configuration: Configuration | None = None
         self.announced: dict[str, AnnouncedWeights] = {}
         self._has_operator_rows = False
+        # For how long rows may have been unread when they are applied, in s.
+        self.operator_rows_unread_for: Callable[[], float] = lambda: 0.0
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_weights: list[Callable[[], None]] = []
 
@@ -145,16 +151,13 @@
             return
         announcement = documents.decode_announcement(row.value)
         weights = self.announced.get(announcement.model)
-        now = self._clock.now()
-        age = 0.0
+        age = self._assume_age()
+        announced = AnnouncedVersion(
+            announcement.version, self._clock.now() - age, age > 0.0
+        )
         if weights is None:
-            is_assumed = not self._has_operator_rows
-            age = _PRIOR_VERSION_AGE_S if is_assumed else 0.0
-            first = AnnouncedVersion(
-                announcement.version, now - age, is_assumed
-            )
-            self.announced[announcement.model] = AnnouncedWeights(first)
-        elif not weights.add(AnnouncedVersion(announcement.version, now)):
+            self.announced[announcement.model] = AnnouncedWeights(announced)
+        elif not weights.add(announced):
             return
         self._log.write(
             'weights_wanted',
@@ -165,6 +168,15 @@
         )
         self._notify_weights()
 
+    def _assume_age(self) -> float:
+        """Return the age of a row that is applied now, in seconds.
+
+        It is 0 if the row was read as soon as it was written.
+        """
+        if not self._has_operator_rows:
+            return _PRIOR_VERSION_AGE_S
+        return min(self.operator_rows_unread_for(), _MAX_UNREAD_AGE_S)
+
     def _notify_weights(self) -> None:
         # A callback may add or remove others.
         for callback in list(self.on_weights):
