Use no connection again that its server closes

Callers saw: nothing yet. The next request on such a connection meets its close; an unsafe one then ends as 502, as it may have run.

Cause: the client kept a connection unless the header Connection was exactly 'close'. A list ('X-Hop, close', also on two lines) and an HTTP/1.0 response with a length and without keep-alive were read as 'kept'.

Seen red: 3 of 30 cases of the new tests/web/test_connection_end.py (close in a list, close on a second line, HTTP/1.0). Green from the start, kept as regressions: responses without a length or chunks, ended by FIN (whole) and by a reset (interrupted), in one-byte packets, with bytes in the head's packet, HTTP/1.0, with and without Connection: close, never used again; 204, 304, HEAD end at once. After: 57 of tests/web pass.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -54,6 +54,7 @@
 # the server closes the connection.
 _IDLE_TIMEOUT_MARGIN_S = 0.7
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
+_HTTP_1_0 = 'HTTP/1.0'
 _IDLE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
 
 
@@ -151,6 +152,18 @@
         return Response(self.status, self.headers, b''.join(self._chunks))
 
 
+def _is_kept_open(version: str, headers: HTTPHeaders) -> bool:
+    """Return whether a server keeps the connection after a response.
+
+    HTTP/1.0 servers do so only if they state it.
+    """
+    text = headers.get('Connection', '').lower()
+    options = {option.strip() for option in text.split(',')}
+    if version == _HTTP_1_0:
+        return 'keep-alive' in options
+    return 'close' not in options
+
+
 def _read_idle_timeout(headers: HTTPHeaders) -> float:
     """Return for how long the server keeps idle connections, in seconds."""
     match = _IDLE_TIMEOUT_PATTERN.search(headers.get('Keep-Alive', ''))
@@ -177,9 +190,10 @@
         is_delimited = 'Content-Length' in headers or (
             headers.get('Transfer-Encoding', '').lower() == 'chunked'
         )
-        connection_option = headers.get('Connection', '').lower()
         self.idle_timeout = _read_idle_timeout(headers)
-        self.keep_alive = is_delimited and connection_option != 'close'
+        self.keep_alive = is_delimited and _is_kept_open(
+            start_line.version, headers
+        )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
