--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -11,6 +11,8 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from .rawresponse import RawResponse
+
 _ACCEPTED = 202
 _CONFLICT = 409
 _MISDIRECTED = 421
@@ -35,10 +37,14 @@
 
     ``status`` and ``body`` are the response to a request that isn't a
     stream; with ``echoes_request_id`` the body is the request's id.
-    ``event_count`` events make a stream. ``fault`` is full, reset, cut,
-    crossed, hang or unsigned and affects the next ``fault_count``
-    requests (-1: all). The next ``delayed_orders`` orders are handled
-    after ``order_delay_s``.
+    ``event_count`` events with lines that end in ``line_end`` make a stream.
+    Unless ``is_framed``, responses have neither a length nor chunks, end
+    with their connection and are sent in packets of ``packet_bytes`` (0:
+    one for each event or body). ``fault`` is full, reset, cut, crossed, hang
+    or unsigned and affects the next ``fault_count`` requests (-1: all);
+    without framing it may also be torn (reset after the first event, or
+    within the body) or empty (closed after the head). The next
+    ``delayed_orders`` orders are handled after ``order_delay_s``.
     """
 
     def __init__(self) -> None:
@@ -47,6 +53,9 @@
         self.echoes_request_id = False
         self.event_count = 3
         self.event_interval_s = 0.0
+        self.line_end = '\n'
+        self.is_framed = True
+        self.packet_bytes = 0
         self.fault = ''
         self.fault_count = -1
         self.weights_load_s = 0.05
@@ -218,6 +227,9 @@
         self.set_header('X-Instance-Id', self.state.incarnation)
         if fault != 'unsigned':
             self.set_header('X-Response-Signature', 'signed')
+        if not self.state.plan.is_framed:
+            await self.send_unframed(fault)
+            return
         if 'X-Prefix-Hash' in self.request.headers:
             await self.send_events(fault)
             return
@@ -227,21 +239,72 @@
             return
         self.finish(self.state.plan.body)
 
+    def list_event_numbers(self) -> range:
+        first = int(self.request.headers.get('Last-Event-Id', '0')) + 1
+        return range(first, self.state.plan.event_count + 1)
+
+    def make_event(self, number: int) -> str:
+        end = self.state.plan.line_end
+        return f'id: {number}{end}data: piece {number}{end}{end}'
+
     async def send_events(self, fault: str) -> None:
         self.set_header('Content-Type', 'text/event-stream')
-        first = int(self.request.headers.get('Last-Event-Id', '0')) + 1
-        for number in range(first, self.state.plan.event_count + 1):
+        for number in self.list_event_numbers():
             if fault == 'cut' and number == 2:
                 stream = self.request.connection.stream  # type: ignore
                 await asyncio.sleep(_CUT_DELAY_S)
                 await stream.write(b'5\r\nid: 2')
                 stream.close()
                 return
-            self.write(f'id: {number}\ndata: piece {number}\n\n')
+            self.write(self.make_event(number))
             await self.flush()
             await asyncio.sleep(self.state.plan.event_interval_s)
         self.finish()
 
+    async def send_unframed(self, fault: str) -> None:
+        plan = self.state.plan
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        response = RawResponse(stream, plan.packet_bytes)
+        is_stream = 'X-Prefix-Hash' in self.request.headers
+        if is_stream:
+            self.set_header('Content-Type', 'text/event-stream')
+        status = _OK if is_stream else plan.status
+        response.begin(status, dict(self._headers.get_all()))
+        if fault == 'empty':
+            await response.write(b'')
+        elif is_stream:
+            await self.send_unframed_events(response, fault)
+        else:
+            await self.send_unframed_body(response, fault)
+        response.finish()
+
+    async def send_unframed_body(
+        self, response: RawResponse, fault: str
+    ) -> None:
+        body = self.state.plan.body
+        if self.state.plan.echoes_request_id:
+            body = self.request.headers.get('X-Request-Id', '').encode()
+        if fault == 'torn':
+            await response.write(body[: len(body) // 2])
+            await response.reset()
+            return
+        await response.write(body)
+
+    async def send_unframed_events(
+        self, response: RawResponse, fault: str
+    ) -> None:
+        for number in self.list_event_numbers():
+            if fault == 'torn' and number > 1:
+                await response.reset()
+                return
+            event = self.make_event(number).encode()
+            if fault == 'cut' and number > 1:
+                await response.write(event[:-1])
+                return
+            await response.write(event)
+            await asyncio.sleep(self.state.plan.event_interval_s)
+        await response.write(b'')
+
 
 def make_application(state: ReplicaState) -> Application:
     """Return the web application of a replica."""
