Relay streams whose lines end in CRLF

Callers saw: 502, or a stream broken off, for a sound stream whose events end in CR LF CR LF; no event of it was relayed.

Cause: both relays looked for LF LF only, so the whole stream counted as one event that never ended. Ruled out: framing; the same streams with LF are whole, with and without a length, in one-byte packets too.

Change: one EventBuffer finds the ends of events (LF LF, LF CR LF) for both pipelines; it searches each byte once, where each packet of a long event made the search start again. Blank lines after the last event are passed on and no longer make a whole stream look cut.

--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -13,13 +13,14 @@
 
 from ..targets.requests import is_response_to
 from ..web.client import ResponseHandler
+from ..web.eventstream import EventBuffer
+from ..web.eventstream import split_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
     from tornado.httputil import HTTPHeaders
 
-_EVENT_END = b'\n\n'
 _EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 _DONE = b'data: [DONE]'
 _USAGE = b'"usage"'
@@ -108,9 +109,7 @@
 
     def _filter_each_event(self, data: bytes) -> bytes | None:
         new_events = []
-        for event in data.split(_EVENT_END):
-            if not event:
-                continue
+        for event in split_events(data):
             id_match = _EVENT_ID.search(event)
             number = int(id_match[1]) if id_match else self.last_event_id + 1
             if number <= self.last_event_id:
@@ -118,13 +117,14 @@
             if number > self.last_event_id + 1:
                 return None
             self.last_event_id = number
-            new_events.append(event + _EVENT_END)
+            new_events.append(event)
         return b''.join(new_events)
 
     def _record_events(self, data: bytes) -> None:
-        self.event_count += data.count(_EVENT_END)
+        events = split_events(data)
+        self.event_count += len(events)
         if _USAGE in data:
-            for event in data.split(_EVENT_END):
+            for event in events:
                 if _USAGE in event:
                     usage = parse_usage(_find_data(event))
                     self.usage = usage or self.usage
@@ -149,7 +149,7 @@
         self.caller_disconnected = False
         self.relay_started = False
         self.writer = writer
-        self._buffer = b''
+        self._buffer = EventBuffer()
 
     def receive_head(
         self, status: int, headers: HTTPHeaders
@@ -172,16 +172,11 @@
             return None
         if not self.is_stream:
             return super().receive_chunk(chunk)
-        data = self._buffer + chunk if self._buffer else chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._buffer = data
-            if len(data) > _MAX_EVENT_BYTES:
-                self.stop()
+        events = self._buffer.add(chunk)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            self.stop()
             return None
-        end += len(_EVENT_END)
-        self._buffer = data[end:]
-        new_events = self.stream.filter(data[:end])
+        new_events = self.stream.filter(events)
         if new_events is None:
             self.has_gap = True
             self.stop()
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -10,6 +10,8 @@
 from ..platform import dialect
 from ..platform.dialect import ResponseHead
 from ..web.client import ResponseHandler
+from ..web.eventstream import EventBuffer
+from ..web.eventstream import split_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -19,7 +21,6 @@
 
     from .call import ResponseWriter
 
-_EVENT_END = b'\n\n'
 _EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 _OK = 200
 _SUCCESS_STATUS_END = 300
@@ -43,10 +44,10 @@
             self.last_event_id = max([self.last_event_id, *numbers])
             return events
         unseen = []
-        for event in events.split(_EVENT_END)[:-1]:
+        for event in split_events(events):
             match = _EVENT_ID.search(event)
             if match is None or int(match[1]) > self.last_event_id:
-                unseen.append(event + _EVENT_END)
+                unseen.append(event)
         self.last_event_id = max([self.last_event_id, *numbers])
         return b''.join(unseen)
 
@@ -69,7 +70,7 @@
         self._progress = progress
         self._record_first_event = record_first_event
         self._is_relayed = False
-        self._partial_event = b''
+        self._buffer = EventBuffer()
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
         """Return whether a response belongs to the request."""
@@ -97,17 +98,12 @@
         """
         if not self._is_relayed:
             return super().receive_chunk(chunk)
-        data = self._partial_event + chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._partial_event = data
-            if len(data) > _MAX_EVENT_BYTES:
-                self.stop()
+        events = self._buffer.add(chunk)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            self.stop()
             return None
-        end += len(_EVENT_END)
-        self._partial_event = data[end:]
-        events = self._progress.drop_seen(data[:end])
-        return self._relay(events) if events else None
+        unseen = self._progress.drop_seen(events)
+        return self._relay(unseen) if unseen else None
 
     async def _relay(self, events: bytes) -> None:
         self._record_first_event()
@@ -126,7 +122,7 @@
 
     def is_truncated(self) -> bool:
         """Return whether a stream has ended within an event."""
-        return bool(self._partial_event)
+        return self._buffer.is_within_event()
 
     def is_usable(self) -> bool:
         """Return whether the response may be passed to the caller as it is."""
@@ -140,6 +136,9 @@
     async def deliver(self) -> None:
         """Send the whole response, or complete a stream that was relayed."""
         if self._progress.has_started:
+            blank_lines = self._buffer.take_rest()
+            if blank_lines:
+                await self._writer.write(blank_lines)
             await self._writer.finish()
             return
         headers = dialect.make_response_headers(self.headers)
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -19,7 +19,9 @@
 # Line ends, and bytes of a packet (0: one packet for each event).
 _FORMS = {
     'LF': ('\n', 0),
+    'CRLF': ('\r\n', 0),
     'LF, one-byte packets': ('\n', 1),
+    'CRLF, one-byte packets': ('\r\n', 1),
 }
 
 
@@ -129,7 +131,7 @@
         pauses = [b - a for a, b in itertools.pairwise(times)]
         assert min(pauses) > 0.15
 
-    _run('LF', '', 0, check)
+    _run('CRLF', '', 0, check)
 
 
 class _Case(NamedTuple):
