Don't deliver a stream that ended before its first event

Callers saw: 200 with a signature and an empty body, complete in its framing, where an engine crashed after it had sent the head of a stream that has neither a length nor chunks.

Cause: the end of the connection is the end of such a stream, and no event was cut, so nothing said that it had broken off. A stream has an event unless the caller has received all of them before (Last-Event-Id) or asks by HEAD.

Change: such an attempt counts as broken: resumable streams run elsewhere, others end as 502.

Seen red: 2 cases of test_stream_without_an_event_has_broken_off; the test of HEAD fails without its exception. After: 153 pass (tests/web and of tests/gateway test_unframed_responses, test_moving_streams, test_requests).

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -108,7 +108,11 @@
             context.clock,
         )
         self._receiver = ResponseReceiver(
-            call.request_id, writer, progress, self._record_first_event
+            call.request_id,
+            writer,
+            progress,
+            self._record_first_event,
+            expects_body=call.incoming.method != 'HEAD',
         )
 
     async def run(self) -> AttemptResult:
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -9,6 +9,7 @@
 
 from ..platform import dialect
 from ..platform.dialect import ResponseHead
+from ..web.client import is_framed
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
 from ..web.eventstream import split_events
@@ -37,6 +38,10 @@
         self.last_event_id = last_event
         self.has_started = False
 
+    def is_empty(self) -> bool:
+        """Return whether the caller has received no event at all."""
+        return not self.has_started and not self.last_event_id
+
     def drop_seen(self, events: bytes) -> bytes:
         """Return the events without those that the caller has received."""
         numbers = [int(n) for n in _EVENT_ID.findall(events)]
@@ -61,7 +66,9 @@
         writer: ResponseWriter,
         progress: StreamProgress,
         record_first_event: Callable[[], None],
+        expects_body: bool = True,
     ) -> None:
+        """Expect no events of a stream unless ``expects_body``."""
         super().__init__()
         self.head: ResponseHead | None = None
         self.caller_disconnected = False
@@ -69,7 +76,9 @@
         self._writer = writer
         self._progress = progress
         self._record_first_event = record_first_event
+        self._expects_body = expects_body
         self._is_relayed = False
+        self._is_framed = True
         self._buffer = EventBuffer()
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
@@ -89,6 +98,7 @@
             and head.is_signed
             and not head.is_encoded
         )
+        self._is_framed = is_framed(headers)
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
@@ -121,8 +131,20 @@
         await self._writer.write(events)
 
     def is_truncated(self) -> bool:
-        """Return whether a stream has ended within an event."""
-        return self._buffer.is_within_event()
+        """Return whether a stream has broken off, though it looks complete.
+
+        It has if it ends within an event. A crashed target may also close
+        its connection before the first event, and the connection's end is
+        the end of a stream without a length.
+        """
+        if self._buffer.is_within_event():
+            return True
+        return (
+            self._is_relayed
+            and self._expects_body
+            and not self._is_framed
+            and self._progress.is_empty()
+        )
 
     def is_usable(self) -> bool:
         """Return whether the response may be passed to the caller as it is."""
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -172,6 +172,9 @@
     async def get(self) -> None:
         await self.execute()
 
+    async def head(self) -> None:
+        await self.execute()
+
     async def post(self) -> None:
         await self.execute()
 
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -152,6 +152,15 @@
         return Response(self.status, self.headers, b''.join(self._chunks))
 
 
+def is_framed(headers: HTTPHeaders) -> bool:
+    """Return whether a response has a length or comes in chunks.
+
+    Any other one ends with its connection.
+    """
+    encoding = headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in headers or encoding == 'chunked'
+
+
 def _is_kept_open(version: str, headers: HTTPHeaders) -> bool:
     """Return whether a server keeps the connection after a response.
 
@@ -187,11 +196,8 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
             return None
-        is_delimited = 'Content-Length' in headers or (
-            headers.get('Transfer-Encoding', '').lower() == 'chunked'
-        )
         self.idle_timeout = _read_idle_timeout(headers)
-        self.keep_alive = is_delimited and _is_kept_open(
+        self.keep_alive = is_framed(headers) and _is_kept_open(
             start_line.version, headers
         )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
@@ -441,6 +447,7 @@
 __all__ = [
     'Client',
     'InterruptedExchangeError',
+    'is_framed',
     'NotSentError',
     'Request',
     'Response',
--- a/tests/gateway/test_unframed_responses.py
+++ b/tests/gateway/test_unframed_responses.py
@@ -99,6 +99,40 @@
     _run(form, fault, 1, check)
 
 
+@pytest.mark.parametrize(
+    ('path', 'status', 'runs'), [('/talk/x', 200, 2), ('/chat/x', 502, 1)]
+)
+def test_stream_without_an_event_has_broken_off(
+    path: str, status: int, runs: int
+) -> None:
+    """A stream that ends before its first event isn't delivered as whole."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        response = await deployment.ask(node, path, b'x', '1000,50')
+        assert response.status == status
+        assert len(_list_runs(deployment)) == runs
+        if status == 200:
+            assert response.body == _make_stream('\n')
+
+    _run('LF', 'empty', 1, check)
+
+
+def test_head_of_a_stream_has_no_event() -> None:
+    """The response to HEAD is whole without a body."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        for state in deployment.replicas.values():
+            state.plan.is_framed = True
+        request = deployment.make_request('/chat/x', b'', '900,9', {})
+        head = request.replace(b'GET', b'HEAD', 1)
+        response = await deployments.ask(node.settings.entry, head)
+        assert response.status == 200
+        assert response.headers['Content-Type'] == 'text/event-stream'
+        assert len(_list_runs(deployment)) == 1
+
+    _run('LF', '', 0, check)
+
+
 def test_resumed_stream_may_have_no_further_event() -> None:
     """A caller may have all events of a stream, and resume it for its end."""
 
