Answer HEAD requests that are refused

Callers saw: a closed connection instead of 404, 401 or 503 for HEAD.

Cause: the refusal's body was written after the head; the connection expects none for HEAD, closes and raises in a task whose error nobody reads.

Change: the writer sends no body to HEAD; the length of the refusal stays in its head.

--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -58,10 +58,15 @@
     """Writes the response to one request; a ``ResponseWriter``."""
 
     def __init__(
-        self, connection: HTTP1Connection, is_leaving: Callable[[], bool]
+        self,
+        connection: HTTP1Connection,
+        is_leaving: Callable[[], bool],
+        is_head: bool = False,
     ) -> None:
+        """Send no body if the request ``is_head``."""
         self._connection = connection
         self._is_leaving = is_leaving
+        self._is_head = is_head
         self.has_begun = False
 
     def _start_response(
@@ -99,7 +104,9 @@
         """Send a whole response."""
         if status not in _NO_BODY:
             headers['Content-Length'] = str(len(body))
-        written = self._start_response(status, headers, body or None)
+        written = self._start_response(
+            status, headers, None if self._is_head else body or None
+        )
         self._finish_exchange()
         await written
 
@@ -150,7 +157,9 @@
             self._arrived_at,
         )
         writer = _ConnectionWriter(
-            self._connection, lambda: self._port.is_leaving
+            self._connection,
+            lambda: self._port.is_leaving,
+            self._line.method == 'HEAD',
         )
         coroutine = self._port.respond(incoming, writer, self)
         self._task = asyncio.ensure_future(coroutine)
--- a/tests/gateway/test_odd_requests.py
+++ b/tests/gateway/test_odd_requests.py
@@ -142,3 +142,32 @@
             writer.close()
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize(
+    ('path', 'headers', 'status'),
+    [
+        ('/plain/x', {}, 200),
+        ('/none/x', {}, 404),
+        ('/plain/x', {'Api-Key': 'unknown'}, 401),
+    ],
+)
+def test_head_is_answered(
+    path: str, headers: dict[str, str], status: int
+) -> None:
+    """The response to HEAD has no body, and the connection stays open."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            await _start(deployment)
+            node = deployment.nodes['vm1']
+            request = deployment.make_request(path, b'', '', headers)
+            opened = asyncio.open_connection(*node.settings.entry)
+            reader, writer = await opened
+            for _ in range(2):
+                writer.write(request.replace(b'GET', b'HEAD', 1))
+                head = await reader.readuntil(b'\r\n\r\n')
+                assert head.startswith(b'HTTP/1.1 %d ' % status)
+            writer.close()
+
+    asyncio.run(body())
