Let the soak's replicas respond without a length or chunks

Half of the faults that break a replica also let its responses end with their connection from then on, in packets of 1, 7 or all bytes, and may cut them off by a reset or before the first event. The draws are their own, so the other faults of a seed stay the same.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
     from collections.abc import Callable
     from types import TracebackType
 
+    from lentilrun.standins.replica import ReplicaPlan
+
     from .deployment import Deployment
     from .deployment import VmProcess
     from .proxy import Proxy
@@ -25,6 +27,9 @@
 _RESTART_DELAY_S = 0.3
 _DISRUPTIONS = tuple(d for d in Disruption if d is not Disruption.NONE)
 _REPLICA_FAULTS = ('full', 'reset', 'cut', 'crossed', 'unsigned', 'hang')
+# Further faults of replicas whose responses end with their connection.
+_UNFRAMED_FAULTS = ('torn', 'empty')
+_UNFRAMED_SHARE = 0.5
 _MAX_CONSECUTIVE_FAULTS = 4
 
 
@@ -43,6 +48,8 @@
     def __init__(self, deployment: Deployment, rng: random.Random) -> None:
         self._deployment = deployment
         self._rng = rng
+        # Draws of its own, so that the other faults of a seed stay the same.
+        self._framing_rng = random.Random(rng.getstate()[1][0])
         self._tasks: set[asyncio.Task[None]] = set()
         # VMs that are paused or being restarted.
         self._reserved: set[str] = set()
@@ -181,7 +188,15 @@
         plan = self._deployment.replicas[name].plan
         plan.fault = self._rng.choice(_REPLICA_FAULTS)
         plan.fault_count = self._rng.randint(1, _MAX_CONSECUTIVE_FAULTS)
-        return f'{name} {plan.fault} {plan.fault_count}'
+        self._change_framing(plan)
+        return f'{name} {plan.fault} {plan.fault_count} {plan.is_framed}'
+
+    def _change_framing(self, plan: ReplicaPlan) -> None:
+        rng = self._framing_rng
+        plan.is_framed = rng.random() >= _UNFRAMED_SHARE
+        plan.packet_bytes = rng.choice((0, 1, 7))
+        if not plan.is_framed and rng.random() < _UNFRAMED_SHARE:
+            plan.fault = rng.choice(_UNFRAMED_FAULTS)
 
     async def _restart_replica(self) -> str:
         name = self._rng.choice(list(self._deployment.replicas))
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -43,8 +43,8 @@
     one for each event or body). ``fault`` is full, reset, cut, crossed, hang
     or unsigned and affects the next ``fault_count`` requests (-1: all);
     without framing it may also be torn (reset after the first event, or
-    within the body) or empty (closed after the head). The next
-    ``delayed_orders`` orders are handled after ``order_delay_s``.
+    within the body) or empty (a stream closed after its head, or torn). The
+    next ``delayed_orders`` orders are handled after ``order_delay_s``.
     """
 
     def __init__(self) -> None:
@@ -273,7 +273,7 @@
             self.set_header('Content-Type', 'text/event-stream')
         status = _OK if is_stream else plan.status
         response.begin(status, dict(self._headers.get_all()))
-        if fault == 'empty':
+        if fault == 'empty' and is_stream:
             await response.write(b'')
         elif is_stream:
             await self.send_unframed_events(response, fault)
@@ -287,7 +287,7 @@
         body = self.state.plan.body
         if self.state.plan.echoes_request_id:
             body = self.request.headers.get('X-Request-Id', '').encode()
-        if fault == 'torn':
+        if fault in ('torn', 'empty'):
             await response.write(body[: len(body) // 2])
             await response.reset()
             return
