Never believe a second copy of a response that has no ID

From a target that doesn't echo them, or where a copy lacks it, the caller of the next request on the connection got the response to the one before, with status 200.

Cause: a response without an ID counts as that to the request, also on a connection in use again, where it may be a late copy.

Change: on such a connection a response needs an ID, or has to state that the request was not run (refusals have no ID on the users' page); anything else ends the exchange as one that may have run. A connection whose response had no ID is not used again, so that plain targets still work, each request with its own connection. Residual: a late copy of a refusal without an ID is believed.

--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -218,6 +218,11 @@
     return headers.get(_REQUEST_ID, request_id) == request_id
 
 
+def has_request_id(headers: HTTPHeaders) -> bool:
+    """Return whether a response states its request's ID."""
+    return _REQUEST_ID in headers
+
+
 def read_response_head(status: int, headers: HTTPHeaders) -> ResponseHead:
     """Return the status and header values of a target's response."""
     misdirected = status == _MISDIRECTED_STATUS
@@ -258,6 +263,7 @@
     'CallerHeaders',
     'EXPECTED_INCARNATION',
     'ForwardedHeaders',
+    'has_request_id',
     'is_response_to',
     'make_forwarded_headers',
     'make_refusal_headers',
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -124,6 +124,14 @@
         """
         return True
 
+    def is_identified(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a response can't be that to an earlier request.
+
+        Any other response is believed only as the first on its connection,
+        which isn't used again. Servers may send a response twice.
+        """
+        return True
+
     def receive_head(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -180,9 +188,12 @@
 
 
 class _ResponseDelegate(HTTPMessageDelegate):
-    def __init__(self, stream: IOStream, handler: ResponseHandler) -> None:
+    def __init__(
+        self, stream: IOStream, handler: ResponseHandler, is_reused: bool
+    ) -> None:
         self._stream = stream
         self._handler = handler
+        self._is_reused = is_reused
         self.is_mismatched = False
         self.finished = False
         self.keep_alive = False
@@ -203,6 +214,12 @@
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
+        if not self._handler.is_identified(start_line.code, headers):
+            self.keep_alive = False
+            if self._is_reused:
+                self.is_mismatched = True
+                self._stream.close()
+                return None
         return self._handler.receive_head(start_line.code, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -358,6 +375,7 @@
         Raises ``NotSentError`` or ``InterruptedExchangeError``.
         """
         stream = self._pop_idle(address) if reuse else None
+        is_reused = stream is not None
         if stream is None:
             stream = await self._connect(address, request.timeout)
         if handler.is_stopped:
@@ -368,7 +386,7 @@
         try:
             async with asyncio.timeout(request.timeout):
                 idle_timeout = await self._send_and_receive(
-                    stream, address, request, handler
+                    stream, address, request, handler, is_reused
                 )
         except (StreamClosedError, OSError) as error:
             message = f'{address} closed the connection'
@@ -389,6 +407,7 @@
         address: Address,
         request: Request,
         handler: ResponseHandler,
+        is_reused: bool,
     ) -> float:
         """Return how long the server keeps the connection, in seconds.
 
@@ -397,7 +416,7 @@
         connection = _ClientConnection(stream, True, self._parameters)
         self._write_request(connection, address, request)
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            delegate = _ResponseDelegate(stream, handler)
+            delegate = _ResponseDelegate(stream, handler, is_reused)
             try:
                 is_open = await connection.read_response(delegate)
             except StreamClosedError:
--- /dev/null
+++ b/tests/web/test_late_copies.py
@@ -0,0 +1,201 @@
+"""A second copy of a response that arrives on a connection in use again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from lentilrun.config.ini import Address
+from lentilrun.gateway.relay import ResponseReceiver
+from lentilrun.gateway.relay import StreamProgress
+from lentilrun.web.client import Client
+from lentilrun.web.client import InterruptedExchangeError
+from lentilrun.web.client import Request
+import pytest
+from tornado.httputil import HTTPHeaders
+
+_TIMEOUT_S = 2.0
+_PAUSE_S = 0.05
+
+
+class _Writer:
+    """Collects what a caller gets."""
+
+    def __init__(self) -> None:
+        self.data = b''
+
+    async def begin(self, status: int, headers: HTTPHeaders) -> None:
+        self.data += b''
+
+    async def write(self, data: bytes) -> None:
+        self.data += data
+
+    async def finish(self) -> None:
+        self.data += b''
+
+    async def send(
+        self, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        self.data += body
+
+
+def _make_response(kind: str, name: str, echoes_id: bool) -> bytes:
+    """Return a response of a kind; its body has the request's name."""
+    head = 'X-Response-Signature: s\r\n'
+    if echoes_id:
+        head += f'X-Request-Id: {name}\r\n'
+    body = f'the response to {name}'
+    if kind == '204':
+        return f'HTTP/1.1 204 No Content\r\n{head}\r\n'.encode()
+    if kind == 'empty':
+        return f'HTTP/1.1 200 OK\r\n{head}Content-Length: 0\r\n\r\n'.encode()
+    if kind == 'failure':
+        return (
+            f'HTTP/1.1 500 Failed\r\n{head}'
+            f'Content-Length: {len(body)}\r\n\r\n{body}'
+        ).encode()
+    if kind == 'stream':
+        event = f'id: 1\ndata: {body}\n\n'
+        return (
+            f'HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n'
+            f'Transfer-Encoding: chunked\r\n\r\n'
+            f'{len(event):x}\r\n{event}\r\n0\r\n\r\n'
+        ).encode()
+    early = 'HTTP/1.1 100 Continue\r\n\r\n' if kind == 'after 100' else ''
+    return (
+        f'{early}HTTP/1.1 200 OK\r\n{head}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+class _Plan(NamedTuple):
+    """The first response, when its copy comes and what is echoed.
+
+    ``moment`` is idle, or before the next response on the connection.
+    """
+
+    kind: str
+    moment: str
+    echoes_id: bool
+    copy_has_id: bool
+    packet_bytes: int
+
+
+class _Server:
+    """Responds to each request; sends the first response twice."""
+
+    def __init__(self, plan: _Plan) -> None:
+        self._plan = plan
+        self.connections = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        copy = b''
+        try:
+            while True:
+                copy = await self._respond(reader, writer, copy)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        except asyncio.CancelledError:
+            # The test has ended.
+            pass
+        writer.close()
+
+    async def _respond(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        copy: bytes,
+    ) -> bytes:
+        """Respond to a request; return what the connection owes late."""
+        plan = self._plan
+        head = (await reader.readuntil(b'\r\n\r\n')).decode()
+        name = head.split('X-Request-Id: ')[1].split('\r\n')[0]
+        response = _make_response(plan.kind, name, plan.echoes_id)
+        await self._send(writer, copy + response)
+        if name != 'first':
+            return b''
+        copy = _make_response(plan.kind, name, plan.copy_has_id)
+        if plan.moment == 'before':
+            return copy
+        await asyncio.sleep(_PAUSE_S / 2)
+        await self._send(writer, copy)
+        return b''
+
+    async def _send(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        size = self._plan.packet_bytes or len(data)
+        for start in range(0, len(data), size):
+            writer.write(data[start : start + size])
+            await asyncio.sleep(0)
+
+
+async def _request(client: Client, address: Address, name: str) -> bytes:
+    """Return what a caller gets for a request, or nothing if it broke."""
+    writer = _Writer()
+    receiver = ResponseReceiver(name, writer, StreamProgress(0), lambda: None)
+    request = Request('GET', '/', {'X-Request-Id': name}, b'', _TIMEOUT_S)
+    try:
+        await client.exchange(address, request, receiver)
+    except InterruptedExchangeError:
+        return b''
+    if receiver.is_truncated() or not receiver.is_usable():
+        return b''
+    await receiver.deliver()
+    return writer.data
+
+
+def _run(plan: _Plan) -> tuple[_Server, list[bytes]]:
+    async def body() -> tuple[_Server, list[bytes]]:
+        behaviour = _Server(plan)
+        server = await asyncio.start_server(behaviour.serve, '127.0.0.1', 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        async with server:
+            with Client() as client:
+                bodies = [await _request(client, address, 'first')]
+                await asyncio.sleep(_PAUSE_S)
+                started_at = asyncio.get_running_loop().time()
+                bodies.append(await _request(client, address, 'second'))
+                elapsed = asyncio.get_running_loop().time() - started_at
+                assert elapsed < _TIMEOUT_S / 2
+        return behaviour, bodies
+
+    return asyncio.run(body())
+
+
+_KINDS = ['body', 'stream', '204', 'empty', 'failure', 'after 100']
+
+
+@pytest.mark.parametrize('packet_bytes', [0, 1])
+@pytest.mark.parametrize('moment', ['idle', 'before'])
+@pytest.mark.parametrize('kind', _KINDS)
+def test_copy_with_id_is_skipped(
+    kind: str, moment: str, packet_bytes: int
+) -> None:
+    """The next request gets its own response."""
+    plan = _Plan(kind, moment, True, True, packet_bytes)
+    _, bodies = _run(plan)
+    for name, received in zip(('first', 'second'), bodies, strict=True):
+        assert b'first' not in received or name == 'first'
+        if kind not in ('204', 'empty'):
+            assert f'the response to {name}'.encode() in received
+
+
+@pytest.mark.parametrize('packet_bytes', [0, 1])
+@pytest.mark.parametrize('moment', ['idle', 'before'])
+@pytest.mark.parametrize('echoes_id', [False, True])
+@pytest.mark.parametrize('kind', _KINDS)
+def test_copy_without_id_is_never_delivered(
+    kind: str, echoes_id: bool, moment: str, packet_bytes: int
+) -> None:
+    """No caller gets the response to another, also of a plain target."""
+    plan = _Plan(kind, moment, echoes_id, False, packet_bytes)
+    server, bodies = _run(plan)
+    assert b'first' not in bodies[1]
+    if not echoes_id:
+        # The response can't be told from a copy, so that it must be the
+        # first on its connection.
+        assert server.connections == 2
+        if kind not in ('204', 'empty'):
+            assert bodies[1] == bodies[0].replace(b'first', b'second')
