Look at a kept connection right before a request uses it

A late copy, or the close of a server, that had arrived since the event loop last ran was not seen, so the request was sent: a copy with the same id counts as its response, a close ends an unsafe request as 502 though it need not have been sent.

Cause: only bytes that the stream had read were looked at.

Seen red: both cases of test_input_at_the_moment_of_sending (a copy, a close).

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -287,6 +287,17 @@
     return client_socket
 
 
+def _has_input(stream: IOStream) -> bool:
+    """Return whether bytes or a close arrived that were not read yet."""
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 class Client:
     """Pools connections by address; closes the idle ones on exit."""
 
@@ -334,7 +345,8 @@
                 continue
             # Bytes received while idle belong to no request: the stream
             # can't be used again.
-            if expires_at > time.monotonic() and not stream._read_buffer_size:
+            is_clean = not stream._read_buffer_size and not _has_input(stream)
+            if expires_at > time.monotonic() and is_clean:
                 return stream
             stream.close()
         return None
--- a/tests/web/test_late_copies.py
+++ b/tests/web/test_late_copies.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from typing import NamedTuple
 
 from lentilrun.config.ini import Address
@@ -267,3 +269,40 @@
         assert receiver.status == 200
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize('is_closed', [False, True])
+def test_input_at_the_moment_of_sending(is_closed: bool) -> None:
+    """A copy or a close is seen before sending, also if not read yet."""
+    connections = []
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connections.append(writer)
+        try:
+            while True:
+                await reader.readuntil(b'\r\n\r\n')
+                writer.write(_make_response('body', 'first', True))
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        writer.close()
+
+    async def body() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        async with server:
+            with Client() as client:
+                assert await _request(client, address, 'first')
+                await asyncio.sleep(_PAUSE_S)
+                # Sent by the kernel at once; the loop hasn't run since.
+                raw = connections[0].get_extra_info('socket')
+                if is_closed:
+                    raw.shutdown(socket.SHUT_WR)
+                else:
+                    copy = _make_response('body', 'first', True)
+                    os.write(raw.fileno(), copy)
+                assert await _request(client, address, 'first')
+        assert len(connections) == 2
+
+    asyncio.run(body())
