Restart a task of the daemon after an unexpected error

After one unexpected error, such as one row that the code doesn't expect, the task that follows a table ended for the rest of the process's life: no configuration, target or weights version reached the VM any more, or no gossip was sent. Only a line in the log told.

Cause: tasks were started bare; their end was logged and nothing else.

Change: each component's run is supervised: logged with the job's name, and started again after 1 s. The follower then reads on from its last position.

--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -37,6 +37,8 @@
 from .server import MetricsPort
 from .server import ReadinessPort
 from .storedsegments import StoredSegments
+from .supervision import Runnable
+from .supervision import supervise
 from .targets import Targets
 from .upgrades import Upgrades
 from .usage import UsageCheckpointer
@@ -44,7 +46,6 @@
 from .view import View
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
     from types import TracebackType
 
     from ..platform.node import NodeSettings
@@ -305,28 +306,20 @@
             entry.port, entry.host, backlog=_LISTEN_BACKLOG
         )
         self.readiness_server.listen(readiness.port, readiness.host)
-        for component in (
+        components: tuple[Runnable, ...] = (
             self.operator_rows,
             self.target_rows,
             self.discovery,
             self.peers,
             self.upgrades,
             self.usage_checkpointer,
-        ):
-            self._start(component.run())
+        )
+        for component in components:
+            task = asyncio.ensure_future(supervise(component, self.log))
+            self._tasks.append(task)
         self.log.write('started', entry=str(entry))
         return self
 
-    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        task.add_done_callback(self._log_failed_task)
-        self._tasks.append(task)
-
-    def _log_failed_task(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled():
-            return
-        self.log.write('job_failed', error=repr(task.exception()))
-
     async def leave(self) -> None:
         """Stop accepting callers; finish calls within ``shutdown_grace``.
 
