Merge responses that end with their connection

Responses and streams without a length or chunks, CRLF streams, copies of responses without an ID, HEAD.

--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -9,8 +9,10 @@
 
 from ..platform import dialect
 from ..platform.dialect import ResponseHead
-from ..web.client import is_delimited
+from ..web.client import is_framed
 from ..web.client import ResponseHandler
+from ..web.eventstream import EventBuffer
+from ..web.eventstream import split_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -20,7 +22,6 @@
 
     from .call import ResponseWriter
 
-_EVENT_END = b'\n\n'
 _EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 _OK = 200
 _SUCCESS_STATUS_END = 300
@@ -37,6 +38,10 @@
         self.last_event_id = last_event
         self.has_started = False
 
+    def is_empty(self) -> bool:
+        """Return whether the caller has received no event at all."""
+        return not self.has_started and not self.last_event_id
+
     def drop_seen(self, events: bytes) -> bytes:
         """Return the events without those that the caller has received."""
         numbers = [int(n) for n in _EVENT_ID.findall(events)]
@@ -44,10 +49,10 @@
             self.last_event_id = max([self.last_event_id, *numbers])
             return events
         unseen = []
-        for event in events.split(_EVENT_END)[:-1]:
+        for event in split_events(events):
             match = _EVENT_ID.search(event)
             if match is None or int(match[1]) > self.last_event_id:
-                unseen.append(event + _EVENT_END)
+                unseen.append(event)
         self.last_event_id = max([self.last_event_id, *numbers])
         return b''.join(unseen)
 
@@ -61,7 +66,9 @@
         writer: ResponseWriter,
         progress: StreamProgress,
         record_first_event: Callable[[], None],
+        expects_body: bool = True,
     ) -> None:
+        """Expect no events of a stream unless ``expects_body``."""
         super().__init__()
         self.head: ResponseHead | None = None
         self.caller_disconnected = False
@@ -69,13 +76,24 @@
         self._writer = writer
         self._progress = progress
         self._record_first_event = record_first_event
+        self._expects_body = expects_body
         self._is_relayed = False
-        self._partial_event = b''
+        self._is_framed = True
+        self._buffer = EventBuffer()
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
         """Return whether a response belongs to the request."""
         return dialect.is_response_to(headers, self._request_id)
 
+    def is_identified(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a response has an ID, or states "not run".
+
+        Targets that refuse a request may not echo its ID.
+        """
+        if dialect.has_request_id(headers):
+            return True
+        return dialect.read_response_head(status, headers).not_run
+
     def receive_head(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -89,6 +107,7 @@
             and head.is_signed
             and not head.is_encoded
         )
+        self._is_framed = is_framed(headers)
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
@@ -98,17 +117,12 @@
         """
         if not self._is_relayed:
             return super().receive_chunk(chunk)
-        data = self._partial_event + chunk
-        end = data.rfind(_EVENT_END)
-        if end < 0:
-            self._partial_event = data
-            if len(data) > _MAX_EVENT_BYTES:
-                self.stop()
+        events = self._buffer.add(chunk)
+        if len(self._buffer) > _MAX_EVENT_BYTES:
+            self.stop()
             return None
-        end += len(_EVENT_END)
-        self._partial_event = data[end:]
-        events = self._progress.drop_seen(data[:end])
-        return self._relay(events) if events else None
+        unseen = self._progress.drop_seen(events)
+        return self._relay(unseen) if unseen else None
 
     async def _relay(self, events: bytes) -> None:
         self._record_first_event()
@@ -126,19 +140,19 @@
         await self._writer.write(events)
 
     def is_truncated(self) -> bool:
-        """Return whether a stream has ended within an event.
+        """Return whether a stream has broken off, though it looks complete.
 
-        One without a length or chunks, which ends as its connection does, is
-        truncated also if it has ended before its first event.
+        It has if it ends within an event. A crashed target may also close
+        its connection before the first event, and the connection's end is
+        the end of a stream without a length.
         """
-        if self._partial_event:
+        if self._buffer.is_within_event():
             return True
-        progress = self._progress
-        has_events = progress.has_started or progress.last_event_id > 0
         return (
             self._is_relayed
-            and not has_events
-            and not is_delimited(self.headers)
+            and self._expects_body
+            and not self._is_framed
+            and self._progress.is_empty()
         )
 
     def is_usable(self) -> bool:
@@ -153,6 +167,9 @@
     async def deliver(self) -> None:
         """Send the whole response, or complete a stream that was relayed."""
         if self._progress.has_started:
+            blank_lines = self._buffer.take_rest()
+            if blank_lines:
+                await self._writer.write(blank_lines)
             await self._writer.finish()
             return
         headers = dialect.make_response_headers(self.headers)
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -12,6 +12,8 @@
 from tornado.web import Application
 from tornado.web import RequestHandler
 
+from .rawresponse import RawResponse
+
 _ACCEPTED = 202
 _CONFLICT = 409
 _MISDIRECTED = 421
@@ -44,13 +46,17 @@
 
     ``status`` and ``body`` are the response to a request that isn't a
     stream; with ``echoes_request_id`` the body is the request's id.
-    ``event_count`` events make a stream. ``fault`` is full, reset, cut,
-    crossed, hang, unsigned or closed (a stream without a length ends before
-    its first event) and affects the next ``fault_count``
-    requests (-1: all). A request waits for ``queue_s`` seconds before it
-    begins. A stream whose prompt has ``crash_segment`` crashes
-    the replica before its first event. The next ``delayed_orders`` orders
-    are handled after ``order_delay_s``.
+    ``event_count`` events with lines that end in ``line_end`` make a stream.
+    Unless ``is_framed``, responses have neither a length nor chunks, end
+    with their connection and are sent in packets of ``packet_bytes`` (0:
+    one for each event or body). ``fault`` is full, reset, cut, crossed, hang,
+    unsigned or closed (a stream without a length ends before its first
+    event) and affects the next ``fault_count`` requests (-1: all);
+    without framing it may also be torn (reset after the first event, or
+    within the body) or empty (a stream closed after its head, or torn). A
+    request waits for ``queue_s`` seconds before it begins. A stream whose
+    prompt has ``crash_segment`` crashes the replica before its first event.
+    The next ``delayed_orders`` orders are handled after ``order_delay_s``.
     """
 
     def __init__(self) -> None:
@@ -59,6 +65,9 @@
         self.echoes_request_id = False
         self.event_count = 3
         self.event_interval_s = 0.0
+        self.line_end = '\n'
+        self.is_framed = True
+        self.packet_bytes = 0
         self.fault = ''
         self.fault_count = -1
         self.queue_s = 0.0
@@ -185,6 +194,9 @@
     async def get(self) -> None:
         await self.execute()
 
+    async def head(self) -> None:
+        await self.execute()
+
     async def post(self) -> None:
         await self.execute()
 
@@ -262,6 +274,9 @@
         self.set_header('X-Instance-Id', self.state.incarnation)
         if fault != 'unsigned':
             self.set_header('X-Response-Signature', 'signed')
+        if not self.state.plan.is_framed:
+            await self.send_unframed(fault)
+            return
         if 'X-Prefix-Hash' in self.request.headers:
             await self.send_events(fault)
             return
@@ -276,6 +291,14 @@
         identities = {s.partition(':')[0] for s in segments}
         return self.state.plan.crash_segment in identities
 
+    def list_event_numbers(self) -> range:
+        first = int(self.request.headers.get('Last-Event-Id', '0')) + 1
+        return range(first, self.state.plan.event_count + 1)
+
+    def make_event(self, number: int) -> str:
+        end = self.state.plan.line_end
+        return f'id: {number}{end}data: piece {number}{end}{end}'
+
     async def send_events(self, fault: str) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         if self.crashes_replica():
@@ -283,19 +306,62 @@
             await asyncio.sleep(_PREFILL_S)
             self.state.crash()
             return
-        first = int(self.request.headers.get('Last-Event-Id', '0')) + 1
-        for number in range(first, self.state.plan.event_count + 1):
+        for number in self.list_event_numbers():
             if fault == 'cut' and number == 2:
                 stream = self.request.connection.stream  # type: ignore
                 await asyncio.sleep(_CUT_DELAY_S)
                 await stream.write(b'5\r\nid: 2')
                 stream.close()
                 return
-            self.write(f'id: {number}\ndata: piece {number}\n\n')
+            self.write(self.make_event(number))
             await self.flush()
             await asyncio.sleep(self.state.plan.event_interval_s)
         self.finish()
 
+    async def send_unframed(self, fault: str) -> None:
+        plan = self.state.plan
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        response = RawResponse(stream, plan.packet_bytes)
+        is_stream = 'X-Prefix-Hash' in self.request.headers
+        if is_stream:
+            self.set_header('Content-Type', 'text/event-stream')
+        status = _OK if is_stream else plan.status
+        response.begin(status, dict(self._headers.get_all()))
+        if fault == 'empty' and is_stream:
+            await response.write(b'')
+        elif is_stream:
+            await self.send_unframed_events(response, fault)
+        else:
+            await self.send_unframed_body(response, fault)
+        response.finish()
+
+    async def send_unframed_body(
+        self, response: RawResponse, fault: str
+    ) -> None:
+        body = self.state.plan.body
+        if self.state.plan.echoes_request_id:
+            body = self.request.headers.get('X-Request-Id', '').encode()
+        if fault in ('torn', 'empty'):
+            await response.write(body[: len(body) // 2])
+            await response.reset()
+            return
+        await response.write(body)
+
+    async def send_unframed_events(
+        self, response: RawResponse, fault: str
+    ) -> None:
+        for number in self.list_event_numbers():
+            if fault == 'torn' and number > 1:
+                await response.reset()
+                return
+            event = self.make_event(number).encode()
+            if fault == 'cut' and number > 1:
+                await response.write(event[:-1])
+                return
+            await response.write(event)
+            await asyncio.sleep(self.state.plan.event_interval_s)
+        await response.write(b'')
+
 
 def make_application(state: ReplicaState) -> Application:
     """Return the web application of a replica."""
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -57,6 +57,7 @@
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
 # Lingering is on, for 0 s.
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
+_HTTP_1_0 = 'HTTP/1.0'
 _IDLE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
 
 
@@ -130,6 +131,14 @@
         """
         return True
 
+    def is_identified(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a response can't be that to an earlier request.
+
+        Any other response is believed only as the first on its connection,
+        which isn't used again. Servers may send a response twice.
+        """
+        return True
+
     def receive_head(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -158,13 +167,25 @@
         return Response(self.status, self.headers, b''.join(self._chunks))
 
 
-def is_delimited(headers: HTTPHeaders) -> bool:
-    """Return whether a response states where it ends.
+def is_framed(headers: HTTPHeaders) -> bool:
+    """Return whether a response has a length or comes in chunks.
 
-    Any other one ends as its connection does.
+    Any other one ends with its connection.
     """
-    encoding = headers.get('Transfer-Encoding', '')
-    return 'Content-Length' in headers or encoding.lower() == 'chunked'
+    encoding = headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in headers or encoding == 'chunked'
+
+
+def _is_kept_open(version: str, headers: HTTPHeaders) -> bool:
+    """Return whether a server keeps the connection after a response.
+
+    HTTP/1.0 servers do so only if they state it.
+    """
+    text = headers.get('Connection', '').lower()
+    options = {option.strip() for option in text.split(',')}
+    if version == _HTTP_1_0:
+        return 'keep-alive' in options
+    return 'close' not in options
 
 
 def _read_idle_timeout(headers: HTTPHeaders) -> float:
@@ -174,9 +195,12 @@
 
 
 class _ResponseDelegate(HTTPMessageDelegate):
-    def __init__(self, stream: IOStream, handler: ResponseHandler) -> None:
+    def __init__(
+        self, stream: IOStream, handler: ResponseHandler, is_reused: bool
+    ) -> None:
         self._stream = stream
         self._handler = handler
+        self._is_reused = is_reused
         self.is_mismatched = False
         self.finished = False
         self.keep_alive = False
@@ -190,14 +214,19 @@
         assert isinstance(start_line, ResponseStartLine)
         if start_line.code < 200:
             return None
-        connection_option = headers.get('Connection', '').lower()
         self.idle_timeout = _read_idle_timeout(headers)
-        self.keep_alive = (
-            is_delimited(headers) and connection_option != 'close'
+        self.keep_alive = is_framed(headers) and _is_kept_open(
+            start_line.version, headers
         )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
+        if not self._handler.is_identified(start_line.code, headers):
+            self.keep_alive = False
+            if self._is_reused:
+                self.is_mismatched = True
+                self._stream.close()
+                return None
         return self._handler.receive_head(start_line.code, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -217,6 +246,14 @@
 class _ClientConnection(HTTP1Connection):
     """Passes on responses without a length as they arrive."""
 
+    def make_successor(self) -> _ClientConnection:
+        """Return a connection that reads another response."""
+        connection = _ClientConnection(self.stream, True, self.params)
+        # Responses to HEAD have no body.
+        connection._request_start_line = self._request_start_line
+        connection.finish()
+        return connection
+
     async def _read_body_until_close(
         self, delegate: HTTPMessageDelegate
     ) -> None:
@@ -270,6 +307,17 @@
     stream.close()
 
 
+def _has_input(stream: IOStream) -> bool:
+    """Return whether bytes or a close arrived that were not read yet."""
+    try:
+        stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 class Client:
     """Pools connections by address; closes the idle ones on exit."""
 
@@ -317,7 +365,8 @@
                 continue
             # Bytes received while idle belong to no request: the stream
             # can't be used again.
-            if expires_at > time.monotonic() and not stream._read_buffer_size:
+            is_clean = not stream._read_buffer_size and not _has_input(stream)
+            if expires_at > time.monotonic() and is_clean:
                 return stream
             stream.close()
         return None
@@ -365,7 +414,12 @@
         idle connection, which the server may close at the same time.
         Raises ``NotSentError`` or ``InterruptedExchangeError``.
         """
-        stream = self._pop_idle(address) if reuse else None
+        stream = None
+        # HEAD uses a connection of its own: beside its response, which has a
+        # length but no body, the end of a late copy can't be found.
+        if reuse and request.method != 'HEAD':
+            stream = self._pop_idle(address)
+        is_reused = stream is not None
         if stream is None:
             stream = await self._connect(address, request.timeout)
         if handler.is_stopped:
@@ -377,7 +431,7 @@
         try:
             async with asyncio.timeout(request.timeout):
                 idle_timeout = await self._send_and_receive(
-                    stream, address, request, handler
+                    stream, address, request, handler, is_reused
                 )
             is_complete = True
         except TimeoutError as error:
@@ -401,6 +455,7 @@
         address: Address,
         request: Request,
         handler: ResponseHandler,
+        is_reused: bool,
     ) -> float:
         """Return how long the server keeps the connection, in seconds.
 
@@ -409,7 +464,7 @@
         connection = _ClientConnection(stream, True, self._parameters)
         self._write_request(connection, address, request)
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            delegate = _ResponseDelegate(stream, handler)
+            delegate = _ResponseDelegate(stream, handler, is_reused)
             try:
                 is_open = await connection.read_response(delegate)
             except StreamClosedError:
@@ -421,15 +476,13 @@
                 # handler closes its connection.
                 break
             if not delegate.is_mismatched:
-                return (
-                    delegate.idle_timeout
-                    if is_open and delegate.keep_alive
-                    else 0.0
-                )
+                is_kept = is_open and delegate.keep_alive
+                if request.method == 'HEAD':
+                    is_kept = False
+                return delegate.idle_timeout if is_kept else 0.0
             if not is_open:
                 break
-            connection = _ClientConnection(stream, True, self._parameters)
-            connection.finish()
+            connection = connection.make_successor()
         raise InterruptedExchangeError(f'{address} cut the answer off')
 
     @staticmethod
@@ -460,7 +513,7 @@
     'Client',
     'ExchangeTimeoutError',
     'InterruptedExchangeError',
-    'is_delimited',
+    'is_framed',
     'NotSentError',
     'Request',
     'Response',
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -19,7 +19,7 @@
 from soak.invariants import check_timeouts
 
 _RUN = ExecutedRequest(
-    'r1', 'POST', UNSAFE_PATH, {'X-Tenant-Id': 'workspace'}, b'r1'
+    'r1', 'POST', UNSAFE_PATH, {'X-Tenant-Id': 'workspace'}, b'r1', 10.0, {}
 )
 _RESPONSE = RequestRecord(
     'r1',
