Carry out roll-outs: a share, a verdict of all VMs, stages under a lease

Callers saw: the operators' order op/rollout/SERVICE was not read.

Cause: the subsystem was missing; the version of a target's software was not even decoded. So nothing in a target's state could be ruled in or out.

Now (decisions without I/O in decisions/rollouts.py, rolloutverdict.py and regressions.py; the last was part of the older moves/verdict.py, which uses it from there):

- Each VM keeps the new version below the share by its own counts, so the sum keeps to it without coordination; a few targets get the canary's requests, so that their load is like that of the old ones.
- Each VM reports responses of both versions to the others, and judges: by route, failures and slow responses (beginning, and time between events) against the old version, over all and over the last seconds, and only if more than one target shows it.
It bans at once and tells the others, without the store.
- The VM with the lease (the class of the weights' lease, another key) decides on the stages: canary for as long as the deadline allows, all requests for about a second, completed.
Progress and status are one conditional transaction; a final state never changes.
The new version gets requests only while the driving VM reports, so a VM that was cut off doesn't go on.
- A version that appears beside another gets nothing for a second, since its order may arrive later.
A retired version never gets requests again.

Ruled out: sums of tallies instead of single outcomes; hubs would have had to add and subtract them over restarts. Outcomes have a VM and a number, so that hubs may repeat them.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -150,7 +150,8 @@
     ``incarnation`` is checked by the target with every request.
     ``started_at_ms`` is in milliseconds since 1970 and distinguishes two
     starts under the same incarnation. ``weights_versions`` holds the
-    weights version by model.
+    weights version by model. A target is slow for ``cold_remaining``
+    seconds after its start.
     """
 
     incarnation: str
@@ -161,6 +162,8 @@
     slots: int
     is_draining: bool
     weights_versions: dict[str, int]
+    software_version: str = ''
+    cold_remaining: float = 0.0
 
 
 class PromptSegment(NamedTuple):
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -98,8 +98,9 @@
         self._assignment = assignment
         self._progress = progress
         self._may_move = may_move
-        self._started_at = context.clock.now()
-        self._first_event_at: float | None = None
+        # By the clock, in seconds.
+        self.started_at = context.clock.now()
+        self.first_event_at: float | None = None
         self._is_abandoned = False
         self._load = LoadReservation(
             assignment,
@@ -188,8 +189,8 @@
 
     def _record_first_event(self) -> None:
         self._load.record_first_event()
-        if self._first_event_at is None:
-            self._first_event_at = self._context.clock.now()
+        if self.first_event_at is None:
+            self.first_event_at = self._context.clock.now()
         if not self._progress.has_started:
             elapsed = (
                 self._context.clock.now() - self._call.incoming.arrived_at
@@ -312,9 +313,9 @@
 
     def _compute_time_to_first_event(self) -> float | None:
         """Return the time to the first event, in seconds, for the log."""
-        if self._first_event_at is None:
+        if self.first_event_at is None:
             return None
-        return round(self._first_event_at - self._started_at, 3)
+        return round(self.first_event_at - self.started_at, 3)
 
     def log(self, outcome: AttemptOutcome, sent_before: int) -> None:
         """Log how the attempt ended, after ``sent_before`` other ones."""
@@ -329,7 +330,7 @@
             target=assignment.state.target.incarnation,
             fate=outcome,
             status=head.status if head is not None else None,
-            held=round(self._started_at - self._call.incoming.arrived_at, 3),
+            held=round(self.started_at - self._call.incoming.arrived_at, 3),
             wait=round(assignment.choice.estimated_wait, 4),
             pace=round(assignment.choice.pace, 2),
             cached=int(assignment.choice.prefill_plan.cached_tokens),
@@ -340,7 +341,7 @@
             left=round(self._time_left(), 3),
             events=self._progress.last_event_id,
             first=self._compute_time_to_first_event(),
-            seconds=round(self._context.clock.now() - self._started_at, 3),
+            seconds=round(self._context.clock.now() - self.started_at, 3),
             configuration=configuration.version if configuration else None,
         )
 
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -36,7 +36,8 @@
 
     ``salt`` separates the cached segments of weights versions and isolated
     workspaces. It is empty, and ``weights_version`` None, if the call states
-    no prompt or the target has no weights of its model.
+    no prompt or the target has no weights of its model. A trial is a part
+    of the share of a new software version.
     """
 
     state: TargetState
@@ -45,6 +46,7 @@
     demand: TokenDemand
     weights_version: int | None
     salt: str
+    is_trial: bool
 
 
 class TargetSelector:
@@ -67,6 +69,7 @@
         self._peers = context.peers
         self._planner = PrefillPlanner(call, context)
         self._bounds = context.bounds
+        self._rollouts = context.rollouts
 
     def select(self, avoid: set[str]) -> Assignment | None:
         """Return a target that can run the call now, if there is one.
@@ -80,6 +83,9 @@
         if service is None:
             return None
         states = self._list_usable(service, avoid)
+        states, is_trial = self._rollouts.select(
+            service.name, states, not avoid
+        )
         if not states:
             return None
         demand = self._make_demand(service)
@@ -104,6 +110,7 @@
             demand,
             self._planner.find_weights_version(state),
             self._planner.make_salt(state),
+            is_trial,
         )
 
     def _make_demand(self, service: Service) -> TokenDemand:
@@ -151,7 +158,9 @@
         }
 
     def _list_service(self) -> list[TargetState]:
-        return self._targets.list_usable(self._service)
+        return self._rollouts.list_regular(
+            self._service, self._targets.list_usable(self._service)
+        )
 
     def _pick_sample(self, cached_tokens: list[float]) -> list[int]:
         size = compute_sample_size(
--- a/src/lentilrun/gateway/context.py
+++ b/src/lentilrun/gateway/context.py
@@ -13,6 +13,7 @@
     from .crashes import CrashTracker
     from .logs import Log
     from .peers import Peers
+    from .rollouts import Rollouts
     from .storedsegments import StoredSegments
     from .targets import Targets
     from .versionreader import VersionReader
@@ -29,6 +30,7 @@
     targets: Targets
     peers: Peers
     crashes: CrashTracker
+    rollouts: Rollouts
     stored_segments: StoredSegments
     version_reader: VersionReader
     metrics: Metrics
--- a/src/lentilrun/gateway/discovery.py
+++ b/src/lentilrun/gateway/discovery.py
@@ -14,6 +14,8 @@
 from ..platform.rows import Write
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
@@ -57,6 +59,7 @@
         self._member = member
         self._address = address
         self._log = log
+        self.on_read: list[Callable[[Rows], None]] = []
 
     async def run(self) -> None:
         """Join the fleet and look for new members until cancelled.
@@ -75,6 +78,8 @@
                 await asyncio.sleep(_RETRY_PAUSE_S)
                 continue
             self._add_peers(table_rows)
+            for callback in self.on_read:
+                callback(table_rows)
             if not has_joined:
                 has_joined = True
                 self._usage.restore(table_rows)
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -19,6 +19,7 @@
 from .attempt import Attempt
 from .attempt import AttemptOutcome
 from .attempt import MIN_ATTEMPT_TIME_S
+from .attemptwatch import AttemptWatch
 from .call import Reason
 from .call import Refusal
 from .choice import TargetSelector
@@ -156,7 +157,16 @@
             self._writer,
             lambda: self._may_move(assignment),
         )
-        result = await attempt.run()
+        events_before = self._progress.last_event_id
+        with AttemptWatch(
+            self._context.rollouts,
+            self._context.clock,
+            self._call.route.name,
+            assignment,
+            attempt,
+        ) as watch:
+            result = await attempt.run()
+            watch.finish(result, self._progress.last_event_id - events_before)
         self._is_abandoned = result.is_abandoned
         attempt.log(result.outcome, self._sent_attempts)
         self._context.metrics.add(Count.ATTEMPTS, result.outcome)
@@ -255,8 +265,9 @@
 
     def _decide(self, assignment: Assignment) -> Decision:
         """Return whether to send the call now; raises ``Refusal``."""
-        if self._progress.has_started:
-            # The caller waits for the rest of a stream.
+        if self._progress.has_started or assignment.is_trial:
+            # The caller waits for the rest of a stream, or the request
+            # shows how a new software version does.
             return Decision.SEND
         prospect = self._make_prospect(assignment)
         decision = decide(prospect)
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -14,6 +14,7 @@
 from .targets import PeerLoad
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -22,6 +23,7 @@
     from .crashes import CrashTracker
     from .peers import Peers
     from .quotas import Quotas
+    from .rollouts import Rollouts
     from .rowrelay import RowRelay
     from .storedsegments import StoredSegments
     from .targets import Targets
@@ -50,6 +52,7 @@
         crashes: CrashTracker,
         stored_segments: StoredSegments,
         row_relay: RowRelay,
+        rollouts: Rollouts,
     ) -> None:
         self._address = address
         self._clock = clock
@@ -59,6 +62,8 @@
         self._crashes = crashes
         self._stored_segments = stored_segments
         self._row_relay = row_relay
+        self._rollouts = rollouts
+        self.is_driving_rollouts: Callable[[], bool] = lambda: False
         self.is_leaving = False
         self._summary_senders: tuple[str, ...] = ()
         self._adopts_next_usage = False
@@ -125,6 +130,8 @@
             self._row_relay.newest_row_versions(),
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
+            self._rollouts.export(self.is_driving_rollouts()),
+            self._rollouts.reporter.recent.export(max_origin),
         )
 
     def _list_sources(self, scope: Scope) -> list[str]:
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -85,6 +85,42 @@
     segments: tuple[PromptSegment, ...]
 
 
+class OutcomeReport(NamedTuple):
+    """A response during a roll-out, for the verdict on the new version.
+
+    ``number`` identifies it at its VM; ``order`` is the row version of the
+    order of the roll-out. The other fields are those of ``Outcome``.
+    """
+
+    node: str
+    number: int
+    service: str
+    order: int
+    route: str
+    target: str
+    is_new: bool
+    fate: int
+    first_level: int
+    rest_level: int
+
+
+class RolloutReport(NamedTuple):
+    """What a VM knows of a roll-out.
+
+    ``order`` is the row version of the order, ``stage`` a
+    ``rollouts.Stage``. While it runs, ``fence`` and ``tick`` grow with each
+    report of the VM that drives it.
+    """
+
+    service: str
+    order: int
+    version: str
+    stage: int
+    fence: int
+    tick: int
+    reason: str
+
+
 class GossipMessage(NamedTuple):
     """State of the VMs in its scope, with usage in tokens by workspace.
 
@@ -117,6 +153,8 @@
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
+    rollouts: list[RolloutReport] = []  # noqa: RUF012
+    rollout_outcomes: list[OutcomeReport] = []  # noqa: RUF012
 
 
 class RelayedRow(NamedTuple):
@@ -183,9 +221,11 @@
     'encode',
     'GossipMessage',
     'LoadReport',
+    'OutcomeReport',
     'PrefillReport',
     'RelayedRow',
     'RelayedRows',
+    'RolloutReport',
     'Scope',
     'StoredSegmentReport',
     'WeightsLoadReport',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -11,6 +11,7 @@
 from ..config.ini import Address
 from ..coordination.clock import SystemClock
 from ..decisions.quota import QuotaTolerance
+from ..decisions.rollouts import ExposureLimits
 from ..decisions.topology import Member
 from ..metrics.registry import Count
 from ..metrics.registry import Metrics
@@ -31,6 +32,8 @@
 from .orderlease import OrderLease
 from .peers import Peers
 from .quotas import Quotas
+from .rolloutdriver import RolloutDriver
+from .rollouts import Rollouts
 from .rowrelay import RowRelay
 from .server import CallerPort
 from .server import CallHandler
@@ -153,6 +156,7 @@
         self._build_fleet()
         self._build_entry()
         self._build_upgrades()
+        self._build_rollout_driver()
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
@@ -164,6 +168,17 @@
         self.quotas = Quotas(
             self.clock, self.peers, _make_quota_tolerance(settings)
         )
+        self.rollouts = Rollouts(
+            settings.name,
+            self.clock,
+            self.targets,
+            self.peers,
+            ExposureLimits(
+                settings.bounds.exposure_share, settings.bounds.exposure_slack
+            ),
+            self.log,
+        )
+        self.view.on_rollout_order.append(self.rollouts.apply_order)
         self.view.on_configuration.append(self.quotas.configure)
         self.view.on_configuration.append(self.targets.configure)
         self.operator_rows = Follower(
@@ -195,6 +210,7 @@
             self.crashes,
             self.stored_segments,
             self.row_relay,
+            self.rollouts,
         )
         self.usage_checkpointer = UsageCheckpointer(
             self.store, self.peers, self.quotas, self.log
@@ -219,6 +235,7 @@
                 self.targets,
                 self.peers,
                 self.crashes,
+                self.rollouts,
                 self.stored_segments,
                 self.version_reader,
                 self.metrics,
@@ -287,6 +304,25 @@
             self.log,
         )
 
+    def _build_rollout_driver(self) -> None:
+        settings = self.settings
+        # The status is written under a condition, so that there is no gap
+        # between the VMs that may write it.
+        lease = OrderLease(
+            self.store, self.clock, settings.name, 0.0, self.log, 'rollouts'
+        )
+        self.rollout_driver = RolloutDriver(
+            settings.name,
+            self.clock,
+            self.store,
+            self.rollouts,
+            self.peers,
+            lease,
+            self.log,
+        )
+        self.discovery.on_read.append(self.rollout_driver.apply_rows)
+        self.gossip.is_driving_rollouts = self.rollout_driver.is_driving
+
     def is_ready(self) -> bool:
         """Return whether this VM accepts new callers."""
         return (
@@ -311,6 +347,7 @@
             self.discovery,
             self.peers,
             self.upgrades,
+            self.rollout_driver,
             self.usage_checkpointer,
         ):
             self._start(component.run())
@@ -337,6 +374,7 @@
         self.log.write('leaving', open=len(self.caller_port.in_flight))
         self.caller_port.is_leaving = True
         self.upgrades.is_leaving = True
+        self.rollout_driver.is_leaving = True
         await asyncio.sleep(_LEAVING_NOTICE_S)
         self.caller_server.stop()
         self.caller_port.close()
--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -1,4 +1,4 @@
-"""The lease, with a fencing token, of the VM that sends orders to engines."""
+"""A lease with a fencing token, for work that a single VM does."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
     from ..platform.rows import RowStore
     from .logs import Log
 
-_KEY = 'lease/weights'
+_KEY_PREFIX = 'lease/'
 _LEASE_S = 1.5
 # The lease is renewed when less than this is left.
 _RENEW_BELOW_S = 0.8
@@ -38,7 +38,7 @@
 
 
 class OrderLease:
-    """The right to send orders; acquired only while there is work.
+    """The right to do some work; acquired only while there is any.
 
     An idle fleet thus makes no calls for it. ``until`` of a row is by the
     store's clock. The holder counts the lease from before its call was
@@ -54,13 +54,18 @@
         name: str,
         gap: float,
         log: Log,
+        work: str = 'weights',
     ) -> None:
-        """Acquire leases as the VM ``name``; ``gap`` in seconds."""
+        """Acquire leases as the VM ``name``; ``gap`` in seconds.
+
+        ``work`` distinguishes leases that are independent of each other.
+        """
         self._store = store
         self._clock = clock
         self._name = name
         self._gap = gap
         self._log = log
+        self._key = _KEY_PREFIX + work
         self._row = _NO_LEASE
         self._row_version = 0
         self._held_until = float('-inf')
@@ -108,7 +113,7 @@
         self._row = _NO_LEASE
         self._row_version = 0
         for row in table_rows.rows:
-            if row.key != _KEY:
+            if row.key != self._key:
                 continue
             self._row_version = row.version
             try:
@@ -123,7 +128,7 @@
         fence = row.fence + 1 if is_new else row.fence
         lease = _LeaseRow(self._name, fence, store_time + _LEASE_S)
         value = msgspec.json.encode(lease)
-        write = Write(FLEET_TABLE, _KEY, value, self._row_version)
+        write = Write(FLEET_TABLE, self._key, value, self._row_version)
         try:
             written = await self._store.write([write])
         except ConflictError:
@@ -134,7 +139,10 @@
         self._held_until = sent_at + _LEASE_S
         if is_new:
             self._log.write(
-                'lease_taken', fence=fence, before=row.holder or None
+                'lease_taken',
+                key=self._key,
+                fence=fence,
+                before=row.holder or None,
             )
 
 
--- /dev/null
+++ b/src/lentilrun/gateway/rollouts.py
@@ -0,0 +1,474 @@
+"""The roll-outs that a VM knows, and which targets they let it use."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from ..decisions.rollouts import Exposure
+from ..decisions.rollouts import may_send_to_new
+from ..decisions.rollouts import pick_canary_targets
+from ..decisions.rolloutverdict import find_fault
+from ..decisions.rolloutverdict import is_doubtful
+from .messages import OutcomeReport
+from .messages import RolloutReport
+from .recent import Origin
+from .rolloutledger import OutcomeLedger
+from .rolloutledger import OutcomeReporter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from ..coordination.clock import Clock
+    from ..decisions.rollouts import ExposureLimits
+    from ..decisions.rolloutverdict import Outcome
+    from ..platform.rollouts import RolloutOrder
+    from .logs import Log
+    from .messages import GossipMessage
+    from .peers import Peers
+    from .targets import Targets
+    from .targets import TargetState
+
+# The new version gets requests only while the VM that drives the roll-out
+# has reported within this time: a VM that is cut off may have missed a ban.
+_DRIVER_TTL_S = 2.0
+# Final stages go into messages for this time.
+_FINAL_REPORT_S = 10.0
+# A version that appears beside another one gets no requests for this time:
+# the order that names it may arrive after its targets.
+_UNNAMED_S = 1.0
+
+
+class Stage(enum.IntEnum):
+    """What a VM knows of a roll-out; a larger one replaces a smaller.
+
+    ``BANNED`` is the verdict of a VM, which operators can't see yet.
+    """
+
+    UNKNOWN = 0
+    CANARY = 1
+    RAMP = 2
+    BANNED = 3
+    ROLLED_BACK = 4
+    COMPLETED = 5
+
+    def is_final(self) -> bool:
+        """Return whether the stage was written for operators."""
+        return self >= Stage.ROLLED_BACK
+
+    def is_running(self) -> bool:
+        """Return whether the new version gets requests besides the old."""
+        return self in (Stage.CANARY, Stage.RAMP)
+
+
+class Rollout:
+    """The state of one order at this VM; times by the clock, in seconds.
+
+    ``total`` and ``new`` count the requests that this VM sent since then.
+    """
+
+    def __init__(
+        self, order: RolloutOrder, now: float, has_slack: bool
+    ) -> None:
+        """Start counting ``now``; see ``Exposure`` for ``has_slack``."""
+        self.order = order
+        self.version = order.version_name()
+        self.known_at = now
+        self.has_slack = has_slack
+        self.stage = Stage.UNKNOWN
+        self.reason = ''
+        self.driver_turn = (0, 0)
+        self.driven_at = float('-inf')
+        self.changed_at = now
+        self.total = 0
+        self.new = 0
+        self.ledger = OutcomeLedger(order.row_version)
+
+    def is_resolved(self) -> bool:
+        """Return whether nothing is left to do."""
+        return self.stage.is_final()
+
+
+class Rollouts:
+    """The newest order of each service, and the versions that are retired.
+
+    A retired version was rolled back or replaced and gets no requests.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        clock: Clock,
+        targets: Targets,
+        peers: Peers,
+        limits: ExposureLimits,
+        log: Log,
+    ) -> None:
+        """Keep to ``limits`` in each roll-out."""
+        self._clock = clock
+        self._targets = targets
+        self._peers = peers
+        self._limits = limits
+        self._log = log
+        self.reporter = OutcomeReporter(node, clock)
+        self.by_service: dict[str, Rollout] = {}
+        self.retired: dict[str, set[str]] = {}
+        self._first_seen: dict[tuple[str, str], float] = {}
+        # Final reports on orders that this VM has not read yet.
+        self._early_reports: dict[tuple[str, int], RolloutReport] = {}
+        self.on_order: list[Callable[[], None]] = []
+        peers.on_message.append(self.receive)
+
+    def apply_order(self, order: RolloutOrder) -> None:
+        """Apply an order that operators wrote."""
+        current = self.by_service.get(order.service)
+        if (
+            current is not None
+            and order.row_version <= current.order.row_version
+        ):
+            return
+        rollout = Rollout(
+            order, self._clock.now(), not self._peers.is_starting()
+        )
+        self.by_service[order.service] = rollout
+        self.retired.get(order.service, set()).discard(rollout.version)
+        self._log.write(
+            'rollout_ordered',
+            service=order.service,
+            to=rollout.version,
+            duration=order.duration,
+            row_version=order.row_version,
+        )
+        key = (order.service, order.row_version)
+        early = self._early_reports.pop(key, None)
+        if early is not None:
+            self._apply_report(early)
+        for callback in self.on_order:
+            callback()
+
+    def list_unresolved(self) -> list[Rollout]:
+        """Return the roll-outs that have not ended."""
+        return [r for r in self.by_service.values() if not r.is_resolved()]
+
+    def set_stage(self, rollout: Rollout, stage: Stage, reason: str) -> None:
+        """Record a stage that this VM decided on or read."""
+        if stage is rollout.stage or rollout.stage.is_final():
+            return
+        if rollout.stage is Stage.BANNED and not stage.is_final():
+            return
+        rollout.stage = stage
+        rollout.reason = reason
+        rollout.changed_at = self._clock.now()
+        self._log.write(
+            'rollout_stage',
+            service=rollout.order.service,
+            to=rollout.version,
+            stage=stage.name.lower(),
+            reason=reason or None,
+            sent=rollout.total,
+            sent_to_new=rollout.new,
+            responses=len(rollout.ledger.list_new()),
+            driver_age=self._compute_driver_age(rollout),
+        )
+        self._retire(rollout)
+        self._targets.notify_changed()
+        if not stage.is_running():
+            self._peers.request_send()
+
+    def _compute_driver_age(self, rollout: Rollout) -> float | None:
+        age = self._clock.now() - rollout.driven_at
+        return None if age == float('inf') else round(age, 3)
+
+    def _retire(self, rollout: Rollout) -> None:
+        self.retired[rollout.order.service] = set(
+            self.list_retired(rollout, rollout.stage)
+        )
+
+    def list_retired(self, rollout: Rollout, stage: Stage) -> list[str]:
+        """Return the versions that get no requests from a stage on."""
+        service = rollout.order.service
+        retired = set(self.retired.get(service, ()))
+        if stage in (Stage.BANNED, Stage.ROLLED_BACK):
+            retired.add(rollout.version)
+        elif stage is Stage.COMPLETED:
+            states = self._targets.list_of_service(service)
+            retired.update(s.target.software_version for s in states)
+            retired.discard(rollout.version)
+        return sorted(retired)
+
+    def apply_row(
+        self,
+        service: str,
+        order: int,
+        version: str,
+        stage: Stage,
+        reason: str,
+        retired: list[str],
+    ) -> None:
+        """Apply what a VM wrote into the store of an order's progress."""
+        rollout = self.by_service.get(service)
+        if rollout is None or rollout.order.row_version <= order:
+            self.retired.setdefault(service, set()).update(retired)
+        self._apply_report(
+            RolloutReport(service, order, version, int(stage), 0, 0, reason)
+        )
+
+    def record_driver(self, rollout: Rollout, turn: tuple[int, int]) -> bool:
+        """Record a sign of the VM that drives a roll-out, if it is newer."""
+        if turn <= rollout.driver_turn:
+            return False
+        rollout.driver_turn = turn
+        rollout.driven_at = self._clock.now()
+        return True
+
+    def is_driven(self, rollout: Rollout) -> bool:
+        """Return whether the driving VM has reported lately."""
+        return self._clock.now() - rollout.driven_at < _DRIVER_TTL_S
+
+    # -- The choice of targets.
+
+    def select(
+        self, service: str, states: Sequence[TargetState], is_first: bool
+    ) -> tuple[list[TargetState], bool]:
+        """Return the targets that a request may use, and if it is a trial.
+
+        A trial goes to the new version, as a part of its share. Only the
+        first attempt of a request (``is_first``) may be one.
+        """
+        states = self.exclude_unusable(service, states)
+        rollout = self.by_service.get(service)
+        if rollout is None or rollout.is_resolved():
+            return states, False
+        new = [
+            s for s in states if s.target.software_version == rollout.version
+        ]
+        old = [
+            s for s in states if s.target.software_version != rollout.version
+        ]
+        if not new or not rollout.stage.is_running():
+            return old, False
+        if not self.is_driven(rollout) or not self._may_send(rollout, old):
+            return old, False
+        if rollout.stage is Stage.RAMP or not old:
+            return new, False
+        new = self._pick_canary(rollout, new) if is_first else []
+        return (new, True) if new else (old, False)
+
+    def _may_send(self, rollout: Rollout, old: Sequence[TargetState]) -> bool:
+        exposure = Exposure(
+            rollout.total,
+            rollout.new,
+            self._clock.now() - rollout.known_at,
+            rollout.has_slack,
+        )
+        return may_send_to_new(
+            exposure,
+            self._limits,
+            self._peers.count_members(),
+            rollout.stage is Stage.RAMP or not old,
+        )
+
+    def _pick_canary(
+        self, rollout: Rollout, new: Sequence[TargetState]
+    ) -> list[TargetState]:
+        now = self._clock.now()
+        warm = {s.target.incarnation: s for s in new if not s.is_cold(now)}
+        names = pick_canary_targets(list(warm), now - rollout.known_at)
+        return [warm[n] for n in names]
+
+    def exclude_unusable(
+        self, service: str, states: Sequence[TargetState]
+    ) -> list[TargetState]:
+        """Return the targets without those of retired and unnamed versions."""
+        retired = self.retired.get(service, ())
+        remaining = [
+            s for s in states if s.target.software_version not in retired
+        ]
+        return self._exclude_unnamed(service, remaining)
+
+    def _exclude_unnamed(
+        self, service: str, states: list[TargetState]
+    ) -> list[TargetState]:
+        versions = {s.target.software_version for s in states}
+        now = self._clock.now()
+        for version in versions:
+            self._first_seen.setdefault((service, version), now)
+        if len(versions) < 2:
+            return states
+        rollout = self.by_service.get(service)
+        named = rollout.version if rollout is not None else None
+        unnamed = {
+            v
+            for v in versions
+            if v != named and now - self._first_seen[service, v] < _UNNAMED_S
+        }
+        if unnamed == versions:
+            return states
+        return [s for s in states if s.target.software_version not in unnamed]
+
+    def list_regular(
+        self, service: str, states: Sequence[TargetState]
+    ) -> list[TargetState]:
+        """Return the targets that any request may use."""
+        states = self.exclude_unusable(service, states)
+        rollout = self.by_service.get(service)
+        if rollout is None or rollout.is_resolved():
+            return states
+        return [
+            s for s in states if s.target.software_version != rollout.version
+        ]
+
+    def record_sent(self, state: TargetState) -> None:
+        """Count an attempt that is sent now."""
+        rollout = self.by_service.get(state.target.service)
+        if rollout is None or rollout.is_resolved():
+            return
+        rollout.total += 1
+        if state.target.software_version == rollout.version:
+            rollout.new += 1
+
+    # -- Outcomes and the verdict.
+
+    def record_outcome(
+        self, state: TargetState, number: int, outcome: Outcome
+    ) -> None:
+        """Record and report how an attempt of this VM ended."""
+        service = state.target.service
+        rollout = self.by_service.get(service)
+        if rollout is None or rollout.is_resolved():
+            self.reporter.remember(service, outcome)
+            return
+        is_new = state.target.software_version == rollout.version
+        report = self.reporter.report(
+            service, rollout.order.row_version, number, outcome, is_new
+        )
+        if report is not None:
+            rollout.ledger.add(report, self._clock.now())
+            if is_new:
+                self._peers.request_send()
+        if not is_new:
+            self.reporter.remember(service, outcome)
+
+    def is_trial_target(self, state: TargetState) -> bool:
+        """Return whether a target has a version that is being rolled out."""
+        rollout = self.by_service.get(state.target.service)
+        return (
+            rollout is not None
+            and not rollout.is_resolved()
+            and state.target.software_version == rollout.version
+        )
+
+    def judge(self, rollout: Rollout) -> None:
+        """Ban the new version if the outcomes show that it is bad."""
+        if not rollout.ledger.has_changed or not rollout.stage.is_running():
+            return
+        rollout.ledger.has_changed = False
+        reason = find_fault(
+            rollout.ledger.list_new(),
+            self._list_old_outcomes(rollout),
+            self._clock.now(),
+        )
+        if reason:
+            self.set_stage(rollout, Stage.BANNED, reason)
+
+    def _list_old_outcomes(self, rollout: Rollout) -> list[Outcome]:
+        remembered = self.reporter.list_remembered(rollout.order.service)
+        own = [o for o in remembered if o.at < rollout.known_at]
+        return own + rollout.ledger.list_old()
+
+    def is_doubtful(self, rollout: Rollout) -> bool:
+        """Return whether the new version may be bad."""
+        return is_doubtful(
+            rollout.ledger.list_new(), self._list_old_outcomes(rollout)
+        )
+
+    def count_old_in_flight(self, rollout: Rollout) -> int:
+        """Return the requests of all VMs at targets of other versions."""
+        now = self._clock.now()
+        return sum(
+            s.count_in_flight(now)
+            for s in self._targets.list_of_service(rollout.order.service)
+            if s.target.software_version != rollout.version
+        )
+
+    # -- Messages.
+
+    def export(self, is_driver: bool) -> list[RolloutReport]:
+        """Return the reports for a message.
+
+        The VM that drives reports on running roll-outs; hubs pass that on,
+        and all VMs report bans and, for a time, final stages.
+        """
+        passes_on = is_driver or (
+            not self._peers.is_mesh() and self._peers.is_hub()
+        )
+        now = self._clock.now()
+        reports = []
+        for rollout in self.by_service.values():
+            if rollout.stage.is_running():
+                if not passes_on or not self.is_driven(rollout):
+                    continue
+            elif rollout.stage is Stage.UNKNOWN:
+                continue
+            elif (
+                rollout.is_resolved()
+                and now - rollout.changed_at > _FINAL_REPORT_S
+            ):
+                continue
+            reports.append(_make_report(rollout))
+        return reports
+
+    def receive(self, message: GossipMessage) -> None:
+        """Apply the reports of another VM."""
+        for report in message.rollouts:
+            self._apply_report(report)
+        is_local = message.data_centre == self._peers.own_member.data_centre
+        origin = Origin.LOCAL if is_local else Origin.REMOTE
+        for outcome in message.rollout_outcomes:
+            self._add_outcome(outcome, origin)
+
+    def _add_outcome(self, report: OutcomeReport, origin: Origin) -> None:
+        if not self.reporter.recent.add(report, origin):
+            return
+        rollout = self.by_service.get(report.service)
+        if rollout is not None and rollout.order.row_version == report.order:
+            rollout.ledger.add(report, self._clock.now())
+
+    def _apply_report(self, report: RolloutReport) -> None:
+        stage = Stage(report.stage)
+        rollout = self.by_service.get(report.service)
+        if rollout is None or rollout.order.row_version < report.order:
+            self._keep_early(report)
+            return
+        if rollout.order.row_version != report.order:
+            return
+        if stage.is_running() and not self.record_driver(
+            rollout, (report.fence, report.tick)
+        ):
+            return
+        self.set_stage(rollout, stage, report.reason)
+
+    def _keep_early(self, report: RolloutReport) -> None:
+        """Keep a report on an order that this VM has not read yet."""
+        stage = Stage(report.stage)
+        if stage.is_running():
+            return
+        self._early_reports[report.service, report.order] = report
+        if stage is not Stage.COMPLETED:
+            retired = self.retired.setdefault(report.service, set())
+            retired.add(report.version)
+
+
+def _make_report(rollout: Rollout) -> RolloutReport:
+    return RolloutReport(
+        rollout.order.service,
+        rollout.order.row_version,
+        rollout.version,
+        int(rollout.stage),
+        *rollout.driver_turn,
+        rollout.reason,
+    )
+
+
+__all__ = ['Rollout', 'Rollouts', 'Stage']
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -94,6 +94,7 @@
         self.peer_loads: dict[str, PeerLoad] = {}
         self.connect_failures = 0
         self.blocked_until = float('-inf')
+        self._cold_until = float('-inf')
         self.weights_loading_until = float('-inf')
         self.is_loading_by_this_vm = False
         # The VM that reported that the target loads weights, if any.
@@ -105,6 +106,14 @@
         self._decayed_at = 0.0
         self.prefix_cache = PrefixCache()
 
+    def record_cold(self, now: float) -> None:
+        """Record how long the target stays slow, as it registered."""
+        self._cold_until = now + self.target.cold_remaining
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether the target is still slow after its start."""
+        return self._cold_until > now
+
     def is_cordoned(self, now: float) -> bool:
         """Return whether the target is out of service to load weights."""
         return self.weights_loading_until > now
@@ -254,6 +263,7 @@
             state.target = target
             for model, version in target.weights_versions.items():
                 state.record_weights_version(model, version)
+        self.states[target.incarnation].record_cold(self._clock.now())
         self.notify_changed()
 
     def remove(self, incarnation: str) -> TargetState | None:
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -7,6 +7,8 @@
 
 from ..platform import documents
 from ..platform.documents import BadDocumentError
+from ..platform.rollouts import decode_order
+from ..platform.rollouts import is_rollout_key
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -14,6 +16,7 @@
     from ..coordination.clock import Clock
     from ..decisions.facts import Configuration
     from ..decisions.facts import Target
+    from ..platform.rollouts import RolloutOrder
     from ..platform.rows import Row
     from .logs import Log
     from .targets import Targets
@@ -72,6 +75,7 @@
         self._has_operator_rows = False
         self.on_configuration: list[Callable[[Configuration], None]] = []
         self.on_weights: list[Callable[[], None]] = []
+        self.on_rollout_order: list[Callable[[RolloutOrder], None]] = []
 
     def mark_operator_rows_read(self) -> None:
         """Record that all rows that operators had written were applied."""
@@ -84,6 +88,8 @@
                 self._apply_configuration(row)
             elif documents.is_weights_key(row.key):
                 self._apply_announcement(row)
+            elif is_rollout_key(row.key):
+                self._apply_rollout_order(row)
         except BadDocumentError as error:
             self._log.write('row_unreadable', key=row.key, error=error)
 
@@ -124,6 +130,13 @@
         for callback in self.on_weights:
             callback()
 
+    def _apply_rollout_order(self, row: Row) -> None:
+        if row.is_deleted:
+            return
+        order = decode_order(row.value, row.version)
+        for callback in self.on_rollout_order:
+            callback(order)
+
     def stale_for(self, model: str, version: int) -> float:
         """Return the time since a weights version was replaced, in s.
 
@@ -156,6 +169,7 @@
                 address=str(target.address),
                 draining=target.is_draining,
                 versions=target.weights_versions,
+                software=target.software_version,
                 row_version=row.version,
             )
         self.targets.register(target)
--- a/src/lentilrun/moves/verdict.py
+++ b/src/lentilrun/moves/verdict.py
@@ -8,6 +8,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from ..decisions.regressions import is_share_higher
 from .tallies import MAX_EPOCHS
 from .tallies import TallySums
 from .tallies import VersionOnRoute
@@ -17,44 +18,19 @@
 
     from .tallies import TallyBook
 
-_Z_SCORE = 2.58
-_MIN_FAILURES = 3
 _MIN_TIMED_REQUESTS = 8
 _MIN_SLOW_RATIO = 1.3
 _MIN_SLOW_T_STATISTIC = 4.0
 _WINDOWS_EPOCHS = (1, 2, MAX_EPOCHS)
-# Stands for earlier outcomes of the old version, so that failures can be
-# compared even if it has no traffic of its own.
-_PRIOR = TallySums(successes=30)
-
-
-def _compute_wilson_bound(failures: int, total: int, side: float) -> float:
-    """Return a Wilson score bound on the share of failures.
-
-    ``side`` is -1 for the lower bound and 1 for the upper one.
-    """
-    if not total:
-        return 0.0 if side < 0 else 1.0
-    share = failures / total
-    z_squared = _Z_SCORE * _Z_SCORE
-    centre = share + z_squared / (2 * total)
-    spread = share * (1 - share) / total
-    spread += z_squared / (4 * total * total)
-    bound = centre + side * _Z_SCORE * math.sqrt(spread)
-    return bound / (1 + z_squared / total)
 
 
 def _fails_more(new: TallySums, old: TallySums) -> bool:
-    if new.failures < _MIN_FAILURES:
-        return False
-    new_lower_bound = _compute_wilson_bound(
-        new.failures, new.count_requests(), -1.0
-    )
-    old_with_prior = TallySums(old.successes + _PRIOR.successes, old.failures)
-    old_upper_bound = _compute_wilson_bound(
-        old_with_prior.failures, old_with_prior.count_requests(), 1.0
+    return is_share_higher(
+        new.failures,
+        new.count_requests(),
+        old.failures,
+        old.count_requests(),
     )
-    return new_lower_bound > old_upper_bound
 
 
 def _variance(sums: TallySums) -> float:
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -121,6 +121,9 @@
     service: str
     address: str
     zone: str = ''
+    # Of the target's software.
+    version: int | str = ''
+    cold_remaining_ms: float = 0.0
     slots: int = 1
     state: str = _READY
     # The time at which the target started, in milliseconds since 1970.
@@ -247,6 +250,8 @@
         max(1, document.slots),
         document.state == _DRAINING,
         {m.name: m.version for m in document.models},
+        str(document.version),
+        document.cold_remaining_ms * _S_PER_MS,
     )
 
 
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -14,6 +14,8 @@
 PATH_VARIABLE = 'LENTILRUN_CONFIG'
 _BYTES_PER_MB = 1_000_000
 _DEFAULT_MEMORY_MB = 128
+_DEFAULT_EXPOSURE_SHARE = 0.1
+_DEFAULT_EXPOSURE_SLACK = 50.0
 
 
 class Bounds(NamedTuple):
@@ -23,7 +25,8 @@
     from one VM before another VM may send it one. ``retry_ratio`` and
     ``retry_slack`` limit the retries of all VMs together in
     ``retry_window``. ``quota_overage`` is a share of a workspace's rate and
-    burst, ``quota_slack`` is in tokens.
+    burst, ``quota_slack`` is in tokens. Of the requests during a roll-out,
+    a bad version may get ``exposure_share`` and ``exposure_slack`` more.
     """
 
     drain: float
@@ -37,6 +40,8 @@
     quota_slack: float
     lease_gap: float
     stale_weights_limit: float
+    exposure_share: float = _DEFAULT_EXPOSURE_SHARE
+    exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
 
 
 class NodeSettings(NamedTuple):
@@ -80,6 +85,12 @@
         quota_slack=float(table['quota-slack']),
         lease_gap=table['lease-ms'] * _S_PER_MS,
         stale_weights_limit=table['version-ms'] * _S_PER_MS,
+        exposure_share=float(
+            table.get('exposure-share', _DEFAULT_EXPOSURE_SHARE)
+        ),
+        exposure_slack=float(
+            table.get('exposure-slack', _DEFAULT_EXPOSURE_SLACK)
+        ),
     )
 
 
