Judge roll-outs by more and better samples; simulate them

Cause: the canary's requests followed the traffic, so that a rare route got too few to judge, and came one by one, so that no target ran two at a time. Levels of half an octave made the limit of a slow response depend on the rounding of the median.

Now rare routes get more than their share (by square root), the canary comes in bursts of a second every two, paced and away from loaded targets; times are compared in quarter octaves; the canary uses three quarters of what a bad version may get. A version that is bad by less than a verdict needs is doubtful, and not completed.

Ruled out: bursts without a pace; after a stall they overloaded the two targets and condemned good versions (seen at eight times the traffic).

Also: engines of different software do not stand in for each other when weights are loaded, or most engines that serve would be taken out at once beside an idle new version. The lease shows the rows that it reads, so a VM that waits for it learns of a final state.

--- a/src/lentilrun/decisions/rollouts.py
+++ b/src/lentilrun/decisions/rollouts.py
@@ -11,17 +11,32 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
 
 # Shares of the limits that are used, until all requests go to the new
 # version and after that. The rest is for VMs that start and count anew.
-_CANARY_USE = 0.5
-_CANARY_SLACK_USE = 0.4
-_RAMP_USE = 0.9
-_RAMP_SLACK_USE = 0.8
+_CANARY_USE = 0.75
+_CANARY_SLACK_USE = 0.7
+_RAMP_USE = 0.97
+_RAMP_SLACK_USE = 0.95
 # The slack is given out over this time, so that a bad version shows before
 # it has got all of it.
 _SLACK_S = 4.0
+# The canary gets its requests in bursts, as some versions are bad only if a
+# target runs several at a time.
+_BURST_PERIOD_S = 2.0
+_BURST_S = 1.0
+# A VM sends so many requests at once, and the others of a burst evenly, at
+# this ratio to the rate that spends its share.
+_BURST_REQUESTS = 2.0
+_BURST_RATE_RATIO = 1.5
+# A VM with so many requests to spare does not wait for a certain route.
+_SPARE_REQUESTS = 2.0
 # Completion begins this long before the deadline, in seconds and as a
 # share of the time for the roll-out.
 _MAX_MARGIN_S = 3.0
@@ -34,8 +49,12 @@
 _MIN_RESPONSES = 8
 # A few targets get all requests of the canary, so that their load is like
 # that of the old ones; these change after this time.
-_CANARY_TARGETS = 2
+_MIN_CANARY_TARGETS = 2
 _ROTATION_S = 4.0
+# Of these, one with more requests than this, and in relation to the mean of
+# the old ones, gets no more.
+_MAX_LOAD_RATIO = 2.0
+_MAX_EXTRA_LOAD = 2.0
 
 
 class ExposureLimits(NamedTuple):
@@ -48,40 +67,101 @@
 class Exposure(NamedTuple):
     """What a VM sent to a service since the order; times in seconds.
 
-    ``has_slack`` is set if the VM has counted since the order.
+    ``total`` and ``new`` count all requests and those to the new version,
+    by route; ``tokens`` is how many of the latter the canary may get at
+    once. ``has_slack`` is set if the VM has counted since the order.
     """
 
-    total: int
-    new: int
+    total: Mapping[str, int]
+    new: Mapping[str, int]
     age: float
     has_slack: bool
+    tokens: float = 1.0
 
 
-def may_send_to_new(
-    exposure: Exposure, limits: ExposureLimits, vms: int, is_ramping: bool
-) -> bool:
-    """Return whether a VM's next request may go to the new version.
+def refill_tokens(
+    exposure: Exposure, limits: ExposureLimits, seconds: float
+) -> float:
+    """Return the tokens after ``seconds`` without a request."""
+    requests_per_s = sum(exposure.total.values()) / max(1.0, exposure.age)
+    canary_per_s = _CANARY_USE * limits.share * requests_per_s
+    burst_per_s = canary_per_s * _BURST_PERIOD_S / _BURST_S
+    tokens = exposure.tokens + _BURST_RATE_RATIO * burst_per_s * seconds
+    return min(_BURST_REQUESTS, tokens)
+
+
+def _count_spare(
+    exposure: Exposure,
+    limits: ExposureLimits,
+    vms: int,
+    use: float,
+    slack_use: float,
+) -> float:
+    """Return how many requests may go to the new version now.
 
     Each VM keeps to the share by its own counts and to its part of the
     slack, so that the sum over all VMs keeps to the limits.
     """
-    use = _RAMP_USE if is_ramping else _CANARY_USE
-    slack_use = _RAMP_SLACK_USE if is_ramping else _CANARY_SLACK_USE
-    allowance = use * limits.share * (exposure.total + 1)
+    allowance = use * limits.share * (sum(exposure.total.values()) + 1)
     if exposure.has_slack:
         slack = slack_use * limits.slack / max(1, vms)
         allowance += slack * min(1.0, exposure.age / _SLACK_S)
-    return exposure.new + 1 <= allowance
+    return allowance - sum(exposure.new.values())
+
+
+def may_send_to_new(
+    exposure: Exposure, limits: ExposureLimits, vms: int
+) -> bool:
+    """Return whether a VM's next request may go to the new version."""
+    spare = _count_spare(exposure, limits, vms, _RAMP_USE, _RAMP_SLACK_USE)
+    return spare >= 1.0
+
 
+def is_canary(
+    exposure: Exposure, limits: ExposureLimits, vms: int, route: str
+) -> bool:
+    """Return whether a VM's next request is a part of the canary."""
+    if exposure.age % _BURST_PERIOD_S >= _BURST_S or exposure.tokens < 1.0:
+        return False
+    spare = _count_spare(exposure, limits, vms, _CANARY_USE, _CANARY_SLACK_USE)
+    if spare < 1.0:
+        return False
+    return spare >= 1.0 + _SPARE_REQUESTS or _is_due_on_route(exposure, route)
+
+
+def _is_due_on_route(exposure: Exposure, route: str) -> bool:
+    """Return whether a route has not yet got its part of the canary.
 
-def pick_canary_targets(names: list[str], age: float) -> list[str]:
-    """Return the targets that get the canary's requests now."""
-    names = sorted(names)
-    if len(names) <= _CANARY_TARGETS:
-        return names
-    first = int(age / _ROTATION_S) * _CANARY_TARGETS % len(names)
-    doubled = names + names
-    return doubled[first : first + _CANARY_TARGETS]
+    Rare routes get more than their share of requests, by the square root,
+    as a version may be bad on one of them only.
+    """
+    weights = {r: math.sqrt(n) for r, n in exposure.total.items()}
+    weight = weights.get(route, 0.0)
+    share = weight / sum(weights.values()) if weight else 1.0
+    new = sum(exposure.new.values())
+    return exposure.new.get(route, 0) <= share * new
+
+
+def pick_canary_targets(
+    in_flight: Mapping[str, int],
+    old_in_flight: float,
+    limits: ExposureLimits,
+    age: float,
+) -> list[str]:
+    """Return the targets that may get a request of the canary now.
+
+    ``in_flight`` holds the requests at the targets of the new version, and
+    ``old_in_flight`` is their mean number at the old ones; ``age`` is the
+    time since the order, in seconds.
+    """
+    names = sorted(in_flight)
+    share = _CANARY_USE * limits.share
+    count = max(_MIN_CANARY_TARGETS, math.ceil(share * len(names)))
+    if len(names) > count:
+        first = int(age / _ROTATION_S) * count % len(names)
+        names = (names + names)[first : first + count]
+    max_load = _MAX_LOAD_RATIO * old_in_flight + _MAX_EXTRA_LOAD
+    return [n for n in names if in_flight[n] < max_load]
 
 
 class Step(enum.Enum):
@@ -110,15 +190,26 @@
     old_in_flight: int
 
 
+def _compute_margin(duration: float) -> float:
+    return min(_MAX_MARGIN_S, _MARGIN_SHARE * duration)
+
+
+def is_due(elapsed: float, duration: float) -> bool:
+    """Return whether it is time to complete a good version."""
+    return duration - elapsed <= _compute_margin(duration)
+
+
 def decide_step(progress: Progress) -> Step:
     """Return the next step of a roll-out."""
     if progress.fault:
         return Step.ROLL_BACK
-    margin = min(_MAX_MARGIN_S, _MARGIN_SHARE * progress.duration)
-    left = progress.duration - progress.elapsed
-    if left > margin or progress.responses < _MIN_RESPONSES:
+    if not is_due(progress.elapsed, progress.duration):
+        return Step.CANARY
+    if progress.responses < _MIN_RESPONSES:
         return Step.CANARY
     if progress.is_doubtful:
+        margin = _compute_margin(progress.duration)
+        left = progress.duration - progress.elapsed
         is_late = left < (1.0 - _DOUBT_SHARE) * margin
         return Step.ROLL_BACK if is_late else Step.CANARY
     ramped_for = progress.ramped_for
@@ -133,8 +224,11 @@
     'decide_step',
     'Exposure',
     'ExposureLimits',
+    'is_canary',
+    'is_due',
     'may_send_to_new',
     'pick_canary_targets',
     'Progress',
+    'refill_tokens',
     'Step',
 ]
--- a/src/lentilrun/decisions/rolloutverdict.py
+++ b/src/lentilrun/decisions/rolloutverdict.py
@@ -23,16 +23,18 @@
     from collections.abc import Iterable
     from collections.abc import Sequence
 
-# Times are compared in half octaves.
-_LEVELS_PER_OCTAVE = 2
-_MAX_LEVEL = 60
-_LEVEL_OF_EXPECTED = 20
+# Times are compared in quarters of an octave.
+_LEVELS_PER_OCTAVE = 4
+_MAX_LEVEL = 120
+_LEVEL_OF_EXPECTED = 40
 _MIN_SECONDS = 1e-4
 # No time was measured.
 NO_LEVEL = -1
 # A response is slow if it takes this many levels more than the median of
-# the old version: 2 to 2.8 times as long.
-_SLOW_LEVELS = 3
+# the old version: 2.8 times as long.
+_SLOW_LEVELS = 6
+_SLOW_Z_SCORE = 3.0
+_MIN_SLOW = 4
 _MIN_COMPARED = 8
 _MIN_MEAN_RATIO = 1.8
 _MIN_T_STATISTIC = 4.0
@@ -47,11 +49,14 @@
 # Responses that break off at one target within this time count once: the
 # target may have crashed for another reason.
 _BREAK_S = 1.0
-# A version with this share of bad responses more than this many times that
-# of the old one is not completed.
-_DOUBTFUL_SHARE = 0.1
-_DOUBTFUL_RATIO = 3.0
+# A version is doubtful if so many bad responses would be as rare as this
+# with the old version.
+_DOUBTFUL_PROBABILITY = 0.01
+_DOUBTFUL_EXTRA_SHARE = 0.05
 _MIN_DOUBTFUL = 2
+# It is also doubtful if its responses take so many times as long.
+_DOUBTFUL_MEAN_RATIO = 1.5
+_DOUBTFUL_T_STATISTIC = 2.5
 
 
 class Fate(enum.IntEnum):
@@ -79,7 +84,7 @@
 
 
 def compute_level(seconds: float, expected: float) -> int:
-    """Return a time in half octaves, relative to the expected one."""
+    """Return a time in quarter octaves, relative to the expected one."""
     ratio = max(_MIN_SECONDS, seconds) / max(_MIN_SECONDS, expected)
     level = round(_LEVELS_PER_OCTAVE * math.log2(ratio)) + _LEVEL_OF_EXPECTED
     return min(_MAX_LEVEL, max(0, level))
@@ -155,22 +160,25 @@
         return ''
     median = statistics.median(map(measure.read, old))
     slow = _find_slow(new, measure, median)
-    if not _is_widespread(slow):
+    if len(slow) < _MIN_SLOW or not _is_widespread(slow):
         return ''
     old_slow = len(_find_slow(old, measure, median))
-    if is_share_higher(len(slow), len(new), old_slow, len(old)):
+    if is_share_higher(len(slow), len(new), old_slow, len(old), _SLOW_Z_SCORE):
         return (
             f'{where}: {measure.name} of {len(slow)} of {len(new)} slow, '
             f'of the old version {old_slow} of {len(old)}'
         )
-    ratio = _compute_mean_ratio(new, old, measure)
+    ratio = _compute_mean_ratio(new, old, measure, _MIN_T_STATISTIC)
     if ratio < _MIN_MEAN_RATIO:
         return ''
     return f'{where}: {measure.name} took {ratio:.2f} times as long'
 
 
 def _compute_mean_ratio(
-    new: Sequence[Outcome], old: Sequence[Outcome], measure: _Measure
+    new: Sequence[Outcome],
+    old: Sequence[Outcome],
+    measure: _Measure,
+    min_t_statistic: float,
 ) -> float:
     """Return how many times as long ``new`` took, 0 if that is unsure."""
     if min(len(new), len(old)) < _MIN_COMPARED:
@@ -180,7 +188,7 @@
     gap = statistics.fmean(new_levels) - statistics.fmean(old_levels)
     squared_error = statistics.variance(new_levels) / len(new_levels)
     squared_error += statistics.variance(old_levels) / len(old_levels)
-    if gap <= _MIN_T_STATISTIC * math.sqrt(squared_error + 1e-6):
+    if gap <= min_t_statistic * math.sqrt(squared_error + 1e-6):
         return 0.0
     return 2.0 ** float(gap / _LEVELS_PER_OCTAVE)
 
@@ -253,6 +261,27 @@
     return len(bad)
 
 
+def _compute_binomial_tail(hits: int, total: int, share: float) -> float:
+    """Return the probability of at least ``hits`` of ``total``."""
+    return 1.0 - sum(
+        math.comb(total, k) * share**k * (1.0 - share) ** (total - k)
+        for k in range(hits)
+    )
+
+
+def _is_rather_slow(new: Sequence[Outcome], old: Sequence[Outcome]) -> bool:
+    for measure in _MEASURES:
+        ratio = _compute_mean_ratio(
+            _list_measured(new, measure),
+            _list_measured(old, measure),
+            measure,
+            _DOUBTFUL_T_STATISTIC,
+        )
+        if ratio >= _DOUBTFUL_MEAN_RATIO:
+            return True
+    return False
+
+
 def is_doubtful(new: Iterable[Outcome], old: Iterable[Outcome]) -> bool:
     """Return whether a version may be bad though that is not sure yet."""
     new_by_route = _group_by_route(_merge_breaks(new))
@@ -261,9 +290,16 @@
         old_on_route = old_by_route.get(route, [])
         bad = _count_bad(new_on_route, old_on_route)
         old_bad = _count_bad(old_on_route, old_on_route)
-        usual_share = old_bad / max(1, len(old_on_route))
-        limit = _DOUBTFUL_SHARE + _DOUBTFUL_RATIO * usual_share
-        if bad >= _MIN_DOUBTFUL and bad / len(new_on_route) > limit:
+        usual_share = (old_bad + 1) / (len(old_on_route) + 2)
+        if _is_rather_slow(new_on_route, old_on_route):
+            return True
+        extra_share = bad / len(new_on_route) - usual_share
+        if bad < _MIN_DOUBTFUL or extra_share < _DOUBTFUL_EXTRA_SHARE:
+            continue
+        probability = _compute_binomial_tail(
+            bad, len(new_on_route), usual_share
+        )
+        if probability < _DOUBTFUL_PROBABILITY:
             return True
     return False
 
--- a/src/lentilrun/gateway/attemptwatch.py
+++ b/src/lentilrun/gateway/attemptwatch.py
@@ -51,7 +51,7 @@
         self._timer: asyncio.TimerHandle | None = None
 
     def __enter__(self) -> AttemptWatch:
-        self._rollouts.record_sent(self._state)
+        self._rollouts.record_sent(self._state, self._route)
         if self._rollouts.is_trial_target(self._state):
             delay = max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * self._expected)
             self._timer = asyncio.get_running_loop().call_later(
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -84,7 +84,7 @@
             return None
         states = self._list_usable(service, avoid)
         states, is_trial = self._rollouts.select(
-            service.name, states, not avoid
+            service.name, states, self._call.route.name, not avoid
         )
         if not states:
             return None
--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -12,6 +12,8 @@
 from .discovery import FLEET_TABLE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..coordination.clock import Clock
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
@@ -69,6 +71,8 @@
         self._row = _NO_LEASE
         self._row_version = 0
         self._held_until = float('-inf')
+        # Called with the rows of the lease's table, each time they are read.
+        self.on_read: list[Callable[[Rows], None]] = []
 
     @property
     def fence(self) -> int:
@@ -95,6 +99,8 @@
             return 0.0
         table_rows = await self._store.read(FLEET_TABLE)
         self._record_lease(table_rows)
+        for callback in self.on_read:
+            callback(table_rows)
         row = self._row
         if row.holder != self._name:
             wait = (
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..decisions.rollouts import decide_step
+from ..decisions.rollouts import is_due
 from ..decisions.rollouts import Progress
 from ..decisions.rollouts import Step
 from ..decisions.upgrades import compute_takeover_delay
@@ -94,13 +95,15 @@
         self._lease = lease
         self._log = log
         self._stored: dict[str, _StoredRow] = {}
-        self._read_under_fence = 0
+        # Set if a write failed: another VM may have written, or this one.
+        self._needs_read = False
         self._work_since: float | None = None
         self._ramped_at: dict[int, float] = {}
         self._tick = 0
         self._ordered = asyncio.Event()
         self.is_leaving = False
         rollouts.on_order.append(self._ordered.set)
+        lease.on_read.append(self.apply_rows)
 
     def is_driving(self) -> bool:
         """Return whether this VM may decide on stages now."""
@@ -113,7 +116,7 @@
                 delay = await self._step()
             except (ConflictError, PlatformError) as error:
                 self._log.write('rollout_delayed', error=error)
-                self._read_under_fence = 0
+                self._needs_read = True
                 delay = _RETRY_S
             await self._wait_for_order(delay)
 
@@ -144,11 +147,12 @@
             self._ramped_at.clear()
             if self._compute_takeover_time(unresolved) > now:
                 return _WORK_INTERVAL_S
-        if await self._lease.acquire() > 0.0:
-            return _WORK_INTERVAL_S
-        if self._read_under_fence != self._lease.fence:
+        wait = await self._lease.acquire()
+        if wait > 0.0:
+            return min(wait, _IDLE_INTERVAL_S)
+        if self._needs_read:
             self.apply_rows(await self._store.read(FLEET_TABLE))
-            self._read_under_fence = self._lease.fence
+            self._needs_read = False
         self._tick += 1
         for rollout in self._rollouts.list_unresolved():
             await self._advance(rollout)
@@ -220,13 +224,15 @@
     def _make_progress(self, rollout: Rollout) -> Progress:
         now = self._clock.now()
         ramped_at = self._ramped_at.get(rollout.order.row_version)
+        elapsed = self._compute_elapsed(rollout)
+        duration = rollout.order.duration
         return Progress(
-            self._compute_elapsed(rollout),
-            rollout.order.duration,
+            elapsed,
+            duration,
             None if ramped_at is None else now - ramped_at,
             len(rollout.ledger.list_new()),
             rollout.reason if rollout.stage is Stage.BANNED else '',
-            self._rollouts.is_doubtful(rollout),
+            is_due(elapsed, duration) and self._rollouts.is_doubtful(rollout),
             self._rollouts.count_old_in_flight(rollout),
         )
 
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import collections
 import enum
+import statistics
 from typing import TYPE_CHECKING
 
 from ..decisions.rollouts import Exposure
+from ..decisions.rollouts import is_canary
 from ..decisions.rollouts import may_send_to_new
 from ..decisions.rollouts import pick_canary_targets
+from ..decisions.rollouts import refill_tokens
 from ..decisions.rolloutverdict import find_fault
 from ..decisions.rolloutverdict import is_doubtful
 from .messages import OutcomeReport
@@ -65,7 +69,8 @@
 class Rollout:
     """The state of one order at this VM; times by the clock, in seconds.
 
-    ``total`` and ``new`` count the requests that this VM sent since then.
+    ``total`` and ``new`` count the requests that this VM sent since then,
+    by route.
     """
 
     def __init__(
@@ -81,8 +86,11 @@
         self.driver_turn = (0, 0)
         self.driven_at = float('-inf')
         self.changed_at = now
-        self.total = 0
-        self.new = 0
+        self.total: collections.Counter[str] = collections.Counter()
+        self.new: collections.Counter[str] = collections.Counter()
+        # See ``Exposure``; refilled at a time by the clock.
+        self.tokens = 0.0
+        self.refilled_at = now
         self.ledger = OutcomeLedger(order.row_version)
 
     def is_resolved(self) -> bool:
@@ -229,7 +237,11 @@
     # -- The choice of targets.
 
     def select(
-        self, service: str, states: Sequence[TargetState], is_first: bool
+        self,
+        service: str,
+        states: Sequence[TargetState],
+        route: str,
+        is_first: bool,
     ) -> tuple[list[TargetState], bool]:
         """Return the targets that a request may use, and if it is a trial.
 
@@ -248,33 +260,49 @@
         ]
         if not new or not rollout.stage.is_running():
             return old, False
-        if not self.is_driven(rollout) or not self._may_send(rollout, old):
+        if not self.is_driven(rollout):
             return old, False
+        exposure = self._measure_exposure(rollout)
+        vms = self._peers.count_members()
         if rollout.stage is Stage.RAMP or not old:
-            return new, False
-        new = self._pick_canary(rollout, new) if is_first else []
-        return (new, True) if new else (old, False)
-
-    def _may_send(self, rollout: Rollout, old: Sequence[TargetState]) -> bool:
+            if may_send_to_new(exposure, self._limits, vms):
+                return new, False
+        elif is_first and is_canary(exposure, self._limits, vms, route):
+            new = self._pick_canary(rollout, new, old)
+            if new:
+                return new, True
+        return old, False
+
+    def _measure_exposure(self, rollout: Rollout) -> Exposure:
+        """Return what this VM has sent, with the tokens of now."""
+        now = self._clock.now()
         exposure = Exposure(
             rollout.total,
             rollout.new,
-            self._clock.now() - rollout.known_at,
+            now - rollout.known_at,
             rollout.has_slack,
+            rollout.tokens,
         )
-        return may_send_to_new(
-            exposure,
-            self._limits,
-            self._peers.count_members(),
-            rollout.stage is Stage.RAMP or not old,
+        rollout.tokens = refill_tokens(
+            exposure, self._limits, now - rollout.refilled_at
         )
+        rollout.refilled_at = now
+        return exposure._replace(tokens=rollout.tokens)
 
     def _pick_canary(
-        self, rollout: Rollout, new: Sequence[TargetState]
+        self,
+        rollout: Rollout,
+        new: Sequence[TargetState],
+        old: Sequence[TargetState],
     ) -> list[TargetState]:
         now = self._clock.now()
         warm = {s.target.incarnation: s for s in new if not s.is_cold(now)}
-        names = pick_canary_targets(list(warm), now - rollout.known_at)
+        names = pick_canary_targets(
+            {n: s.count_in_flight(now) for n, s in warm.items()},
+            statistics.fmean(s.count_in_flight(now) for s in old),
+            self._limits,
+            now - rollout.known_at,
+        )
         return [warm[n] for n in names]
 
     def exclude_unusable(
@@ -319,14 +347,15 @@
             s for s in states if s.target.software_version != rollout.version
         ]
 
-    def record_sent(self, state: TargetState) -> None:
-        """Count an attempt that is sent now."""
+    def record_sent(self, state: TargetState, route: str) -> None:
+        """Count an attempt on a route that is sent now."""
         rollout = self.by_service.get(state.target.service)
         if rollout is None or rollout.is_resolved():
             return
-        rollout.total += 1
+        rollout.total[route] += 1
         if state.target.software_version == rollout.version:
-            rollout.new += 1
+            rollout.new[route] += 1
+            rollout.tokens -= 1.0
 
     # -- Outcomes and the verdict.
 
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 from typing import TYPE_CHECKING
 
 from ..decisions.upgrades import compute_drain_timeout
@@ -138,26 +139,42 @@
         A model without such engines is included while upgrades run.
         """
         work = {}
-        now = self._clock.now()
         for model, announced in self._view.announced.items():
-            candidates = [
-                UpgradeCandidate(
-                    n,
-                    s.weights_versions[model],
-                    self._is_out_of_service(n, s),
-                    s.busy_for(now),
-                    self._view.stale_for(model, s.weights_versions[model]),
+            # Engines of other software may get few requests or none, so
+            # they can't stand in for each other.
+            names = []
+            for candidates in self._group_candidates(model).values():
+                names += pick_upgrade_round(
+                    candidates, announced.newest_version
                 )
-                for n, s in self._targets.states.items()
-                if model in s.weights_versions
-                and not s.target.is_draining
-                and (n in self._upgrade_tasks or not s.is_unreachable(now))
-            ]
-            names = pick_upgrade_round(candidates, announced.newest_version)
             if names or self._upgrade_tasks:
                 work[model] = names
         return work
 
+    def _group_candidates(
+        self, model: str
+    ) -> dict[tuple[str, str], list[UpgradeCandidate]]:
+        """Return the engines with a model by service and software."""
+        now = self._clock.now()
+        groups = collections.defaultdict(list)
+        for name, state in self._targets.states.items():
+            target = state.target
+            if model not in state.weights_versions or target.is_draining:
+                continue
+            if name not in self._upgrade_tasks and state.is_unreachable(now):
+                continue
+            version = state.weights_versions[model]
+            groups[target.service, target.software_version].append(
+                UpgradeCandidate(
+                    name,
+                    version,
+                    self._is_out_of_service(name, state),
+                    state.busy_for(now),
+                    self._view.stale_for(model, version),
+                )
+            )
+        return groups
+
     def _is_out_of_service(self, name: str, state: TargetState) -> bool:
         now = self._clock.now()
         return (
--- a/tests/benchmarks/test_aims.py
+++ b/tests/benchmarks/test_aims.py
@@ -6,6 +6,7 @@
 from benchmarks import fairness
 from benchmarks import moves
 from benchmarks import placement
+from benchmarks import rollouts
 import pytest
 
 _DURATION_S = 30.0
@@ -39,3 +40,15 @@
     assert not result.is_misjudged(), result
     assert result.max_loading <= 3
     assert result.late_requests == 0
+
+
+@pytest.mark.parametrize('trouble', rollouts.TROUBLES, ids=lambda t: t.name)
+@pytest.mark.parametrize(
+    'behaviour', rollouts.BEHAVIOURS, ids=lambda b: b.name
+)
+def test_rollouts(
+    behaviour: rollouts.VersionBehaviour, trouble: rollouts.Trouble
+) -> None:
+    """Good versions are completed; bad ones keep to their share and end."""
+    result = rollouts.run_rollout(behaviour, trouble, 101)
+    assert result.list_missed() == [], result
