Test roll-outs on real nodes with the store away and VMs lost

Four cases beside the three kinds of version: a ban that spreads while the store is away and is written after it, also to a VM that starts later; the driving VM lost and the next one completing; a final state that nothing changes; software without an order, which is served.

--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -6,11 +6,16 @@
 import random
 import time
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 from deployments import Deployment
 from lentilrun.gateway.node import Node
+from lentilrun.gateway.rollouts import Stage
 import pytest
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 _REQUESTS_PER_S = 60.0
 _DURATION_S = 6.0
 _OLD_DELAY_S = 0.02
@@ -75,12 +80,8 @@
 
     async def body() -> None:
         async with Deployment() as deployment:
-            _add_replicas(deployment, 'v1', _Version())
-            nodes = [await deployment.start_node(f'vm{n}') for n in (1, 2)]
-            await _send_traffic(deployment, nodes, 3.5)
+            nodes = await _start_rollout(deployment, version)
             before = _count_runs(deployment, 'v1')
-            deployment.order_rollout('app', 'v2', _DURATION_S)
-            _add_replicas(deployment, 'v2', version)
             await _send_traffic(deployment, nodes, _DURATION_S)
             status = deployment.read_rollout_status('app')
             assert status == {'state': version.expected_state, 'to': 'v2'}
@@ -94,3 +95,135 @@
             assert _count_runs(deployment, 'v2') == new
 
     asyncio.run(body())
+
+
+async def _start_rollout(
+    deployment: Deployment, version: _Version, vms: int = 2
+) -> list[Node]:
+    """Start VMs with traffic behind them, and order a roll-out."""
+    _add_replicas(deployment, 'v1', _Version())
+    nodes = [await deployment.start_node(f'vm{n}') for n in range(1, vms + 1)]
+    await _send_traffic(deployment, nodes, 3.5)
+    deployment.order_rollout('app', 'v2', _DURATION_S)
+    _add_replicas(deployment, 'v2', version)
+    return nodes
+
+
+async def _send_until(
+    deployment: Deployment,
+    nodes: list[Node],
+    condition: Callable[[], bool],
+    timeout: float = 8.0,
+) -> None:
+    """Send traffic until a condition holds; raises ``TimeoutError``."""
+    async with asyncio.timeout(timeout):
+        while not condition():
+            await _send_traffic(deployment, nodes, 0.1)
+
+
+def _read_state(deployment: Deployment) -> str:
+    return str(deployment.read_rollout_status('app').get('state', ''))
+
+
+def test_ban_needs_no_store() -> None:
+    """All VMs ban a bad version while the store is away; it learns later."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start_rollout(
+                deployment, _Version(failure_interval=1)
+            )
+            await _send_until(
+                deployment, nodes, lambda: _count_runs(deployment, 'v2') > 0
+            )
+            deployment.store.faults.is_down = True
+            await _send_until(
+                deployment,
+                nodes,
+                lambda: all(
+                    n.rollouts.by_service['app'].stage is Stage.BANNED
+                    for n in nodes
+                ),
+            )
+            new = _count_runs(deployment, 'v2')
+            await _send_traffic(deployment, nodes, 1.0)
+            assert _count_runs(deployment, 'v2') == new
+            assert _read_state(deployment) == 'running'
+            deployment.store.faults.is_down = False
+            await _send_until(
+                deployment,
+                nodes,
+                lambda: _read_state(deployment) == 'rolled_back',
+            )
+            # A VM that starts now knows nothing but the store's rows.
+            late = await deployment.start_node('vm3')
+            await _send_traffic(deployment, [late], 1.5)
+            assert _count_runs(deployment, 'v2') == new
+
+    asyncio.run(body())
+
+
+def test_another_vm_completes_a_rollout() -> None:
+    """The VM that drives a roll-out is lost; another one completes it."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start_rollout(deployment, _Version(), 3)
+            await _send_until(
+                deployment, nodes, lambda: _count_runs(deployment, 'v2') > 3
+            )
+            driving = [n for n in nodes if n.rollout_driver.is_driving()]
+            assert len(driving) == 1
+            await driving[0].__aexit__(None, None, None)
+            nodes.remove(driving[0])
+            await _send_until(
+                deployment,
+                nodes,
+                lambda: _read_state(deployment) == 'completed',
+            )
+            old = _count_runs(deployment, 'v1')
+            await _send_traffic(deployment, nodes, 0.5)
+            assert _count_runs(deployment, 'v1') <= old + 1
+
+    asyncio.run(body())
+
+
+def test_final_state_never_changes() -> None:
+    """Reports on a roll-out that has ended change nothing."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start_rollout(
+                deployment, _Version(failure_interval=1), 1
+            )
+            await _send_until(
+                deployment,
+                nodes,
+                lambda: _read_state(deployment) == 'rolled_back',
+            )
+            rollouts = nodes[0].rollouts
+            rollout = rollouts.by_service['app']
+            for stage in (Stage.CANARY, Stage.RAMP, Stage.COMPLETED):
+                rollouts.set_stage(rollout, stage, '')
+            assert rollout.stage is Stage.ROLLED_BACK
+            row = deployment.store.rows['status', '', 'rollout/app']
+            await _send_traffic(deployment, nodes, _DURATION_S)
+            assert deployment.store.rows['status', '', 'rollout/app'] == row
+
+    asyncio.run(body())
+
+
+def test_version_without_order_is_served() -> None:
+    """Replicas of other software that no order names soon get requests."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            _add_replicas(deployment, 'v1', _Version())
+            node = await deployment.start_node('vm1')
+            await _send_traffic(deployment, [node], 0.5)
+            _add_replicas(deployment, 'v2', _Version())
+            await _send_traffic(deployment, [node], 2.0)
+            assert _count_runs(deployment, 'v2') > 10
+            assert deployment.read_rollout_status('app') == {}
+
+    asyncio.run(body())
