Serve a service whose only software an order names, or that was retired

Callers got 503 for as long as an order named the software that all targets had: no targets of other software were left, and the new version was held to its share.

Now the share binds only while the service has targets of other software. In the same way, retired versions are used if there are no others left: operators then went back to one of them by replacing the targets.

--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Container
     from collections.abc import Sequence
 
     from ..coordination.clock import Clock
@@ -258,6 +259,8 @@
         old = [
             s for s in states if s.target.software_version != rollout.version
         ]
+        if not old and self._is_only_version(rollout):
+            return states, False
         if not new or not rollout.stage.is_running():
             return old, False
         if not self.is_driven(rollout):
@@ -273,6 +276,13 @@
                 return new, True
         return old, False
 
+    def _is_only_version(self, rollout: Rollout) -> bool:
+        """Return whether a service has no targets but those of an order."""
+        return all(
+            s.target.software_version == rollout.version
+            for s in self._targets.list_of_service(rollout.order.service)
+        )
+
     def _measure_exposure(self, rollout: Rollout) -> Exposure:
         """Return what this VM has sent, with the tokens of now."""
         now = self._clock.now()
@@ -308,13 +318,24 @@
     def exclude_unusable(
         self, service: str, states: Sequence[TargetState]
     ) -> list[TargetState]:
-        """Return the targets without those of retired and unnamed versions."""
+        """Return the targets without those of retired and unnamed versions.
+
+        If all targets have retired versions, operators went back to one.
+        """
         retired = self.retired.get(service, ())
+        if retired and self._are_all_retired(service, retired):
+            return list(states)
         remaining = [
             s for s in states if s.target.software_version not in retired
         ]
         return self._exclude_unnamed(service, remaining)
 
+    def _are_all_retired(self, service: str, retired: Container[str]) -> bool:
+        return all(
+            s.target.software_version in retired
+            for s in self._targets.list_of_service(service)
+        )
+
     def _exclude_unnamed(
         self, service: str, states: list[TargetState]
     ) -> list[TargetState]:
@@ -343,9 +364,10 @@
         rollout = self.by_service.get(service)
         if rollout is None or rollout.is_resolved():
             return states
-        return [
+        old = [
             s for s in states if s.target.software_version != rollout.version
         ]
+        return old if old or not self._is_only_version(rollout) else states
 
     def record_sent(self, state: TargetState, route: str) -> None:
         """Count an attempt on a route that is sent now."""
--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -213,6 +213,21 @@
     asyncio.run(body())
 
 
+def test_order_of_the_running_version() -> None:
+    """An order of the software that all replicas have stops nothing."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            _add_replicas(deployment, 'v1', _Version())
+            node = await deployment.start_node('vm1')
+            deployment.order_rollout('app', 'v1', 3.0)
+            statuses = await _send_traffic(deployment, [node], 3.0)
+            assert set(statuses) == {200}
+            assert _read_state(deployment) == 'completed'
+
+    asyncio.run(body())
+
+
 def test_version_without_order_is_served() -> None:
     """Replicas of other software that no order names soon get requests."""
 
