Answer requests whose admission fails unexpectedly

Callers saw: no response at all, until they gave up, for a request on which the router's own code failed before it made a call of it.

Cause: only refusals were handled there; any other error ended the task that should respond. It is answered with 500 (no target got the request) and logged.

Seen red: test_caller_gets_a_response_to_a_failed_admission. After: passes with the rest of tests/gateway/test_survival.py and test_odd_requests.py.

--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -225,9 +225,7 @@
     ) -> None:
         """Answer one request: run it as a call, or refuse it."""
         try:
-            if self.is_closed:
-                raise Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
-            call = self._handler.admit(incoming)
+            call = self._admit(incoming)
         except Refusal as refusal:
             await self._refuse(incoming, writer, refusal)
             return
@@ -237,6 +235,18 @@
         if call_refusal is not None:
             await self._refuse(incoming, writer, call_refusal)
 
+    def _admit(self, incoming: IncomingRequest) -> Call:
+        if self.is_closed:
+            raise Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
+        try:
+            return self._handler.admit(incoming)
+        except Refusal:
+            raise
+        except Exception as error:
+            request_id = dialect.read_request_id(incoming.headers)
+            self._log.write('request_error', id=request_id, error=repr(error))
+            raise Refusal(_INTERNAL_ERROR, Reason.INTERNAL) from error
+
     async def _run(
         self, call: Call, writer: _ConnectionWriter
     ) -> Refusal | None:
@@ -262,7 +272,7 @@
         writer: _ConnectionWriter,
         refusal: Refusal,
     ) -> None:
-        request_id = dialect.read_caller_headers(incoming.headers).request_id
+        request_id = dialect.read_request_id(incoming.headers)
         self._log.write(
             'refused',
             id=request_id,
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -154,6 +154,11 @@
     )
 
 
+def read_request_id(headers: HTTPHeaders) -> str:
+    """Return the ID of a caller's request, empty if it has none."""
+    return headers.get(_REQUEST_ID, '')
+
+
 def read_caller_headers(headers: HTTPHeaders) -> CallerHeaders:
     """Return the values of a caller's headers.
 
@@ -161,7 +166,7 @@
     """
     timeout_ms = _parse_int(headers.get(_DEADLINE_MS))
     return CallerHeaders(
-        headers.get(_REQUEST_ID, ''),
+        read_request_id(headers),
         headers.get('Host', '').lower(),
         headers.get(_API_KEY, ''),
         None if timeout_ms is None else timeout_ms / 1e3,
@@ -269,6 +274,7 @@
     'make_refusal_headers',
     'make_response_headers',
     'read_caller_headers',
+    'read_request_id',
     'read_response_head',
     'ResponseHead',
     'resume_after',
--- a/tests/gateway/test_survival.py
+++ b/tests/gateway/test_survival.py
@@ -85,6 +85,23 @@
     assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
 
 
+def test_caller_gets_a_response_to_a_failed_admission(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A caller does not wait for a response that never comes."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        def fail(incoming: object) -> None:
+            raise ZeroDivisionError
+
+        node.admission.admit = fail  # type: ignore[assignment,method-assign]
+        async with asyncio.timeout(2.0):
+            response = await deployment.ask(node, '/plain/x')
+        assert response.status == 500
+
+    assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
+
+
 def test_garbage_datagrams(tmp_path: pathlib.Path) -> None:
     """Datagrams that are no messages end nothing."""
 
