Read numbers of any length in headers

A target's X-Weight-Versions of that length ended an exchange.

Cause: Python refuses to convert such texts (ValueError). Shorter ones, beyond 64 bits, would not fit into messages between VMs.

Change: at most 18 digits; longer counts as malformed, as other text does.

--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -35,6 +35,8 @@
 _EVENT_STREAM_TYPE = 'text/event-stream'
 _MISDIRECTED_STATUS = 421
 _MAX_URGENCY = 9
+# Longer numbers are not sent, and would not fit into messages between VMs.
+_MAX_DIGITS = 18
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -127,7 +129,10 @@
 
 
 def _parse_int(text: str | None) -> int | None:
-    if text is None or not text.strip().isdecimal():
+    """Return a number, or nothing if it is malformed or too long."""
+    if text is None or len(text) > _MAX_DIGITS:
+        return None
+    if not text.strip().isdecimal():
         return None
     return int(text)
 
@@ -135,9 +140,10 @@
 def _parse_segments(text: str) -> tuple[PromptSegment, ...]:
     segments = []
     for item in text.split(','):
-        identity, _, tokens = item.strip().partition(':')
-        if identity and tokens.isdecimal():
-            segments.append(PromptSegment(identity, int(tokens)))
+        identity, _, text = item.strip().partition(':')
+        tokens = _parse_int(text)
+        if identity and tokens is not None:
+            segments.append(PromptSegment(identity, tokens))
     return tuple(segments)
 
 
--- a/tests/gateway/test_survival.py
+++ b/tests/gateway/test_survival.py
@@ -102,6 +102,23 @@
     assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
 
 
+@pytest.mark.parametrize('digits', [18, 19, 4301, 5000])
+@pytest.mark.parametrize(
+    'name', ['X-Deadline-Ms', 'X-Token-Usage', 'Last-Event-Id']
+)
+def test_long_numbers(name: str, digits: int, tmp_path: pathlib.Path) -> None:
+    """A number of any length gets a response."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        headers = {name: '9' * digits}
+        async with asyncio.timeout(3.0):
+            request = deployment.make_request('/plain/x', b'', '', headers)
+            response = await deployments.ask(node.settings.entry, request)
+        assert response.status in (200, 400, 429)
+
+    assert 'request_error' not in _run(check, tmp_path / 'log')
+
+
 def test_garbage_datagrams(tmp_path: pathlib.Path) -> None:
     """Datagrams that are no messages end nothing."""
 
