Survive datagrams with impossible values

A datagram from anyone with a port above 65535 or a negative number or a host name made the VM that received it close its socket for good at its next send (or look a name up, blocking). An empty list of uses, no relayed rows, a number that isn't finite or a count near 2^64 made the handler fail half-way, and with counts every later message of a hub.

Cause: messages were checked for their types only, and errors of the handlers went to asyncio's own handler, not to the log.

Change: ranges are part of the fields' types (checked by the decoder); host and finite sums are checked beside. An error of a handler is logged and the datagram counts as lost.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -159,7 +159,7 @@
         """
         if self._needs_full_read or previous_version > self.newest_row_version:
             self.record_newest_row_version(
-                max(r.version for r in changes.rows)
+                max((r.version for r in changes.rows), default=0)
             )
             return
         self._record_relay()
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -6,6 +6,10 @@
 from __future__ import annotations
 
 import enum
+import functools
+import ipaddress
+import math
+from typing import Annotated
 from typing import NamedTuple
 
 import msgspec
@@ -14,6 +18,14 @@
 from ..errors import LentilrunError
 
 
+# Sums of counts must fit into the 64 bits of an encoded integer.
+_MAX_COUNT = 1 << 53
+Count = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Power = Annotated[float, msgspec.Meta(ge=0.0)]
+UsePerSecond = Annotated[list[Count], msgspec.Meta(min_length=1)]
+
+
 class Scope(enum.Enum):
     """The VMs that a message reports on: see ``decisions.topology``."""
 
@@ -32,8 +44,8 @@
     """
 
     incarnation: str
-    in_flight: int
-    long_in_flight: int
+    in_flight: Count
+    long_in_flight: Count
     prefill_tokens: float
     memory_tokens_used: float
     busy_for: float
@@ -101,9 +113,9 @@
     node: str
     scope: Scope
     data_centre: str
-    power: float
+    power: Power
     host: str
-    port: int
+    port: Port
     incarnation: int
     is_leaving: bool
     unresponsive: int
@@ -113,7 +125,7 @@
     weights_versions: list[WeightsVersionReport]
     crashes: list[CrashReport]
     admitted_tokens: dict[str, float]
-    used_per_second: dict[str, list[int]]
+    used_per_second: dict[str, UsePerSecond]
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
@@ -165,9 +177,28 @@
     if decoder is None:
         raise BadMessageError('unknown kind of message')
     try:
-        return decoder.decode(data[1:])
-    except msgspec.MsgspecError as error:
+        message = decoder.decode(data[1:])
+        if isinstance(message, GossipMessage):
+            _check_values(message)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         raise BadMessageError(str(error)) from error
+    return message
+
+
+def _check_values(message: GossipMessage) -> None:
+    """Raise ``ValueError`` for values that no VM sends.
+
+    They would make it impossible to send messages or to sum their values.
+    """
+    _check_host(message.host)
+    total = message.power + sum(message.admitted_tokens.values())
+    if not math.isfinite(total):
+        raise ValueError('a number is not finite')
+
+
+@functools.lru_cache(maxsize=1024)
+def _check_host(host: str) -> None:
+    ipaddress.ip_address(host)
 
 
 _decoders: dict[
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -397,6 +397,14 @@
         except BadMessageError as error:
             self._log.write('peer_message_unreadable', error=error)
             return
+        try:
+            self._apply(message)
+        except Exception as error:
+            self._log.write(
+                'peer_message_failed', peer=message.node, error=repr(error)
+            )
+
+    def _apply(self, message: GossipMessage | RelayedRows) -> None:
         if isinstance(message, RelayedRows):
             for callback in self.on_relayed_rows:
                 callback(message)
--- a/tests/gateway/test_survival.py
+++ b/tests/gateway/test_survival.py
@@ -85,6 +85,22 @@
     assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
 
 
+def test_datagram_that_fails_is_logged(tmp_path: pathlib.Path) -> None:
+    """An error in the handling of a datagram ends nothing."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        def fail(message: object) -> None:
+            raise ZeroDivisionError
+
+        node.peers.on_message.insert(0, fail)
+        await deployment.start_node('vm2')
+        await deployments.wait_until(lambda: 'vm2' in node.peers.by_name)
+        await asyncio.sleep(0.5)
+        assert (await deployment.ask(node, '/plain/x')).status == 200
+
+    assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
+
+
 def test_caller_gets_a_response_to_a_failed_admission(
     tmp_path: pathlib.Path,
 ) -> None:
