End an exchange cleanly whatever bytes a server sends

Callers saw: 502 with no record of the target's failure for a status line with thousands of digits; a status as 999999 was passed on to them; a stream with an event id of that length broke off. Where the store's connection sent such a line, the task that read it ended. A target whose id holds a line break or a character beyond Latin-1 made each request to it fail as an internal error.

Cause: ValueError of the HTTP parser, of int() and of the encoder was expected nowhere.

Change: a malformed response is an interrupted exchange, a status outside 100 to 599 too; a request that can't be written is one that was not sent. Event ids have 18 digits at most.

--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -21,7 +21,7 @@
 
     from tornado.httputil import HTTPHeaders
 
-_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _DONE = b'data: [DONE]'
 _USAGE = b'"usage"'
 _EVENT_STREAM = 'text/event-stream'
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -22,7 +22,7 @@
 
     from .call import ResponseWriter
 
-_EVENT_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _OK = 200
 _SUCCESS_STATUS_END = 300
 _MAX_EVENT_BYTES = 4 * 1024 * 1024
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -54,6 +54,8 @@
 # the server closes the connection.
 _IDLE_TIMEOUT_MARGIN_S = 0.7
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
+_MIN_STATUS = 100
+_STATUS_END = 600
 _HTTP_1_0 = 'HTTP/1.0'
 _IDLE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
 
@@ -205,6 +207,9 @@
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
+        if not _MIN_STATUS <= start_line.code < _STATUS_END:
+            self._reject()
+            return None
         if start_line.code < 200:
             return None
         self.idle_timeout = _read_idle_timeout(headers)
@@ -217,11 +222,14 @@
         if not self._handler.is_identified(start_line.code, headers):
             self.keep_alive = False
             if self._is_reused:
-                self.is_mismatched = True
-                self._stream.close()
+                self._reject()
                 return None
         return self._handler.receive_head(start_line.code, headers)
 
+    def _reject(self) -> None:
+        self.is_mismatched = True
+        self._stream.close()
+
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         if self.is_mismatched:
             return None
@@ -415,6 +423,9 @@
         except (StreamClosedError, OSError) as error:
             message = f'{address} closed the connection'
             raise InterruptedExchangeError(message) from error
+        except ValueError as error:
+            message = f'{address} sent a malformed response: {error!r}'
+            raise InterruptedExchangeError(message) from error
         except TimeoutError as error:
             message = f'{address} gave no answer in time'
             raise InterruptedExchangeError(message) from error
@@ -438,7 +449,10 @@
         0 means that the connection can't be used again.
         """
         connection = _ClientConnection(stream, True, self._parameters)
-        self._write_request(connection, address, request)
+        try:
+            self._write_request(connection, address, request)
+        except ValueError as error:
+            raise NotSentError(f'no HTTP request: {error!r}') from error
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             delegate = _ResponseDelegate(stream, handler, is_reused)
             try:
