Let malformed rows hide no others

A page (500 rows) of malformed rows ended the read of a table as if it were whole: all later rows counted as deleted, so that their targets got nothing. A value with other characters than base64 was read without them. A row whose value was malformed counted as deleted. A feed response that says has-more skipped the rest. A deeply nested response ended the task that follows the table.

Cause: a malformed row was dropped before its key was looked at, though the key is where the next page begins, and the store's counter was taken as the feed's position.

Change: only the key must be readable; a row with other fields malformed has an empty value, which names nothing. A page without any key is a failed read. Base64 is validated; the position after has-more is the last row's version.

--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import base64
+from typing import Annotated
+from typing import Any
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
@@ -78,16 +80,23 @@
 
 
 class _WireRow(msgspec.Struct, rename='kebab'):
+    # Other writers may put values of any type into the fields.
     key: str
     # Base64; empty for a deleted row.
-    value: str = ''
-    row_version: int = 0
-    deleted: bool = False
+    value: Any = ''
+    row_version: Any = 0
+    deleted: Any = False
+
+
+_MAX_VERSION = (1 << 63) - 1
+_Version = Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
+# A deeply nested document exceeds the recursion limit.
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _WireRows(msgspec.Struct, rename='kebab'):
     # The newest version of the whole store, not that of one of the rows.
-    row_version: int
+    row_version: _Version
     # The reading of the monotonic clock of the store; no wall-clock time.
     now_ms: float
     rows: list[msgspec.Raw] = []
@@ -99,23 +108,45 @@
 
 
 def _decode_row(raw: msgspec.Raw) -> Row | None:
-    """Return a row, or nothing if it is malformed."""
+    """Return a row, or nothing if its key is unreadable.
+
+    A row whose other fields are malformed has an empty value.
+    """
     try:
         wire_row = _row_decoder.decode(raw)
-        value = base64.b64decode(wire_row.value)
-    except (msgspec.MsgspecError, ValueError):
+    except _DECODE_ERRORS:
         return None
-    return Row(wire_row.key, value, wire_row.row_version, wire_row.deleted)
+    version = wire_row.row_version
+    if type(version) is not int or not 0 <= version <= _MAX_VERSION:
+        return Row(wire_row.key, b'', 0)
+    if wire_row.deleted is True:
+        return Row(wire_row.key, b'', version, True)
+    return Row(wire_row.key, _decode_value(wire_row.value), version)
+
+
+def _decode_value(value: Any) -> bytes:
+    """Return the bytes of a row, none if they are malformed."""
+    if not isinstance(value, str):
+        return b''
+    try:
+        return base64.b64decode(value, validate=True)
+    except ValueError:
+        return b''
 
 
 def _decode_rows(body: bytes) -> tuple[Rows, bool]:
-    """Return the well-formed rows, and whether more rows follow."""
+    """Return the rows with a key, and whether more rows follow.
+
+    Raises ``PlatformError``, also if the next rows can't be asked for.
+    """
     try:
         wire_rows = _rows_decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except _DECODE_ERRORS as error:
         raise PlatformError('the store sent a malformed response') from error
     decoded = [_decode_row(r) for r in wire_rows.rows]
     rows = tuple(r for r in decoded if r is not None)
+    if wire_rows.has_more and not rows:
+        raise PlatformError('the store sent rows without a key')
     return (
         Rows(rows, wire_rows.row_version, wire_rows.now_ms / 1e3),
         wire_rows.has_more,
@@ -153,7 +184,8 @@
     async def read(self, table: str) -> Rows:
         """Return all rows of a table that have an empty ``part``.
 
-        Malformed rows are left out. Raises ``PlatformError``.
+        Rows with an unreadable key are left out, other malformed ones have
+        an empty value. Raises ``PlatformError``.
         """
         rows: list[Row] = []
         first_key = ''
@@ -168,7 +200,7 @@
             page, has_more = await self._read_page(query)
             self._store_clock_offset_s = page.store_time - self._clock.now()
             rows += page.rows
-            if not has_more or not page.rows:
+            if not has_more:
                 return Rows(tuple(rows), page.store_version, page.store_time)
             # The smallest key that sorts after the last one.
             first_key = page.rows[-1].key + '\0'
@@ -205,7 +237,10 @@
             raise PlatformError(
                 f'the store responded with status {response.status}'
             )
-        return _decode_rows(response.body)[0]
+        changes, has_more = _decode_rows(response.body)
+        if has_more:
+            return changes._replace(store_version=changes.rows[-1].version)
+        return changes
 
     async def write(self, writes: Sequence[Write]) -> Rows:
         """Write all rows, or none.
