--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -26,6 +26,8 @@
 _ANNOUNCEMENT_PREFIX = 'version/'
 _S_PER_MS = 1e-3
 _DEFAULT_TIMEOUT_MS = 30_000.0
+# A deeply nested document exceeds the recursion limit.
+_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 _DRAINING = 'draining'
 _READY = 'ready'
 
@@ -203,7 +205,7 @@
             for s in document.services
             if s.kv_store_addr
         )
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise BadDocumentError(f'malformed configuration: {error}') from error
     services = [_make_service(s) for s in document.services]
     workspaces = {t.name: _make_workspace(t) for t in document.tenants}
@@ -225,12 +227,15 @@
 def decode_target(key: str, value: bytes) -> Target:
     """Decode the row by which a target registers itself.
 
-    ``key`` is the incarnation. Raises ``BadDocumentError``.
+    ``key`` is the incarnation, which requests to the target carry in a
+    header. Raises ``BadDocumentError``.
     """
+    if not (key and key.isascii() and key.isprintable()):
+        raise BadDocumentError(f'target {key!r} can not be named in a header')
     try:
         document = _target_decoder.decode(value)
         address = parse_address(document.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except _DECODE_ERRORS as error:
         raise BadDocumentError(
             f'malformed row of target {key}: {error}'
         ) from error
@@ -259,7 +264,7 @@
     """Decode an announcement of weights; raises ``BadDocumentError``."""
     try:
         document = _announcement_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except _DECODE_ERRORS as error:
         raise BadDocumentError(
             f'malformed weights announcement: {error}'
         ) from error
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -58,7 +58,8 @@
 
 
 class _WireReport(msgspec.Struct):
-    models: list[_WireLoadedModel] = []
+    # Required, so that no other response is taken for a report.
+    models: list[_WireLoadedModel]
     busy: bool = False
     # The number of orders that the engine accepted; it does not number the
     # reports.
@@ -84,7 +85,7 @@
         wire_report = _report_decoder.decode(response.body)
     except (NotSentError, InterruptedExchangeError) as error:
         raise PlatformError(str(error)) from error
-    except msgspec.MsgspecError as error:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
         message = f'{target.incarnation} sent a malformed report'
         raise PlatformError(message) from error
     versions = {m.name: m.version for m in wire_report.models}
