Stop using a target whose row was spoiled

A target whose row another writer had replaced (fields missing or of another type, an unknown state) was used on from the row before; the users' page says that such an entry names no replica to use.

Change: the target is removed until a sound row names it; the others hold.

Seen red: all 10 cases of test_unusable_row_names_no_target.

--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -144,7 +144,9 @@
         try:
             target = documents.decode_target(row.key, row.value)
         except BadDocumentError as error:
+            # A row that another writer spoiled names no target to use.
             self._log.write('row_unreadable', key=row.key, error=error)
+            self.targets.remove(row.key)
             return
         state = self.targets.states.get(row.key)
         before = state.target if state is not None else None
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -156,6 +156,40 @@
         msgspec.msgpack.encode(state.target.weights_versions)
 
 
+_UNUSABLE = {
+    'no service': {'service': None},
+    'service of another type': {'service': 7},
+    'no address': {'address': None},
+    'address of another type': {'address': 7},
+    'host name': {'address': 'example.com:80'},
+    'port 0': {'address': '127.0.0.1:0'},
+    'unknown state': {'state': 'sleeping'},
+    'state of another type': {'state': 1},
+    'slots of another type': {'slots': 'many'},
+    'models of another type': {'models': 'm'},
+}
+
+
+@pytest.mark.parametrize('name', _UNUSABLE)
+def test_unusable_row_names_no_target(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    """A target whose row another writer spoiled gets nothing more."""
+    spoiled = json.dumps({**_TARGET, **_UNUSABLE[name]}).encode()
+    sound = json.dumps(_TARGET).encode()
+
+    def apply(view: View) -> None:
+        view.apply_target_row(Row('i-1', sound, 1))
+        view.apply_target_row(Row('i-2', sound, 2))
+        assert set(view.targets.states) == {'i-1', 'i-2'}
+        view.apply_target_row(Row('i-1', spoiled, 3))
+        assert set(view.targets.states) == {'i-2'}
+        view.apply_target_row(Row('i-1', sound, 4))
+        assert set(view.targets.states) == {'i-1', 'i-2'}
+
+    _apply(apply, tmp_path / 'log')
+
+
 @pytest.mark.parametrize('key', ['a\r\nX: y', '\u20ac', '', 'a\0'])
 def test_incarnation_that_no_header_can_carry(key: str) -> None:
     """A target is not used if requests can't name it."""
