Check the types and ranges of the settings

Operators saw: a traceback for listen.front = 5, a deeply nested file or an infinite memory-mb; and a daemon that started with a number as its name, a text as its share of a processor, a port of 70000 or a bound that is nan, and failed later.

Cause: the document was read by key, and only some errors were expected.

Change: the settings are converted to typed structures with ranges.

--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
+import math
 import tomllib
-from typing import Any
+from typing import Annotated
 from typing import NamedTuple
 
+import msgspec
+
 from ..config.ini import Address
 from ..config.ini import parse_address
 from ..errors import Code
@@ -67,19 +71,88 @@
 _S_PER_MS = 1e-3
 
 
-def _parse_bounds(table: dict[str, Any]) -> Bounds:
-    return Bounds(
-        drain=table['drain-ms'] * _S_PER_MS,
-        shutdown_grace=float(table['grace-s']),
-        configuration_limit=table['config-ms'] * _S_PER_MS,
-        retry_ratio=float(table['retry-budget-ratio']),
-        retry_slack=float(table['budget-slack']),
-        retry_window=float(table['budget-window-s']),
-        quota_window=float(table['quota-window-s']),
-        quota_overage=float(table['quota-overage']),
-        quota_slack=float(table['quota-slack']),
-        lease_gap=table['lease-ms'] * _S_PER_MS,
-        stale_weights_limit=table['version-ms'] * _S_PER_MS,
+_Amount = Annotated[float, msgspec.Meta(ge=0.0)]
+_Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+
+
+class _WireListen(msgspec.Struct):
+    front: str
+    readiness: str
+
+
+class _WireLimits(msgspec.Struct, rename='kebab'):
+    cpu_share: _Positive
+    cores: _Positive
+    memory_mb: _Positive = _DEFAULT_MEMORY_MB
+
+
+class _WirePlatform(msgspec.Struct):
+    address: str
+
+
+class _WireBounds(msgspec.Struct, rename='kebab'):
+    drain_ms: _Amount
+    grace_s: _Amount
+    config_ms: _Amount
+    retry_budget_ratio: _Amount
+    budget_slack: _Amount
+    budget_window_s: _Amount
+    quota_window_s: _Amount
+    quota_overage: _Amount
+    quota_slack: _Amount
+    lease_ms: _Amount
+    version_ms: _Amount
+
+
+class _WireSettings(msgspec.Struct, rename='kebab'):
+    node: _Name
+    ip: str
+    zone: _Name
+    internal_ports: Annotated[list[_Port], msgspec.Meta(min_length=1)]
+    listen: _WireListen
+    limits: _WireLimits
+    platform: _WirePlatform
+    bounds: _WireBounds
+
+
+def _make_bounds(wire: _WireBounds) -> Bounds:
+    bounds = Bounds(
+        drain=wire.drain_ms * _S_PER_MS,
+        shutdown_grace=float(wire.grace_s),
+        configuration_limit=wire.config_ms * _S_PER_MS,
+        retry_ratio=float(wire.retry_budget_ratio),
+        retry_slack=float(wire.budget_slack),
+        retry_window=float(wire.budget_window_s),
+        quota_window=float(wire.quota_window_s),
+        quota_overage=float(wire.quota_overage),
+        quota_slack=float(wire.quota_slack),
+        lease_gap=wire.lease_ms * _S_PER_MS,
+        stale_weights_limit=wire.version_ms * _S_PER_MS,
+    )
+    if not all(map(math.isfinite, bounds)):
+        raise ValueError('a bound is not finite')
+    return bounds
+
+
+def _make_settings(wire: _WireSettings) -> NodeSettings:
+    """Return the settings; raises ``ValueError`` or ``OverflowError``."""
+    ipaddress.ip_address(wire.ip)
+    power = wire.limits.cpu_share * wire.limits.cores
+    if not math.isfinite(power):
+        raise ValueError('the number of processors is not finite')
+    return NodeSettings(
+        name=wire.node,
+        host=wire.ip,
+        data_centre=wire.zone,
+        power=power,
+        entry=parse_address(wire.listen.front),
+        readiness=parse_address(wire.listen.readiness),
+        peer_port=wire.internal_ports[0],
+        store=parse_address(wire.platform.address),
+        bounds=_make_bounds(wire.bounds),
+        memory_bytes=math.ceil(wire.limits.memory_mb * _BYTES_PER_MB),
     )
 
 
@@ -87,21 +160,13 @@
     """Parse the text of the settings; raises ``BadSettingsError``."""
     try:
         document = tomllib.loads(text)
-        return NodeSettings(
-            name=document['node'],
-            host=document['ip'],
-            data_centre=document['zone'],
-            power=document['limits']['cpu-share']
-            * document['limits']['cores'],
-            entry=parse_address(document['listen']['front']),
-            readiness=parse_address(document['listen']['readiness']),
-            peer_port=int(document['internal-ports'][0]),
-            store=parse_address(document['platform']['address']),
-            bounds=_parse_bounds(document['bounds']),
-            memory_bytes=_BYTES_PER_MB
-            * int(document['limits'].get('memory-mb', _DEFAULT_MEMORY_MB)),
-        )
-    except (KeyError, IndexError, TypeError, ValueError) as error:
+        return _make_settings(msgspec.convert(document, _WireSettings))
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as error:
         message = f'invalid settings: {error!r}'
         raise BadSettingsError(message) from error
 
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,118 @@
+"""The settings file is read, or rejected with one kind of error."""
+
+from __future__ import annotations
+
+import math
+import pathlib
+from typing import Any
+
+from hypothesis import example
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+from lentilrun.platform.node import BadSettingsError
+from lentilrun.platform.node import load
+from lentilrun.platform.node import NodeSettings
+from lentilrun.platform.node import parse
+from lentilrun.standins.process import SETTINGS_TEMPLATE
+import pytest
+
+_TEXT = SETTINGS_TEMPLATE.format(
+    name='vm1', peers=7600, entry=8000, readiness=8001, store=8002
+)
+_VALUES = st.sampled_from(
+    [
+        *('5', '-1', '0', '1.5', 'true', '"x"', '""', '[]', '{}', 'nan'),
+        *('inf', '-inf', '9' * 30, '[5]', '["a"]', '"127.0.0.1:0"', '"²"'),
+        *('1979-05-27', '"127.0.0.1"', '"127.0.0.1:99999"'),
+    ]
+)
+
+
+def _check(node_settings: NodeSettings) -> None:
+    """Check the types and ranges that the daemon relies on."""
+    texts = (
+        node_settings.name,
+        node_settings.host,
+        node_settings.data_centre,
+    )
+    assert all(isinstance(t, str) and t for t in texts)
+    assert math.isfinite(node_settings.power)
+    assert node_settings.power > 0
+    assert 0 < node_settings.peer_port < 65536
+    assert node_settings.memory_bytes > 0
+    for value in node_settings.bounds:
+        assert isinstance(value, float)
+        assert 0.0 <= value < float('inf')
+
+
+@st.composite
+def _draw_changed(draw: st.DrawFn) -> str:
+    """Draw settings in which one value has been replaced or removed."""
+    lines = _TEXT.strip().split('\n')
+    index = draw(st.integers(0, len(lines) - 1))
+    name, separator, _ = lines[index].partition(' = ')
+    if not separator or draw(st.booleans()):
+        del lines[index]
+    else:
+        lines[index] = f'{name} = {draw(_VALUES)}'
+    return '\n'.join(lines)
+
+
+@settings(deadline=None)
+@given(st.text(max_size=60) | _draw_changed())
+@example(_TEXT.replace('"127.0.0.1:8000"', '5'))
+@example('x = ' + '[' * 100_000)
+def test_any_settings(text: str) -> None:
+    """Settings are complete and of the right types, or rejected."""
+    try:
+        node_settings = parse(text)
+    except BadSettingsError:
+        return
+    _check(node_settings)
+
+
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        ('front = "127.0.0.1:8000"', 'front = 5'),
+        ('node = "vm1"', 'node = 5'),
+        ('ip = "127.0.0.1"', 'ip = "example.com"'),
+        ('internal-ports = [7600, 7600]', 'internal-ports = [70000]'),
+        ('internal-ports = [7600, 7600]', 'internal-ports = "7600"'),
+        ('cpu-share = 0.5', 'cpu-share = "0.5"'),
+        ('cores = 2', 'cores = 0'),
+        ('memory-mb = 128', 'memory-mb = inf'),
+        ('memory-mb = 128', 'memory-mb = 0'),
+        ('grace-s = 6', 'grace-s = nan'),
+        ('drain-ms = 2000', 'drain-ms = "2000"'),
+        ('drain-ms = 2000', 'drain-ms = -1'),
+        ('drain-ms = 2000', 'drain-ms = true'),
+    ],
+)
+def test_unusable_settings(old: str, new: str) -> None:
+    """A value of another type or out of range is rejected at the start."""
+    assert old in _TEXT
+    _check(parse(_TEXT))
+    with pytest.raises(BadSettingsError):
+        parse(_TEXT.replace(old, new))
+
+
+@settings(
+    deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture]
+)
+@given(st.binary(max_size=60))
+def test_any_file(tmp_path: pathlib.Path, data: bytes) -> None:
+    """A file that is no text is rejected too."""
+    path = tmp_path / 'settings.toml'
+    path.write_bytes(data)
+    with pytest.raises(BadSettingsError):
+        load(str(path))
+
+
+def test_unused_settings_may_be_anything() -> None:
+    """What the daemon doesn't read is no reason to reject the settings."""
+    extra: dict[str, Any] = {'role': 5, 'seeds': '[1]'}
+    lines = ''.join(f'{name} = {value}\n' for name, value in extra.items())
+    _check(parse(lines + _TEXT))
