--- a/src/lentilrun/session/cmd/commands/apply.py
+++ b/src/lentilrun/session/cmd/commands/apply.py
@@ -20,10 +20,6 @@
 _RETRY_DELAY_S = 0.5
 
 
-def _find_generation(operator: str) -> int:
-    return int(connection.query(operator, '/status').body['generation'])
-
-
 def _send(
     operator: str, headers: dict[str, str], body: bytes
 ) -> OperatorResponse:
@@ -92,11 +88,16 @@
     operation_id = operation or secrets.token_hex(8)
     try:
         if expect is None:
-            expect = _find_generation(operator)
+            current = connection.query(operator, '/status')
+            if current.exit_code is not Exit.DONE:
+                output.show_error(current.body)
+                return current.exit_code
+            expect = int(current.body['generation'])
         headers = {
             'X-Operation': operation_id,
             'X-Expected-Generation': str(expect),
-            'X-File': path,
+            # Headers carry no other characters than Latin-1.
+            'X-File': path.encode('ascii', 'backslashreplace').decode(),
         }
         response = _send(operator, headers, body)
     except connection.UnreachableError as error:
--- a/src/lentilrun/session/connection.py
+++ b/src/lentilrun/session/connection.py
@@ -46,20 +46,37 @@
 
 
 async def _fetch(address: str, request: Request) -> OperatorResponse:
+    try:
+        target = parse_address(address)
+    except ValueError as error:
+        message = f'{address!r} is not an address as IP:PORT'
+        raise UnreachableError(message, False) from error
     with Client() as client:
         try:
-            response = await client.fetch(parse_address(address), request)
+            response = await client.fetch(target, request)
         except NotSentError as error:
             raise UnreachableError(str(error), False) from error
         except InterruptedExchangeError as error:
             raise UnreachableError(str(error), True) from error
-    body = msgspec.json.decode(response.body)
+    body = _decode(response.body)
+    if body is None:
+        failure = {'code': Code.INTERNAL, 'message': f'no daemon at {address}'}
+        return OperatorResponse({'error': failure}, Exit.UNKNOWN)
     if response.status == _OK:
         return OperatorResponse(body, Exit.DONE)
     code = body.get('error', {}).get('code', '')
     return OperatorResponse(body, _EXIT_BY_CODE.get(code, Exit.UNKNOWN))
 
 
+def _decode(data: bytes) -> dict[str, Any] | None:
+    """Return the object in a response, or nothing if it has none."""
+    try:
+        body = msgspec.json.decode(data)
+    except (msgspec.MsgspecError, ValueError, RecursionError):
+        return None
+    return body if isinstance(body, dict) else None
+
+
 def _make_headers() -> dict[str, str]:
     token = os.environ.get('LENTILRUN_OPERATOR_TOKEN', '')
     return {'Authorization': f'Bearer {token}'} if token else {}
