Read operators' and callers' headers of any bytes

Operators saw: 500 for a token beyond ASCII in Authorization, and for '²' or a number of 5,000 digits in the expected generation, which then wasn't applied; 503, as if to try again, for a file that isn't UTF-8. Callers of the older pipeline: 500 for such a number in Last-Event-ID or Content-Length.

Cause: hmac.compare_digest takes no such texts, and isdigit() is true for characters that int() rejects.

Change: tokens are compared as bytes; one parse_number, shared with the headers of the platform, reads up to 18 ASCII digits.

--- a/src/lentilrun/entry/handlers.py
+++ b/src/lentilrun/entry/handlers.py
@@ -19,6 +19,7 @@
 from ..errors import CallError
 from ..errors import Code
 from ..errors import RunStatus
+from ..web.numbers import parse_number
 from .admission import IncomingRequest
 from .attempt import REQUEST_ID_HEADER
 from .claimedcalls import REPEATED_HEADER
@@ -116,12 +117,9 @@
         """Reject a request whose ``Content-Length`` is too large."""
         if self.state.leaving:
             self.set_header('Connection', 'close')
-        content_length = self.request.headers.get('Content-Length', '0')
-        if (
-            content_length.isdigit()
-            and int(content_length) > self.max_body_bytes
-        ):
-            await self._reject_body(int(content_length))
+        size = parse_number(self.request.headers.get('Content-Length')) or 0
+        if size > self.max_body_bytes:
+            await self._reject_body(size)
 
     async def data_received(self, chunk: bytes) -> None:
         """Collect the body up to the limit; discard it beyond."""
--- a/src/lentilrun/entry/resumption.py
+++ b/src/lentilrun/entry/resumption.py
@@ -17,6 +17,7 @@
 from ..targets.requests import OutgoingRequest
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
+from ..web.numbers import parse_number
 from .call import Call
 from .call import OPEN_WORKSPACE
 from .relay import ResponseReceiver
@@ -78,9 +79,7 @@
         key_digest = self._authorize(token, incoming)
         call = self._make_call(token, key_digest)
         stream = StreamState(token.attempt_id)
-        stream.last_event_id = (
-            int(last_event_id) if last_event_id.isdigit() else 0
-        )
+        stream.last_event_id = parse_number(last_event_id) or 0
         self._metrics.add(Count.RESUMES, 'caller')
         with self._in_flight.track(call):
             await self._relay(token, call, stream, writer)
--- a/src/lentilrun/operator/handlers.py
+++ b/src/lentilrun/operator/handlers.py
@@ -19,6 +19,7 @@
 from ..errors import ConflictError
 from ..errors import LentilrunError
 from . import reports
+from ..web.numbers import parse_number
 
 if TYPE_CHECKING:
     from ..daemon.node import Node
@@ -58,8 +59,9 @@
         token = self.node.settings.secrets.operator_token
         if not token:
             return
-        authorization = self.request.headers.get('Authorization', '')
-        if not hmac.compare_digest(authorization, f'Bearer {token}'):
+        # Texts are compared as bytes: they may be beyond ASCII.
+        authorization = self.request.headers.get('Authorization', '').encode()
+        if not hmac.compare_digest(authorization, f'Bearer {token}'.encode()):
             self.fail(Code.OPERATOR_REFUSED, 'no valid token', _FORBIDDEN)
 
     def reply(self, value: Any) -> None:
@@ -77,9 +79,7 @@
             body = {'code': error.code, 'message': 'nothing was applied'}
             self.reply({'error': body, 'findings': findings})
             return
-        is_conflict = isinstance(error, ConflictError)
-        status = _CONFLICT if is_conflict else _UNAVAILABLE
-        self.fail(error.code, str(error), status)
+        self.fail(error.code, str(error), _get_status(error))
 
     def read_text(self) -> str:
         try:
@@ -89,6 +89,14 @@
             raise LentilrunError(text, Code.INVALID_FILE) from error
 
 
+def _get_status(error: LentilrunError) -> int:
+    if isinstance(error, ConflictError):
+        return _CONFLICT
+    if error.code is Code.INVALID_FILE:
+        return _UNPROCESSABLE
+    return _UNAVAILABLE
+
+
 class _Apply(_Handler):
     def _read_request(self) -> commands.ApplyRequest:
         headers = self.request.headers
@@ -97,7 +105,7 @@
             self.read_text(),
             headers.get(FILE_HEADER, 'file'),
             headers.get(OPERATION_HEADER) or secrets.token_hex(8),
-            int(expected) if expected.isdigit() else None,
+            parse_number(expected),
         )
 
     async def post(self) -> None:
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -9,6 +9,7 @@
 
 from ..decisions.facts import Prompt
 from ..decisions.facts import PromptSegment
+from ..web.numbers import parse_number
 
 if TYPE_CHECKING:
     from ..config.ini import Address
@@ -35,8 +36,6 @@
 _EVENT_STREAM_TYPE = 'text/event-stream'
 _MISDIRECTED_STATUS = 421
 _MAX_URGENCY = 9
-# Longer numbers are not sent, and would not fit into messages between VMs.
-_MAX_DIGITS = 18
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -128,20 +127,11 @@
     is_stream: bool
 
 
-def _parse_int(text: str | None) -> int | None:
-    """Return a number, or nothing if it is malformed or too long."""
-    if text is None or len(text) > _MAX_DIGITS:
-        return None
-    if not text.strip().isdecimal():
-        return None
-    return int(text)
-
-
 def _parse_segments(text: str) -> tuple[PromptSegment, ...]:
     segments = []
     for item in text.split(','):
         identity, _, text = item.strip().partition(':')
-        tokens = _parse_int(text)
+        tokens = parse_number(text)
         if identity and tokens is not None:
             segments.append(PromptSegment(identity, tokens))
     return tuple(segments)
@@ -154,8 +144,8 @@
     input_tokens, _, output_tokens = token_usage.partition(',')
     return Prompt(
         headers.get(_MODEL, ''),
-        _parse_int(input_tokens) or 0,
-        _parse_int(output_tokens) or 0,
+        parse_number(input_tokens) or 0,
+        parse_number(output_tokens) or 0,
         _parse_segments(headers.get(_PREFIX_SEGMENTS, '')),
     )
 
@@ -170,14 +160,14 @@
 
     Malformed values count as absent.
     """
-    timeout_ms = _parse_int(headers.get(_DEADLINE_MS))
+    timeout_ms = parse_number(headers.get(_DEADLINE_MS))
     return CallerHeaders(
         read_request_id(headers),
         headers.get('Host', '').lower(),
         headers.get(_API_KEY, ''),
         None if timeout_ms is None else timeout_ms / 1e3,
         _read_prompt(headers),
-        _parse_int(headers.get(_LAST_EVENT_ID)) or 0,
+        parse_number(headers.get(_LAST_EVENT_ID)) or 0,
     )
 
 
@@ -241,7 +231,7 @@
     return ResponseHead(
         status,
         headers.get(_INCARNATION, ''),
-        _parse_int(headers.get(_WEIGHTS_VERSION)),
+        parse_number(headers.get(_WEIGHTS_VERSION)),
         misdirected or _NOT_EXECUTED in headers,
         misdirected,
         _SIGNATURE in headers,
