Leave out impossible rows of the VMs' own table

A row with a host name or a port above 65535 closed the socket for messages between VMs at the next send; usage of no seconds ended the task that joins the fleet, and usage near 2^64 made messages that no VM decodes.

Seen red: all 4 cases of tests/gateway/test_fleet_rows.py (new, two of them property-based). After: they pass, with test_run and test_rowstore.

--- a/src/lentilrun/gateway/discovery.py
+++ b/src/lentilrun/gateway/discovery.py
@@ -8,12 +8,15 @@
 
 import msgspec
 
-from ..config.ini import Address
+from ..config.ini import parse_address
 from ..decisions.topology import Member
 from ..errors import PlatformError
 from ..platform.rows import Write
+from .messages import Port
+from .messages import Power
 
 if TYPE_CHECKING:
+    from ..config.ini import Address
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
@@ -31,9 +34,9 @@
     """Where a VM receives datagrams; ``power`` in processor cores."""
 
     host: str
-    port: int
+    port: Port
     data_centre: str
-    power: float
+    power: Power
 
 
 _decoder = msgspec.json.Decoder(_VmRow)
@@ -95,12 +98,17 @@
             name = row.key.removeprefix(_VM_KEY_PREFIX)
             try:
                 vm = _decoder.decode(row.value)
-            except msgspec.MsgspecError as error:
+                address = parse_address(f'{vm.host}:{vm.port}')
+            except (
+                msgspec.MsgspecError,
+                ValueError,
+                RecursionError,
+            ) as error:
                 self._log.write('row_unreadable', key=row.key, error=error)
                 continue
             if name not in self._peers.by_name:
                 member = Member(name, vm.data_centre, vm.power)
-                self._peers.add(member, Address(vm.host, vm.port))
+                self._peers.add(member, address)
 
 
 __all__ = ['Discovery', 'FLEET_TABLE']
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -11,6 +11,7 @@
 from ..errors import PlatformError
 from ..platform.rows import Write
 from .discovery import FLEET_TABLE
+from .messages import UsePerSecond
 
 if TYPE_CHECKING:
     from ..platform.rows import Rows
@@ -29,7 +30,7 @@
     ``written`` is by the store's clock, in seconds.
     """
 
-    uses: dict[str, list[int]]
+    uses: dict[str, UsePerSecond]
     written: float
 
 
@@ -77,7 +78,11 @@
                 continue
             try:
                 checkpoint = _decoder.decode(row.value)
-            except msgspec.MsgspecError as error:
+            except (
+                msgspec.MsgspecError,
+                ValueError,
+                RecursionError,
+            ) as error:
                 self._log.write('row_unreadable', key=row.key, error=error)
                 continue
             age = max(0.0, table_rows.store_time - checkpoint.written)
