Refuse a path that would be changed on its way

Callers saw: for a path with raw bytes beyond ASCII, the answer to another path: each byte from 0x80 on reached the target as two (UTF-8 of Latin-1).

Cause: the head is read as Latin-1, and written as UTF-8. Such a path is no HTTP (it has to be percent-encoded), so that it is refused with 400.

Seen red: 2 cases of test_path_is_forwarded_byte_by_byte. After: all pass, with test_odd_requests and test_requests.

--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -57,7 +57,8 @@
         if route is None:
             raise Refusal(_NOT_FOUND, Reason.UNKNOWN_ROUTE)
         workspace = self._authorize(configuration, route, caller_headers)
-        if not caller_headers.request_id:
+        # A path beyond ASCII is no HTTP and would be encoded anew on its way.
+        if not caller_headers.request_id or not incoming.uri.isascii():
             raise Refusal(_BAD_REQUEST, Reason.BAD_REQUEST)
         if len(incoming.body) > configuration.limits.body_bytes:
             raise Refusal(_CONTENT_TOO_LARGE, Reason.BODY_TOO_LARGE)
