--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -9,6 +9,7 @@
 
 from ..decisions.facts import Prompt
 from ..decisions.facts import PromptSegment
+from ..web.numbers import parse_number
 
 if TYPE_CHECKING:
     from ..config.ini import Address
@@ -126,18 +127,13 @@
     is_stream: bool
 
 
-def _parse_int(text: str | None) -> int | None:
-    if text is None or not text.strip().isdecimal():
-        return None
-    return int(text)
-
-
 def _parse_segments(text: str) -> tuple[PromptSegment, ...]:
     segments = []
     for item in text.split(','):
-        identity, _, tokens = item.strip().partition(':')
-        if identity and tokens.isdecimal():
-            segments.append(PromptSegment(identity, int(tokens)))
+        identity, _, text = item.strip().partition(':')
+        tokens = parse_number(text)
+        if identity and tokens is not None:
+            segments.append(PromptSegment(identity, tokens))
     return tuple(segments)
 
 
@@ -148,25 +144,30 @@
     input_tokens, _, output_tokens = token_usage.partition(',')
     return Prompt(
         headers.get(_MODEL, ''),
-        _parse_int(input_tokens) or 0,
-        _parse_int(output_tokens) or 0,
+        parse_number(input_tokens) or 0,
+        parse_number(output_tokens) or 0,
         _parse_segments(headers.get(_PREFIX_SEGMENTS, '')),
     )
 
 
+def read_request_id(headers: HTTPHeaders) -> str:
+    """Return the ID of a caller's request, empty if it has none."""
+    return headers.get(_REQUEST_ID, '')
+
+
 def read_caller_headers(headers: HTTPHeaders) -> CallerHeaders:
     """Return the values of a caller's headers.
 
     Malformed values count as absent.
     """
-    timeout_ms = _parse_int(headers.get(_DEADLINE_MS))
+    timeout_ms = parse_number(headers.get(_DEADLINE_MS))
     return CallerHeaders(
-        headers.get(_REQUEST_ID, ''),
+        read_request_id(headers),
         headers.get('Host', '').lower(),
         headers.get(_API_KEY, ''),
         None if timeout_ms is None else timeout_ms / 1e3,
         _read_prompt(headers),
-        _parse_int(headers.get(_LAST_EVENT_ID)) or 0,
+        parse_number(headers.get(_LAST_EVENT_ID)) or 0,
     )
 
 
@@ -230,7 +231,7 @@
     return ResponseHead(
         status,
         headers.get(_INCARNATION, ''),
-        _parse_int(headers.get(_WEIGHTS_VERSION)),
+        parse_number(headers.get(_WEIGHTS_VERSION)),
         misdirected or _NOT_EXECUTED in headers,
         misdirected,
         _SIGNATURE in headers,
@@ -269,6 +270,7 @@
     'make_refusal_headers',
     'make_response_headers',
     'read_caller_headers',
+    'read_request_id',
     'read_response_head',
     'ResponseHead',
     'resume_after',
--- a/tests/gateway/test_survival.py
+++ b/tests/gateway/test_survival.py
@@ -85,6 +85,56 @@
     assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
 
 
+def test_datagram_that_fails_is_logged(tmp_path: pathlib.Path) -> None:
+    """An error in the handling of a datagram ends nothing."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        def fail(message: object) -> None:
+            raise ZeroDivisionError
+
+        node.peers.on_message.insert(0, fail)
+        await deployment.start_node('vm2')
+        await deployments.wait_until(lambda: 'vm2' in node.peers.by_name)
+        await asyncio.sleep(0.5)
+        assert (await deployment.ask(node, '/plain/x')).status == 200
+
+    assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
+
+
+def test_caller_gets_a_response_to_a_failed_admission(
+    tmp_path: pathlib.Path,
+) -> None:
+    """A caller does not wait for a response that never comes."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        def fail(incoming: object) -> None:
+            raise ZeroDivisionError
+
+        node.admission.admit = fail  # type: ignore[assignment,method-assign]
+        async with asyncio.timeout(2.0):
+            response = await deployment.ask(node, '/plain/x')
+        assert response.status == 500
+
+    assert 'ZeroDivisionError' in _run(check, tmp_path / 'log')
+
+
+@pytest.mark.parametrize('digits', [18, 19, 4301, 5000])
+@pytest.mark.parametrize(
+    'name', ['X-Deadline-Ms', 'X-Token-Usage', 'Last-Event-Id']
+)
+def test_long_numbers(name: str, digits: int, tmp_path: pathlib.Path) -> None:
+    """A number of any length gets a response."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        headers = {name: '9' * digits}
+        async with asyncio.timeout(3.0):
+            request = deployment.make_request('/plain/x', b'', '', headers)
+            response = await deployments.ask(node.settings.entry, request)
+        assert response.status in (200, 400, 429)
+
+    assert 'request_error' not in _run(check, tmp_path / 'log')
+
+
 def test_garbage_datagrams(tmp_path: pathlib.Path) -> None:
     """Datagrams that are no messages end nothing."""
 
