--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -355,7 +355,7 @@
             Scope.VM,
             'a',
             1.0,
-            'host',
+            '127.0.0.1',
             1,
             1,
             False,
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -14,8 +14,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from lentilrun.config.ini import Address
+from lentilrun.decisions.quarantine import Crash
+from lentilrun.decisions.quarantine import Suspect
+from lentilrun.decisions.quarantine import SuspectKind
 from lentilrun.gateway.messages import BadMessageError
-from lentilrun.gateway.messages import CrashReport
 from lentilrun.gateway.messages import decode
 from lentilrun.gateway.messages import encode
 from lentilrun.gateway.messages import GossipMessage
@@ -42,7 +44,7 @@
     [LoadReport('e1', 1, 0, 100.0, 100.0, 1.0, 1.0, 0.0)],
     [],
     [],
-    [CrashReport('ff', 'e1/1')],
+    [Crash(Suspect(SuspectKind.REQUEST, 'ff'), 'e1/1')],
     {'workspace': 5.0},
     {'workspace': [5]},
     {'op': 1},
