Count events that never complete in the memory of responses

Cause: each stream may hold 4 MiB of an event that isn't complete, and that counted nowhere; only bodies that are collected did.

Change: what such an event holds beyond 64 KiB counts with the bodies; a stream that doesn't fit ends. Usual streams hold less and are never refused.

Seen red: test_endless_events_share_the_memory (108.7 MB against a bound of 38.1 MB). Green from the start, new: a slow stream, byte by byte, is whole; an event that never completes, with or without one before it, ends at the deadline or when its caller is assumed to be gone, and nothing stays in flight. After: 171 pass (tests/web and the file).

--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -26,6 +26,9 @@
 _OK = 200
 _SUCCESS_STATUS_END = 300
 _MAX_EVENT_BYTES = 4 * 1024 * 1024
+# Of an event that is not complete yet, this much does not count in the memory
+# of all responses, so that usual streams go on while others exhaust it.
+_UNCOUNTED_EVENT_BYTES = 64 * 1024
 
 
 class StreamProgress:
@@ -113,12 +116,16 @@
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
         """Relay complete events; collect a response that is not relayed.
 
-        An event of more than ``_MAX_EVENT_BYTES`` stops the exchange.
+        An event of more than ``_MAX_EVENT_BYTES``, or beyond the memory of
+        all responses, stops the exchange.
         """
         if not self._is_relayed:
             return super().receive_chunk(chunk)
         events = self._buffer.add(chunk)
-        if len(self._buffer) > _MAX_EVENT_BYTES:
+        size = len(self._buffer)
+        counted_bytes = max(0, size - _UNCOUNTED_EVENT_BYTES)
+        if size > _MAX_EVENT_BYTES or not self.hold(counted_bytes):
+            self._buffer.take_rest()
             self.stop()
             return None
         unseen = self._progress.drop_seen(events)
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -147,15 +147,25 @@
 
         A response that exceeds the memory limits ends the exchange.
         """
+        if self.hold(self._collected_bytes + len(chunk)):
+            self._chunks.append(chunk)
+        return None
+
+    def hold(self, size: int) -> bool:
+        """Count ``size`` bytes as held in memory; return whether they fit.
+
+        If they don't, what was collected is dropped and the exchange ends.
+        """
         memory = self._memory
-        size = len(chunk)
-        if memory is not None and not memory.take(self._collected_bytes, size):
+        added = size - self._collected_bytes
+        if memory is not None and not memory.take(
+            self._collected_bytes, added
+        ):
             self._chunks.clear()
             self.stop()
-            return None
-        self._collected_bytes += size
-        self._chunks.append(chunk)
-        return None
+            return False
+        self._collected_bytes = size
+        return True
 
     def response(self) -> Response:
         """Return the response that was collected."""
