Disconnect callers that don't read their response

Callers saw: nothing. A whole response that its caller read slowly, or never, stayed in memory and in flight without end (only the exchange with the target had a deadline), and kept a VM that leaves waiting until its grace had passed.

Change: the run of a call, its delivery included, ends 1 s after its deadline: the connection is closed, so that nothing looks complete, and it is logged. Streams were freed at their deadline before.

Seen red: test_caller_that_reads_a_byte_now_and_then with a whole response of 6 MiB; with a stream it was green.

--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -35,6 +35,9 @@
 _OK = 200
 _UNAVAILABLE = 503
 _LEAVING_RETRY_S = 0.1
+# A caller that has not read its response this long after its deadline is
+# disconnected.
+_DELIVERY_GRACE_S = 1.0
 _NO_BODY = frozenset((204, 304))
 
 
@@ -250,22 +253,32 @@
     async def _run(
         self, call: Call, writer: _ConnectionWriter
     ) -> Refusal | None:
+        time_left = max(0.0, call.deadline - self.clock.now())
         try:
-            await self._handler.run(call, writer)
+            async with asyncio.timeout(
+                time_left + _DELIVERY_GRACE_S
+            ) as delivery:
+                await self._handler.run(call, writer)
         except Refusal as refusal:
             return refusal
+        except TimeoutError as error:
+            if not delivery.expired():
+                return self._record_error(call, error)
+            self._log.write('caller_slow', id=call.request_id)
+            writer.abort()
         except StreamClosedError:
             self._log.write('caller_gone', id=call.request_id)
         except asyncio.CancelledError:
             self._log.write('caller_gone', id=call.request_id)
             raise
         except Exception as error:
-            self._log.write(
-                'request_error', id=call.request_id, error=repr(error)
-            )
-            return Refusal(_BAD_GATEWAY, Reason.INTERNAL)
+            return self._record_error(call, error)
         return None
 
+    def _record_error(self, call: Call, error: Exception) -> Refusal:
+        self._log.write('request_error', id=call.request_id, error=repr(error))
+        return Refusal(_BAD_GATEWAY, Reason.INTERNAL)
+
     async def _refuse(
         self,
         incoming: IncomingRequest,
--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -16,6 +16,7 @@
 # The cause of how a request ended, by the event of a log line.
 _CAUSES = {
     'caller_gone': 'the caller closed its connection first',
+    'caller_slow': 'the caller read its response too slowly',
     'quota_exceeded': 'the workspace is over its rate and burst',
     'request_error': 'the router itself failed',
 }
--- a/tests/gateway/test_slow_streams.py
+++ b/tests/gateway/test_slow_streams.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import contextlib
 import itertools
+import socket
 import tracemalloc
 
 import deployments
@@ -168,3 +169,58 @@
         await _expect_freed(node, target, 6.0)
 
     _run(target, 'llm', check)
+
+
+async def _ask_slowly(
+    deployment: Deployment, node: Node, path: str, tokens: str
+) -> socket.socket:
+    """Send a request with a short deadline, and read next to nothing."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(connection, tuple(node.settings.entry))
+    headers = {'X-Deadline-Ms': '800'}
+    request = deployment.make_request(path, b'x', tokens, headers)
+    await loop.sock_sendall(connection, request)
+    return connection
+
+
+@pytest.mark.parametrize(
+    ('path', 'tokens', 'service'),
+    [('/chat/x', '9,9', 'llm'), ('/once/x', '', 'app')],
+)
+def test_caller_that_reads_a_byte_now_and_then(
+    path: str, tokens: str, service: str
+) -> None:
+    """What a slow caller holds is freed soon after its deadline."""
+    size = 6 * _MIB
+
+    async def send_body(writer: asyncio.StreamWriter) -> None:
+        if service == 'app':
+            writer.write(b'x' * size)
+            await writer.drain()
+            return
+        for number in itertools.count(1):
+            writer.write(f'id: {number}\ndata: {"x" * 9999}\n\n'.encode())
+            await writer.drain()
+
+    length = f'Content-Length: {size}\r\n' if service == 'app' else ''
+    kind = 'text/plain' if service == 'app' else _STREAM
+    target = _Target(send_body, kind, length)
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        connection = await _ask_slowly(deployment, node, path, tokens)
+        loop = asyncio.get_running_loop()
+        assert await loop.sock_recv(connection, 1)
+        await deployments.wait_until(lambda: node.caller_port.in_flight)
+        await _expect_freed(node, target, 3.0)
+        # The rest of what was sent, and then the end: never a whole response.
+        received = 1
+        with contextlib.suppress(ConnectionError):
+            while data := await loop.sock_recv(connection, 65536):
+                received += len(data)
+        assert received < size
+        connection.close()
+
+    _run(target, service, check)
