Don't run requests of closed connections

Callers saw: at a planned stop, of requests sent right behind each other on one connection, the first got its response with Connection: close, the others ran at targets, unsafe ones too, and got none.

Cause: bytes that were received before a connection is closed are still read from its buffer afterwards; the request found there was run.

Change: a request whose connection is closed is logged (caller_gone) and not run.

Not covered: a thousand connections at once, SIGHUP under load.

--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -159,6 +159,10 @@
             b''.join(self._chunks),
             self._arrived_at,
         )
+        if self._connection.stream.closed():
+            # Bytes that arrived before are still read after a close.
+            self._port.log_caller_gone(incoming)
+            return
         writer = _ConnectionWriter(
             self._connection,
             lambda: self._port.is_leaving,
@@ -220,6 +224,11 @@
             server_connection.stream.close()
         self._idle.clear()
 
+    def log_caller_gone(self, incoming: IncomingRequest) -> None:
+        """Log a request whose connection was closed before it was run."""
+        request_id = dialect.read_request_id(incoming.headers)
+        self._log.write('caller_gone', id=request_id)
+
     async def respond(
         self,
         incoming: IncomingRequest,
--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -21,7 +21,7 @@
     'request_error': 'the router itself failed',
 }
 _REASONS = {
-    'bad_request': 'the request has no id',
+    'bad_request': 'the request has no id, or a path beyond ASCII',
     'body_too_large': 'the body is larger than the configuration allows',
     'not_configured': 'the VM had read no configuration yet',
     'unknown_route': 'no route has this host and path',
