--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -16,11 +16,12 @@
 # The cause of how a request ended, by the event of a log line.
 _CAUSES = {
     'caller_gone': 'the caller closed its connection first',
+    'caller_slow': 'the caller read its response too slowly',
     'quota_exceeded': 'the workspace is over its rate and burst',
     'request_error': 'the router itself failed',
 }
 _REASONS = {
-    'bad_request': 'the request has no id',
+    'bad_request': 'the request has no id, or a path beyond ASCII',
     'body_too_large': 'the body is larger than the configuration allows',
     'not_configured': 'the VM had read no configuration yet',
     'unknown_route': 'no route has this host and path',
