--- a/src/lentilrun/session/connection.py
+++ b/src/lentilrun/session/connection.py
@@ -64,18 +64,17 @@
         return OperatorResponse({'error': failure}, Exit.UNKNOWN)
     if response.status == _OK:
         return OperatorResponse(body, Exit.DONE)
-    error = body.get('error', {}) if isinstance(body, dict) else {}
-    code = error.get('code', '')
+    code = body.get('error', {}).get('code', '')
     return OperatorResponse(body, _EXIT_BY_CODE.get(code, Exit.UNKNOWN))
 
 
-def _decode(data: bytes) -> dict[str, Any] | list[Any] | None:
-    """Return the object or list in a response, or nothing if it has none."""
+def _decode(data: bytes) -> dict[str, Any] | None:
+    """Return the object in a response, or nothing if it has none."""
     try:
         body = msgspec.json.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
-    return body if isinstance(body, (dict, list)) else None
+    return body if isinstance(body, dict) else None
 
 
 def _make_headers() -> dict[str, str]:
