--- a/src/lentilrun/session/cmd/queries/moves.py
+++ b/src/lentilrun/session/cmd/queries/moves.py
@@ -36,7 +36,7 @@
     json
         Print JSON.
     """
-    return report(operator, '/moves', json, _show)
+    return report(operator, '/moves', json, _show, list)
 
 
 __all__ = ['moves']
--- a/src/lentilrun/session/cmd/queries/report.py
+++ b/src/lentilrun/session/cmd/queries/report.py
@@ -14,11 +14,15 @@
 
 
 def report(
-    operator: str, path: str, as_json: bool, show: Callable[[Any], None]
+    operator: str,
+    path: str,
+    as_json: bool,
+    show: Callable[[Any], None],
+    kind: type = dict,
 ) -> int:
-    """Fetch a report and print it; return the exit code."""
+    """Fetch a report of a kind and print it; return the exit code."""
     try:
-        response = connection.query(operator, path)
+        response = connection.query(operator, path, kind)
     except connection.UnreachableError as error:
         output.show_failure(f'unreachable: {error}')
         return Exit.UNREACHABLE
--- a/src/lentilrun/session/connection.py
+++ b/src/lentilrun/session/connection.py
@@ -45,7 +45,9 @@
         self.sent = sent
 
 
-async def _fetch(address: str, request: Request) -> OperatorResponse:
+async def _fetch(
+    address: str, request: Request, kind: type = dict
+) -> OperatorResponse:
     try:
         target = parse_address(address)
     except ValueError as error:
@@ -58,7 +60,7 @@
             raise UnreachableError(str(error), False) from error
         except InterruptedExchangeError as error:
             raise UnreachableError(str(error), True) from error
-    body = _decode(response.body)
+    body = _decode(response.body, kind if response.status == _OK else dict)
     if body is None:
         failure = {'code': Code.INTERNAL, 'message': f'no daemon at {address}'}
         return OperatorResponse({'error': failure}, Exit.UNKNOWN)
@@ -68,13 +70,13 @@
     return OperatorResponse(body, _EXIT_BY_CODE.get(code, Exit.UNKNOWN))
 
 
-def _decode(data: bytes) -> dict[str, Any] | None:
-    """Return the object in a response, or nothing if it has none."""
+def _decode(data: bytes, kind: type) -> Any:
+    """Return the body of a response, or nothing if it is of another kind."""
     try:
         body = msgspec.json.decode(data)
     except (msgspec.MsgspecError, ValueError, RecursionError):
         return None
-    return body if isinstance(body, dict) else None
+    return body if isinstance(body, kind) else None
 
 
 def _make_headers() -> dict[str, str]:
@@ -82,10 +84,10 @@
     return {'Authorization': f'Bearer {token}'} if token else {}
 
 
-def query(address: str, path: str) -> OperatorResponse:
-    """Query a daemon; raises ``UnreachableError``."""
+def query(address: str, path: str, kind: type = dict) -> OperatorResponse:
+    """Query a daemon for a body of a kind; raises ``UnreachableError``."""
     request = Request('GET', path, _make_headers(), b'', _TIMEOUT_S)
-    return asyncio.run(_fetch(address, request))
+    return asyncio.run(_fetch(address, request, kind))
 
 
 def command(
