Try segments again after many targets crash at once

Found by adding outages to the simulation of the quarantine: if all engines crash at one moment, or all that a VM has at engines breaks off, the first segment of a route is at five crashes without a response in between, and nothing with it was sent any more for 300 s. Cause: a conviction that no other one explained ended only with a response, and nothing was sent that could get one.

Now a segment that had a response less than 5 s before its conviction is sent on trial, once a second at each VM, until a target crashes under a VM's own trial. A response of a target to a later request also clears all crashes at this start of the target: it has not crashed, the answers were lost.

--- a/src/lentilrun/decisions/quarantine.py
+++ b/src/lentilrun/decisions/quarantine.py
@@ -27,6 +27,9 @@
 _RECORD_TTL_S = 60.0
 _CONVICTION_TTL_S = 300.0
 _TRIAL_INTERVAL_S = 1.0
+# Targets that crash at one moment, or are cut off, convict segments that
+# had a response until this time before.
+_RECENT_RESPONSE_S = 5.0
 _MAX_RECORDS = 4000
 _MAX_CRASHES_PER_RECORD = 64
 _MAX_SOUND_SEGMENTS = 4000
@@ -88,7 +91,10 @@
         self.crashes: dict[str, float] = {}
         self.cleared: set[str] = set()
         self.changed_at = 0.0
+        self.convicted_at = 0.0
         self.tried_at: float | None = None
+        # Whether a target crashed under a trial of this VM.
+        self.has_failed_trial = False
 
     def has_trial(self, now: float) -> bool:
         return (
@@ -101,19 +107,28 @@
     """Convicts suspects under which targets crash and never respond.
 
     Repeated crashes at one start of a target count once. A response clears
-    all crashes before it. A convicted suspect is not sent to targets any
-    more, except on trial: if another convicted suspect was there at each of
-    its crashes, one request without the other is sent once in a while.
+    all crashes before it, and those of other suspects at the same start of
+    a target. A convicted suspect is not sent to targets any more, except on
+    trial, once in a while: a request without another convicted suspect that
+    was there at each of the crashes, or with a segment that had a response
+    shortly before them, until a target crashes under its trial.
     """
 
     def __init__(self) -> None:
         # By the time of the last change, oldest first.
         self._records: dict[Suspect, _Record] = {}
-        # The segments that targets responded to, oldest first.
-        self._sound: dict[Suspect, None] = {}
+        # The times of the last responses to segments, oldest first.
+        self._sound: dict[Suspect, float] = {}
+        # When crashes of a target start became known, oldest first.
+        self._crashed: dict[str, float] = {}
 
-    def record_crash(self, crash: Crash, now: float) -> bool:
-        """Record a crash; return whether it convicts the suspect."""
+    def record_crash(
+        self, crash: Crash, now: float, sent_at: float | None = None
+    ) -> bool:
+        """Record a crash; return whether it convicts the suspect.
+
+        ``sent_at`` is when this VM sent the request, if it was this one.
+        """
         record = self._touch(crash.suspect, now)
         start = crash.target_start
         if (
@@ -124,7 +139,13 @@
             return False
         was_convicted = self._is_convicted(crash.suspect, now)
         record.crashes[start] = now
-        return not was_convicted and self._is_convicted(crash.suspect, now)
+        if sent_at is not None and record.tried_at is not None:
+            record.has_failed_trial |= sent_at >= record.tried_at
+        self._remember_crashed(start, now)
+        if was_convicted or not self._is_convicted(crash.suspect, now):
+            return False
+        record.convicted_at = now
+        return True
 
     def record_response(
         self, suspects: Sequence[Suspect], now: float
@@ -135,21 +156,35 @@
         """
         crashes: list[Crash] = []
         for suspect in suspects:
-            self._remember_sound(suspect)
+            self._remember_sound(suspect, now)
             record = self._find(suspect, now)
             if record is not None:
                 crashes += [Crash(suspect, s) for s in record.crashes]
         return crashes
 
-    def clear(self, crash: Crash, now: float) -> bool:
-        """Clear a crash, as a target responded to the suspect after it.
+    def list_refuted(
+        self, target_start: str, sent_at: float, now: float
+    ) -> list[Crash]:
+        """Return the crashes that a response shows not to have been any.
 
-        Return whether this ends a conviction.
+        It is a response of the target to a request sent at ``sent_at``.
         """
+        crashed_at = self._crashed.get(target_start)
+        if crashed_at is None or sent_at <= crashed_at:
+            return []
+        del self._crashed[target_start]
+        return [
+            c for c in self.list_crashes(now) if c.target_start == target_start
+        ]
+
+    def clear(self, crash: Crash, now: float) -> bool:
+        """Clear a crash; return whether this ends a conviction."""
         was_convicted = self._is_convicted(crash.suspect, now)
-        self._remember_sound(crash.suspect)
         record = self._touch(crash.suspect, now)
         record.crashes.pop(crash.target_start, None)
+        if not record.crashes:
+            record.tried_at = None
+            record.has_failed_trial = False
         if len(record.cleared) < _MAX_CRASHES_PER_RECORD:
             record.cleared.add(crash.target_start)
         return was_convicted and not self._is_convicted(crash.suspect, now)
@@ -160,13 +195,9 @@
         if not convicted:
             return Verdict.SEND
         others = [s for s in self._list_convicted(now) if s not in suspects]
-        for suspect in convicted:
-            record = self._records[suspect]
-            if record.has_trial(now):
-                return Verdict.REFUSE
-            if not any(self._was_at_crashes(o, record) for o in others):
-                return Verdict.REFUSE
-        return Verdict.TRIAL
+        if all(self._may_try(s, others, now) for s in convicted):
+            return Verdict.TRIAL
+        return Verdict.REFUSE
 
     def begin_trial(self, suspects: Sequence[Suspect], now: float) -> None:
         """Record that a request is sent on trial."""
@@ -181,6 +212,24 @@
             if record is not None:
                 yield from (Crash(suspect, s) for s in record.crashes)
 
+    def _may_try(
+        self, suspect: Suspect, others: list[Suspect], now: float
+    ) -> bool:
+        record = self._records[suspect]
+        if record.has_trial(now):
+            return False
+        if self._was_recently_sound(suspect) and not record.has_failed_trial:
+            return True
+        return any(self._was_at_crashes(o, record) for o in others)
+
+    def _was_recently_sound(self, suspect: Suspect) -> bool:
+        """Return whether responses came shortly before the conviction."""
+        responded_at = self._sound.get(suspect)
+        if responded_at is None:
+            return False
+        convicted_at = self._records[suspect].convicted_at
+        return convicted_at - responded_at < _RECENT_RESPONSE_S
+
     def _was_at_crashes(self, other: Suspect, record: _Record) -> bool:
         return record.crashes.keys() <= self._records[other].crashes.keys()
 
@@ -241,11 +290,17 @@
                 return
             self._find(suspect, now)
 
-    def _remember_sound(self, suspect: Suspect) -> None:
+    def _remember_crashed(self, target_start: str, now: float) -> None:
+        self._crashed.pop(target_start, None)
+        self._crashed[target_start] = now
+        if len(self._crashed) > _MAX_RECORDS:
+            del self._crashed[next(iter(self._crashed))]
+
+    def _remember_sound(self, suspect: Suspect, now: float) -> None:
         if suspect.kind is not SuspectKind.SEGMENT:
             return
         self._sound.pop(suspect, None)
-        self._sound[suspect] = None
+        self._sound[suspect] = now
         if len(self._sound) > _MAX_SOUND_SEGMENTS:
             del self._sound[next(iter(self._sound))]
 
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -35,6 +35,7 @@
 
     from ..config.ini import Address
     from ..decisions.facts import Target
+    from ..decisions.quarantine import Suspect
     from .call import Call
     from .call import ResponseWriter
     from .choice import Assignment
@@ -202,9 +203,7 @@
             self._first_event_at = self._context.clock.now()
         if not self._has_answered and not self._is_beginning():
             self._has_answered = True
-            self._context.crashes.record_response(
-                list_segments(self._call.prompt)
-            )
+            self._record_response(list_segments(self._call.prompt))
         if not self._progress.has_started:
             elapsed = (
                 self._context.clock.now() - self._call.incoming.arrived_at
@@ -309,7 +308,7 @@
             self._record_not_run(state)
         elif outcome is AttemptOutcome.DELIVERED:
             targets.record_success(state)
-            self._record_response()
+            self._record_delivery()
         elif outcome is not AttemptOutcome.MOVED:
             targets.record_failure(state)
             if outcome is AttemptOutcome.BROKEN:
@@ -323,14 +322,19 @@
         suspects = list_suspects(self._call)
         if self._receiver.is_stopped or not self._is_beginning():
             suspects = suspects[:1]
-        self._context.crashes.record_crash(suspects, target)
+        self._context.crashes.record_crash(suspects, target, self._started_at)
 
-    def _record_response(self) -> None:
+    def _record_delivery(self) -> None:
         """Record that the target responded, unless a stream had no event."""
         head = self._receiver.head
         if head is None or (head.is_stream and self._first_event_at is None):
             return
-        self._context.crashes.record_response(list_suspects(self._call))
+        self._record_response(list_suspects(self._call))
+
+    def _record_response(self, suspects: list[Suspect]) -> None:
+        self._context.crashes.record_response(
+            suspects, self._assignment.state.target, self._started_at
+        )
 
     def _record_not_run(self, state: TargetState) -> None:
         """Learn why a target did not run the request, where it says so.
--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -28,6 +28,11 @@
     return [request, *list_segments(call.prompt)]
 
 
+def _name_start(target: Target) -> str:
+    """Return a name that differs between two starts of a target."""
+    return f'{target.incarnation}/{target.started_at_ms}'
+
+
 class CrashTracker:
     """The quarantine of this VM, which all VMs' crashes and responses make.
 
@@ -42,24 +47,41 @@
         self.recent_cleared: RecentReports[Crash] = RecentReports(clock)
 
     def record_crash(
-        self, suspects: Sequence[Suspect], target: Target
+        self, suspects: Sequence[Suspect], target: Target, sent_at: float
     ) -> None:
-        """Record an attempt with ``suspects`` at which a target crashed."""
-        start = f'{target.incarnation}/{target.started_at_ms}'
-        self.receive([Crash(s, start) for s in suspects], Origin.OWN)
+        """Record an attempt with ``suspects`` at which a target crashed.
+
+        The attempt began at ``sent_at``.
+        """
+        start = _name_start(target)
+        for suspect in suspects:
+            self._add(Crash(suspect, start), Origin.OWN, sent_at)
 
     def receive(self, crashes: list[Crash], origin: Origin) -> None:
-        """Record the crashes that a VM reports."""
+        """Record the crashes that another VM reports."""
         for crash in crashes:
-            if not self.recent.add(crash, origin):
-                continue
-            if self._quarantine.record_crash(crash, self._clock.now()):
-                self._write('quarantine_began', crash)
+            self._add(crash, origin, None)
 
-    def record_response(self, suspects: Sequence[Suspect]) -> None:
-        """Record that a target responded to an attempt with ``suspects``."""
+    def _add(
+        self, crash: Crash, origin: Origin, sent_at: float | None
+    ) -> None:
+        if not self.recent.add(crash, origin):
+            return
+        if self._quarantine.record_crash(crash, self._clock.now(), sent_at):
+            self._write('quarantine_began', crash)
+
+    def record_response(
+        self, suspects: Sequence[Suspect], target: Target, sent_at: float
+    ) -> None:
+        """Record that a target responded to an attempt with ``suspects``.
+
+        The attempt began at ``sent_at``.
+        """
         now = self._clock.now()
         cleared = self._quarantine.record_response(suspects, now)
+        cleared += self._quarantine.list_refuted(
+            _name_start(target), sent_at, now
+        )
         self.receive_cleared(cleared, Origin.OWN)
 
     def receive_cleared(self, crashes: list[Crash], origin: Origin) -> None:
