--- a/tests/decisions/test_quarantine_traffic.py
+++ b/tests/decisions/test_quarantine_traffic.py
@@ -46,10 +46,10 @@
 
     ``poisoned_prompt`` and ``rare_prompt`` hold the segments but the last;
     ``*`` stands for a new segment in each request. All VMs get poisoned
-    requests, and ``sound_vms`` of them sound ones, those with ``rare_prompt`` from
-    ``rare_from`` on. VMs start again at ``restarts``, in turn. At ``outage_at``, ``crashed_engines`` engines crash
-    at once, and what the first VM has at engines breaks off if
-    ``breaks_vm``.
+    requests, and ``sound_vms`` of them sound ones, those with
+    ``rare_prompt`` from ``rare_from`` on. VMs start again at ``restarts``,
+    in turn. At ``outage_at``, ``crashed_engines`` engines crash at once, and
+    what the first VM has at engines breaks off if ``breaks_vm``.
     """
 
     poisoned_prompt: str
