Give routes the same part of the canary; doubt a version sooner

Routes with a tenth of the requests or more now get the same number, and a version is doubtful at 3 in 100 instead of 1.

--- a/src/lentilrun/decisions/rollouts.py
+++ b/src/lentilrun/decisions/rollouts.py
@@ -36,7 +36,9 @@
 _BURST_REQUESTS = 2.0
 _BURST_RATE_RATIO = 1.5
 # A VM with so many requests to spare does not wait for a certain route.
-_SPARE_REQUESTS = 2.0
+_SPARE_REQUESTS = 3.0
+# Routes with at least this share of the requests get the same number.
+_FULL_ROUTE_SHARE = 0.1
 # Completion begins this long before the deadline, in seconds and as a
 # share of the time for the roll-out.
 _MAX_MARGIN_S = 3.0
@@ -132,10 +134,11 @@
 def _is_due_on_route(exposure: Exposure, route: str) -> bool:
     """Return whether a route has not yet got its part of the canary.
 
-    Rare routes get more than their share of requests, by the square root,
-    as a version may be bad on one of them only.
+    Routes get the same number unless they are rare, as a version may be bad
+    on one of them only.
     """
-    weights = {r: math.sqrt(n) for r, n in exposure.total.items()}
+    full = max(1.0, _FULL_ROUTE_SHARE * sum(exposure.total.values()))
+    weights = {r: min(1.0, n / full) for r, n in exposure.total.items()}
     weight = weights.get(route, 0.0)
     share = weight / sum(weights.values()) if weight else 1.0
     new = sum(exposure.new.values())
--- a/src/lentilrun/decisions/rolloutverdict.py
+++ b/src/lentilrun/decisions/rolloutverdict.py
@@ -51,7 +51,7 @@
 _BREAK_S = 1.0
 # A version is doubtful if so many bad responses would be as rare as this
 # with the old version.
-_DOUBTFUL_PROBABILITY = 0.01
+_DOUBTFUL_PROBABILITY = 0.03
 _DOUBTFUL_EXTRA_SHARE = 0.05
 _MIN_DOUBTFUL = 2
 # It is also doubtful if its responses take so many times as long.
