List the simulated roll-outs that end wrongly

Neither is mended: the samples of a rare route are small after the driving VM was cut off, and chance condemns about 1 in 80 good versions.

--- a/tests/benchmarks/test_aims.py
+++ b/tests/benchmarks/test_aims.py
@@ -52,3 +52,22 @@
     """Good versions are completed; bad ones keep to their share and end."""
     result = rollouts.run_rollout(behaviour, trouble, 101)
     assert result.list_missed() == [], result
+
+
+@pytest.mark.parametrize(
+    ('behaviour', 'trouble', 'seed'),
+    [
+        ('slow on one route', 'the driving VM is cut off from VMs', 12),
+        ('slow on one route', 'the driving VM is cut off from VMs', 15),
+        ('good', 'no trouble', 1),
+        ('good', 'the store is away', 10),
+    ],
+)
+def test_misjudged_rollouts(behaviour: str, trouble: str, seed: int) -> None:
+    """Roll-outs in which chance misled the verdict end as they should."""
+    result = rollouts.run_rollout(
+        next(b for b in rollouts.BEHAVIOURS if b.name == behaviour),
+        next(t for t in rollouts.TROUBLES if t.name == trouble),
+        seed,
+    )
+    assert result.list_missed() == [], result
