--- a/tests/gateway/test_rollouts.py
+++ b/tests/gateway/test_rollouts.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 
 from deployments import Deployment
+from lentilrun.decisions import topology
+from lentilrun.gateway import peers
 from lentilrun.gateway.node import Node
 from lentilrun.gateway.rollouts import Stage
 import pytest
@@ -242,3 +244,33 @@
             assert deployment.read_rollout_status('app') == {}
 
     asyncio.run(body())
+
+
+def test_hubs_pass_on_rollouts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """VMs behind hubs take part in a roll-out and learn of its end."""
+    monkeypatch.setattr(topology, 'MESH_VMS', 3)
+    monkeypatch.setattr(peers, 'MESH_VMS', 3)
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start_rollout(
+                deployment, _Version(failure_interval=1), 5
+            )
+            spokes = [n for n in nodes if not n.peers.is_hub()]
+            assert len(spokes) == 3
+            await _send_until(
+                deployment,
+                spokes,
+                lambda: all(
+                    'app' in n.rollouts.by_service
+                    and n.rollouts.by_service['app'].stage
+                    is Stage.ROLLED_BACK
+                    for n in nodes
+                ),
+            )
+            new = _count_runs(deployment, 'v2')
+            assert new > 0
+            await _send_traffic(deployment, nodes, 0.5)
+            assert _count_runs(deployment, 'v2') == new
+
+    asyncio.run(body())
