Let only the hubs take the lease over, one after another

Cause: a VM waited 0.8 s for each responsive VM before it, but a VM that is no hub exchanges messages with its hubs only, so all of them waited for at most two others. All that read the lease learned the same time for its end and wrote then.

Ruled out: the retries after an error (three in that time).

Change: the preferred hubs of the data centres, then the other hubs, take turns, without those that are known to be silent or without the store; the turns count from the end of a lease that is waited for. Other VMs follow after 6 s, longer than a lost lease with its gap. An unanswered lease call is tried again after 0.15 to 1.2 s instead of always 0.15 s.

The takeover test of decisions now checks the exact turns.

--- a/src/lentilrun/decisions/upgrades.py
+++ b/src/lentilrun/decisions/upgrades.py
@@ -4,7 +4,9 @@
 requests arrive. An engine that drains or loads weights serves no requests,
 and the responses of one that keeps old weights have a lower value. So the
 engines that will soon be idle are upgraded first, and those with long
-responses as soon as other engines can replace them.
+responses as soon as other engines can replace them. If the VM that orders
+upgrades is lost, a fleet of hundreds must not all ask the store for its lease:
+only hubs do, in turn.
 """
 
 from __future__ import annotations
@@ -26,8 +28,11 @@
 # An engine whose weights were replaced longer ago than this share of the stale
 # limit gets the order while requests are in flight; it completes them first.
 _FORCED_AGE_SHARE = 0.45
-# How long each VM waits for the VM before it, in the order of names.
+# How long each VM waits for the VM before it.
 _TAKEOVER_DELAY_S = 0.8
+# VMs that are no candidates wait at least this time. It is longer than the
+# lease of a lost VM with its gap: 4.75 s at a gap of 3 s.
+_RESERVE_DELAY_S = 6.0
 
 
 class UpgradeCandidate(NamedTuple):
@@ -77,13 +82,20 @@
     return max(0.0, stale_limit * _FORCED_AGE_SHARE - stale_for)
 
 
-def compute_takeover_delay(own: str, responsive: Iterable[str]) -> float:
+def compute_takeover_delay(
+    own: str, candidates: Sequence[str], reserve: Iterable[str]
+) -> float:
     """Return the delay before a VM starts pending upgrades, in seconds.
 
-    Responsive VMs start one after another, in the order of their names.
+    ``candidates`` start one after another, in their order. The VMs in
+    ``reserve`` start after them, in the order of their names, once a lease
+    that one of the candidates may wait for has ended.
     """
-    earlier = sum(name < own for name in responsive)
-    return earlier * _TAKEOVER_DELAY_S
+    if own in candidates:
+        return candidates.index(own) * _TAKEOVER_DELAY_S
+    first = max(_RESERVE_DELAY_S, len(candidates) * _TAKEOVER_DELAY_S)
+    earlier = sum(n < own and n not in candidates for n in reserve)
+    return first + earlier * _TAKEOVER_DELAY_S
 
 
 __all__ = [
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -157,9 +157,7 @@
         now = self._clock.now()
         peers = self.by_name.items()
         suspects = frozenset(n for n, p in peers if p.suspect_until > now)
-        without_store = frozenset(n for n, p in peers if p.has_lost_store)
-        if self.has_lost_store():
-            without_store |= {self.own_member.name}
+        without_store = self._list_without_store()
         picked_for = (suspects, without_store)
         if self._hubs is None or picked_for != self._hubs_picked_for:
             members = [
@@ -170,6 +168,15 @@
             self._hubs_picked_for = picked_for
         return self._hubs
 
+    def _list_without_store(self) -> frozenset[str]:
+        """Return the VMs that get no answers from the store."""
+        names = frozenset(
+            n for n, p in self.by_name.items() if p.has_lost_store
+        )
+        return (
+            names | {self.own_member.name} if self.has_lost_store() else names
+        )
+
     def is_hub(self) -> bool:
         """Return whether this VM collects the reports of its data centre.
 
@@ -286,6 +293,31 @@
         responsive = hubs.intersection(self.list_responsive())
         return all(self.own_member.name < name for name in responsive)
 
+    def list_lease_candidates(self) -> list[str]:
+        """Return the VMs that may take a lease over, in their order.
+
+        They are the hubs, those that are preferred in their data centres
+        first, without VMs that are known to be unresponsive or to get no
+        answers from the store. Of other data centres only the preferred hub
+        sends to this VM, and only if this VM is a hub.
+        """
+        unfit = self._list_without_store() | self._list_silent_hubs()
+        ranked = [
+            (rank, name)
+            for names in self.hubs().values()
+            for rank, name in enumerate(names)
+        ]
+        if self.is_mesh():
+            ranked = [(0, name) for _, name in ranked]
+        return [name for _, name in sorted(ranked) if name not in unfit]
+
+    def _list_silent_hubs(self) -> set[str]:
+        """Return the hubs that should send to this VM and do not."""
+        expected = (
+            set(self.by_name) if self.is_mesh() else self._list_expected_hubs()
+        )
+        return expected.difference(self.list_responsive())
+
     async def run(self) -> None:
         """Send messages until cancelled."""
         while True:
--- a/src/lentilrun/gateway/upgrades.py
+++ b/src/lentilrun/gateway/upgrades.py
@@ -42,6 +42,7 @@
 # Another VM is doing the upgrades if it reported one within this time.
 _ACTIVITY_TTL_S = 0.8
 _LEASE_RETRY_S = 0.15
+_MAX_LEASE_RETRY_S = 1.2
 
 
 class Upgrades:
@@ -72,6 +73,7 @@
         self._work_changed = asyncio.Event()
         self._others_active_at = float('-inf')
         self._work_since: float | None = None
+        self._lease_retry_pause = _LEASE_RETRY_S
         self._upgrade_tasks: dict[str, asyncio.Task[None]] = {}
         self._retry_at: dict[str, float] = {}
         self.is_leaving = False
@@ -89,7 +91,8 @@
                 delay = await self._step()
             except (ConflictError, PlatformError) as error:
                 self._log.write('lease_not_taken', error=error)
-                delay = _LEASE_RETRY_S
+                delay = self._lease_retry_pause
+                self._lease_retry_pause = min(_MAX_LEASE_RETRY_S, delay * 2.0)
             await self._wait_for_work(delay)
 
     async def _wait_for_work(self, timeout: float) -> None:
@@ -117,7 +120,10 @@
             if wait > 0.0:
                 return min(wait, _IDLE_INTERVAL_S)
         wait = await self._lease.acquire()
+        self._lease_retry_pause = _LEASE_RETRY_S
         if wait > 0.0:
+            # All VMs learn the same time: they take their turns from then on.
+            self._work_since = self._clock.now() + wait
             return min(wait, _IDLE_INTERVAL_S)
         for model, names in self._find_work().items():
             for name in names:
@@ -127,8 +133,9 @@
     def _compute_takeover_time(self) -> float:
         """Return when this VM may start the work, by the clock, in s."""
         assert self._work_since is not None
+        candidates = self._peers.list_lease_candidates()
         own_start = self._work_since + compute_takeover_delay(
-            self._node, self._peers.list_responsive()
+            self._node, candidates, self._peers.by_name
         )
         return max(own_start, self._others_active_at + _ACTIVITY_TTL_S)
 
--- a/tests/decisions/test_upgrades.py
+++ b/tests/decisions/test_upgrades.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from lentilrun.decisions.upgrades import compute_drain_timeout
 from lentilrun.decisions.upgrades import compute_takeover_delay
 from lentilrun.decisions.upgrades import pick_upgrade_round
@@ -59,10 +61,10 @@
 
 
 def test_takeover_delay() -> None:
-    """VMs start one after another, the first without a delay."""
-    assert compute_takeover_delay('a', ['b', 'c']) == 0.0
-    assert (
-        compute_takeover_delay('c', ['a', 'b'])
-        > compute_takeover_delay('b', ['a', 'c'])
-        > 0.0
-    )
+    """Candidates start in their order, then the others by their names."""
+    candidates = ['c', 'a', 'b']
+    order = ['c', 'a', 'b', 'd', 'e']
+    delays = [compute_takeover_delay(n, candidates, order) for n in order]
+    assert delays[0] == 0.0
+    gaps = [b - a for a, b in itertools.pairwise(delays)]
+    assert gaps == pytest.approx([0.8, 0.8, 4.4, 0.8])
--- /dev/null
+++ b/tests/gateway/fleets.py
@@ -0,0 +1,335 @@
+"""A fleet of up to hundreds of VMs in one process, on simulated time.
+
+The VMs are whole nodes without ports: the store's calls, the datagrams and
+the orders to engines are modelled.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import os
+from typing import TYPE_CHECKING
+
+from deployments import BOUNDS
+from lentilrun.config.ini import Address
+from lentilrun.errors import ConflictError
+from lentilrun.errors import PlatformError
+from lentilrun.gateway import node as node_module
+from lentilrun.gateway.node import Node
+from lentilrun.gateway.peers import Peers
+from lentilrun.platform import engines
+from lentilrun.platform.engines import EngineReport
+from lentilrun.platform.node import NodeSettings
+from lentilrun.platform.rows import HistoryLostError
+from lentilrun.platform.rows import Row
+from lentilrun.platform.rows import Rows
+from lentilrun.standins.configuration import make_configuration
+from lentilrun.standins.configuration import make_target_row
+from lentilrun.standins.configuration import make_weights_announcement
+from lentilrun.standins.configuration import MODEL
+from lentilrun.standins.rowstore import RowStoreState
+from lentilrun.standins.rowstore import StoredRow
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Sequence
+    from typing import Any
+
+    from lentilrun.decisions.facts import Target
+    from lentilrun.platform.engines import WeightsLoadOrder
+    from lentilrun.platform.rows import Write
+    from lentilrun.standins.timeloop import TimeLoop
+    import pytest
+
+_CALL_S = 0.004
+_DATAGRAM_S = 0.001
+_WEIGHTS_LOAD_S = 0.5
+_HOST = '127.0.0.1'
+
+
+def _make_rows(
+    state: RowStoreState, rows: Sequence[StoredRow], now: float
+) -> Rows:
+    return Rows(
+        tuple(
+            Row(r.key, r.value or b'', r.version, r.value is None)
+            for r in rows
+        ),
+        state.version,
+        now,
+    )
+
+
+class ModelledStore:
+    """The calls of one VM to the store; implements ``RowStore``.
+
+    ``calls`` counts them by kind and table. ``rejects`` lets them fail,
+    and ``hangs`` lets them go unanswered.
+    """
+
+    def __init__(self, state: RowStoreState, loop: TimeLoop) -> None:
+        self._state = state
+        self._loop = loop
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.rejects = False
+        self.hangs = False
+
+    def estimate_clock(self) -> float:
+        """Return the store's clock."""
+        return self._loop.time()
+
+    async def _call(self, kind: str) -> None:
+        self.calls[kind] += 1
+        await asyncio.sleep(_CALL_S)
+        self._check()
+        if self.hangs:
+            await asyncio.sleep(2.8)
+            raise PlatformError('no answer')
+
+    def _check(self) -> None:
+        if self.rejects or self._state.faults.is_down:
+            raise PlatformError('the store said 503')
+
+    async def read(self, table: str) -> Rows:
+        """Return all rows of a table."""
+        await self._call(f'read {table}')
+        rows = [r for r in self._state.rows.values() if r.table == table]
+        return _make_rows(self._state, rows, self._loop.time())
+
+    async def follow(self, table: str, after: int, wait: float) -> Rows:
+        """Return the rows changed after a version, once there are any."""
+        await self._call(f'follow {table}')
+        state = self._state
+        if after < state.compacted_version:
+            raise HistoryLostError('gone')
+        until = self._loop.time() + wait
+        while not (rows := state.list_changes(table, after)):
+            time_left = until - self._loop.time()
+            if time_left <= 0.0:
+                break
+            try:
+                async with asyncio.timeout(min(time_left, 0.1)):
+                    await state.changed.wait()
+            except TimeoutError:
+                self._check()
+        return _make_rows(state, rows, self._loop.time())
+
+    async def write(self, writes: Sequence[Write]) -> Rows:
+        """Write all rows, or none."""
+        await self._call(f'write {writes[0].key.split("/")[0]}')
+        body = {
+            'expected': [
+                {
+                    'table': w.table,
+                    'part': '',
+                    'key': w.key,
+                    'row-version': w.expected_version,
+                }
+                for w in writes
+                if w.expected_version is not None
+            ],
+            'puts': [],
+            'remove': [],
+        }
+        if not self._state.commit(body):
+            raise ConflictError('a row has another version than expected')
+        for write in writes:
+            self._state.put(write.table, write.key, write.value)
+        return _make_rows(self._state, [], self._loop.time())
+
+
+class _Transport:
+    """Sends the datagrams of one VM; implements ``DatagramTransport``."""
+
+    def __init__(self, fleet: ModelledFleet, name: str) -> None:
+        self._fleet = fleet
+        self._name = name
+
+    def is_closing(self) -> bool:
+        """Return false: it stays open."""
+        return False
+
+    def sendto(self, data: bytes, address: Address) -> None:
+        """Deliver a datagram after a delay, unless it is lost."""
+        self._fleet.transmit(self._name, data, address)
+
+
+class ModelledEngines:
+    """Engines that load weights; ``orders`` holds when and from whom."""
+
+    def __init__(self, loop: TimeLoop) -> None:
+        self._loop = loop
+        self._versions: dict[str, int] = collections.defaultdict(lambda: 1)
+        self._ready_at: dict[str, float] = collections.defaultdict(float)
+        self.orders: list[tuple[float, str, WeightsLoadOrder]] = []
+
+    async def read_report(
+        self, client: object, target: Target
+    ) -> EngineReport:
+        """Return an engine's state."""
+        await asyncio.sleep(_CALL_S)
+        name = target.incarnation
+        is_busy = self._loop.time() < self._ready_at[name]
+        version = self._versions[name] - is_busy
+        count = sum(n == name for _, n, _ in self.orders)
+        return EngineReport({MODEL: version}, is_busy, count)
+
+    async def send_order(
+        self, client: object, target: Target, order: WeightsLoadOrder
+    ) -> bool:
+        """Accept an order."""
+        await asyncio.sleep(_CALL_S)
+        name = target.incarnation
+        self.orders.append((self._loop.time(), name, order))
+        self._versions[name] = order.version
+        self._ready_at[name] = self._loop.time() + _WEIGHTS_LOAD_S
+        return True
+
+
+class ModelledFleet:
+    """VMs on a modelled network, store and engines.
+
+    ``loses`` decides which datagrams are lost, by sender, recipient and
+    content.
+    """
+
+    def __init__(
+        self,
+        loop: TimeLoop,
+        monkeypatch: pytest.MonkeyPatch,
+        data_centres: dict[str, int],
+        engine_count: int = 8,
+    ) -> None:
+        """Build a number of VMs by data centre."""
+        monkeypatch.setattr(node_module, 'SystemClock', lambda: loop)
+        self._loop = loop
+        self._log_file = os.open(os.devnull, os.O_WRONLY)
+        self._tasks: dict[str, list[asyncio.Task[None]]] = {}
+        self.state = RowStoreState()
+        self.engines = ModelledEngines(loop)
+        monkeypatch.setattr(engines, 'read_report', self.engines.read_report)
+        monkeypatch.setattr(
+            engines, 'send_weights_load_order', self.engines.send_order
+        )
+        self.stores: dict[str, ModelledStore] = {}
+        self.nodes: dict[str, Node] = {}
+        self.loses: Callable[[str, str, bytes], bool] = lambda *_: False
+        self.configure(1)
+        self.announce_weights(1)
+        for number in range(engine_count):
+            self.register(f'e{number}')
+        for data_centre, count in data_centres.items():
+            for number in range(count):
+                self._add(f'{data_centre}{number:03}', data_centre)
+
+    def __enter__(self) -> ModelledFleet:
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        os.close(self._log_file)
+
+    def _add(self, name: str, data_centre: str) -> None:
+        port = 2000 + len(self.nodes)
+        address = Address(_HOST, port)
+        settings = NodeSettings(
+            name,
+            _HOST,
+            data_centre,
+            1.0,
+            address,
+            address,
+            port,
+            address,
+            BOUNDS,
+        )
+        node = Node(settings, self._log_file)
+        store = ModelledStore(self.state, self._loop)
+        for method in ('read', 'follow', 'write', 'estimate_clock'):
+            setattr(node.store, method, getattr(store, method))
+        node.peers._transport = _Transport(self, name)
+        self.nodes[name] = node
+        self.stores[name] = store
+
+    def start(self, *names: str) -> None:
+        """Start VMs, all without names."""
+        for name in names or self.nodes:
+            node = self.nodes[name]
+            components: list[Coroutine[Any, Any, None]] = [
+                node.operator_rows.run(),
+                node.target_rows.run(),
+                node.discovery.run(),
+                node.peers.run(),
+                node.upgrades.run(),
+                node.usage_checkpointer.run(),
+            ]
+            self._tasks[name] = [asyncio.ensure_future(c) for c in components]
+
+    def stop(self, name: str) -> None:
+        """Stop a VM without an announcement."""
+        for task in self._tasks.pop(name):
+            task.cancel()
+
+    def transmit(self, sender: str, data: bytes, address: Address) -> None:
+        """Deliver a datagram to the VM at an address."""
+        recipient = list(self.nodes)[address.port - 2000]
+        if self.loses(sender, recipient, data):
+            return
+        self._loop.call_later(_DATAGRAM_S, self._deliver, recipient, data)
+
+    def _deliver(self, name: str, data: bytes) -> None:
+        if name in self._tasks:
+            self.nodes[name].peers._receive_datagram(data)
+
+    def peers(self, name: str) -> Peers:
+        """Return the peers of a VM."""
+        return self.nodes[name].peers
+
+    def configure(self, version: int) -> None:
+        """Write a configuration."""
+        value = msgspec.json.encode(make_configuration(version))
+        self.state.put('op', 'config', value)
+
+    def announce_weights(self, version: int) -> None:
+        """Announce a version of the model's weights."""
+        value = make_weights_announcement(version)
+        self.state.put('op', f'version/{MODEL}', value)
+
+    def register(self, name: str, state: str = 'ready') -> None:
+        """Write the row of an engine."""
+        address = f'{_HOST}:{9000 + len(name)}'
+        value = make_target_row('llm', address, {MODEL: 1}, state)
+        self.state.put('servers', name, value)
+
+    def count_calls(self) -> collections.Counter[str]:
+        """Return the calls of the store so far, by kind and table."""
+        return sum(
+            (s.calls for s in self.stores.values()), collections.Counter()
+        )
+
+    def list_behind(self, version: int) -> list[str]:
+        """Return the running VMs without a version of the configuration."""
+        return [
+            name
+            for name in self._tasks
+            if (configuration := self.nodes[name].view.configuration) is None
+            or configuration.version < version
+        ]
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout: float
+    ) -> float:
+        """Wait for a condition; return the time that it took, in seconds.
+
+        Raises ``TimeoutError``.
+        """
+        started_at = self._loop.time()
+        async with asyncio.timeout(timeout):
+            while not condition():
+                await asyncio.sleep(0.01)
+        return self._loop.time() - started_at
+
+
+__all__ = ['ModelledFleet', 'ModelledStore']
