Follow the store with two VMs of a fleet; ask other VMs for rows that were lost

In an outage of the store every VM called it. And a VM that the store rejects kept an old configuration if the one datagram that relayed it was lost.

Cause: each VM of a mesh and both hubs of each data centre followed each table; VMs below a hub that lost the store followed it themselves, also if the store was down for all; nothing but the store could replace a lost datagram. A feed call after an outage also waited 2 s before the store counted as regained.

Ruled out: longer feed waits (a silent call is noticed later), one reader (its call may hang for 2.8 s with no other to report newer rows).

Change: two readers (decisions/topology.py) follow the store and send rows to all hubs, the preferred hubs to the other VMs, in as many datagrams as needed. A VM that hears of newer rows requests them from its reader or hub. Hubs call the store at once if no reader is left, other VMs later and rarely. A VM that lost the store but gets rows tries it every 4 s. A VM that is not cut off from rows no longer delays deletions because its own call failed. The order of hubs no longer depends on the store.

Tests changed: test_hubs._swap_hubs made the second hub the first by letting the store reject the first; hubs no longer change for that, so it silences the first hub instead, and now checks that they swapped.

--- a/src/lentilrun/decisions/topology.py
+++ b/src/lentilrun/decisions/topology.py
@@ -5,6 +5,9 @@
 with all others. In a larger one, two VMs of each data centre are hubs: the
 other VMs exchange reports with these only, and the hubs of all data
 centres with each other.
+
+The platform charges for each call of its store. So two hubs of the whole
+fleet read its changes, and all others get them from these.
 """
 
 from __future__ import annotations
@@ -19,6 +22,8 @@
 # Up to this number of VMs, each exchanges reports with all others.
 MESH_VMS = 12
 _HUBS_PER_DATA_CENTRE = 2
+# One more than needed, so that changes are known in time if one is lost.
+_READERS = 2
 
 
 class Member(NamedTuple):
@@ -30,15 +35,11 @@
 
 
 def pick_hubs(
-    members: Collection[Member],
-    suspects: Collection[str],
-    without_store: Collection[str] = (),
+    members: Collection[Member], suspects: Collection[str]
 ) -> dict[str, list[str]]:
     """Return the hubs of each data centre, the preferred one first.
 
-    The most powerful VMs become hubs, except for ``suspects``. Those in
-    ``without_store`` get no responses from the store. They stay hubs, as
-    an outage of the store affects all VMs, but come after the others. Up to
+    The most powerful VMs become hubs, except for ``suspects``. Up to
     ``MESH_VMS``, all VMs are hubs, including ``suspects``.
     """
     is_mesh = len(members) <= MESH_VMS
@@ -49,11 +50,24 @@
             len(names) < _HUBS_PER_DATA_CENTRE and member.name not in suspects
         ):
             names.append(member.name)
-    if is_mesh:
-        return hubs
-    return {
-        d: sorted(h, key=lambda n: n in without_store) for d, h in hubs.items()
-    }
+    return hubs
+
+
+def pick_readers(
+    hubs: dict[str, list[str]], unfit: Collection[str]
+) -> list[str]:
+    """Return the hubs that read the changes of the store, in order.
+
+    They are the preferred hubs of two data centres, if possible. ``unfit``
+    VMs are silent or get no responses from the store; if all hubs are, the
+    first ones are picked all the same.
+    """
+    ranked = sorted(
+        (name in unfit, rank, name)
+        for names in hubs.values()
+        for rank, name in enumerate(names)
+    )
+    return [name for _, _, name in ranked[:_READERS]]
 
 
 class Recipients(NamedTuple):
@@ -93,4 +107,11 @@
     return Recipients(other_local_hubs, remote_hubs, spokes)
 
 
-__all__ = ['Member', 'MESH_VMS', 'pick_hubs', 'pick_recipients', 'Recipients']
+__all__ = [
+    'Member',
+    'MESH_VMS',
+    'pick_hubs',
+    'pick_readers',
+    'pick_recipients',
+    'Recipients',
+]
--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -9,27 +9,35 @@
 from ..errors import PlatformError
 from ..platform.rows import HistoryLostError
 from ..platform.rows import Row
+from ..platform.rows import Rows
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
-    from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
 
 # The longest time that a call to the feed waits for changes.
 _FEED_WAIT_S = 2.0
-# The same while deletions are delayed or another VM relays rows.
+# The same while deletions are delayed, after an outage, or if another VM
+# relays rows.
 _SHORT_FEED_WAIT_S = 0.3
 # Changes come in groups: those of this time are read in one call.
 _BATCH_PAUSE_S = 0.25
-# While another VM relays rows, this one checks that it still does after
-# this time.
-_RELAY_CHECK_S = 1.0
+# A VM checks this often whether another VM still relays rows to it.
+_RELAY_CHECK_S = 0.25
 # Relayed rows may arrive up to this time after the message that reports
-# their version.
-_RELAY_DELAY_S = 0.15
+# their version, or after they were requested.
+_RELAY_DELAY_S = 0.1
+# Requests for missing rows without a result, before the store is called.
+_MAX_ROW_REQUESTS = 3
+# A VM that gets rows from others calls a store that did not answer it this
+# often, to learn whether it does again.
+_PROBE_INTERVAL_S = 4.0
+# A VM that relies on others calls a store that did not answer it at most this
+# often while they have no rows.
+_RELAYED_RETRY_S = 3.0
 _MIN_RETRY_PAUSE_S = 0.1
 _MAX_RETRY_PAUSE_S = 0.8
 # Rows that expired during an outage of the store, as their writers could
@@ -45,6 +53,9 @@
     delayed until then: the writers of these rows could not reach the
     store either. An outage ends when the store answers this VM or another
     VM relays rows.
+
+    While other VMs relay rows, it makes no calls. It requests rows from
+    them if it learns that there are newer ones than it has.
     """
 
     def __init__(
@@ -60,7 +71,8 @@
         self._handle_row = handle_row
         self._clock = clock
         self._log = log
-        self._row_versions: dict[str, int] = {}
+        # The newest row of each key; deleted ones too.
+        self._rows: dict[str, Row] = {}
         self._present_keys: set[str] = set()
         self._delayed_deletions: dict[str, Row] = {}
         # The store version up to which the changes are known.
@@ -70,14 +82,28 @@
         self._lost_since: float | None = None
         self._regained_at = float('-inf')
         self._relayed_at = float('-inf')
+        # Whether neither the store nor another VM had rows when last tried.
+        self._is_cut_off = False
+        self._called_at = float('-inf')
+        self._row_requests = 0
+        # When the store, or a VM that relays rows, last responded.
         self.last_read = float('-inf')
         self._newer_rows_reported = asyncio.Event()
         # By the gossip of other VMs; this VM may not have that row yet.
         self._reported_row_version = 0
         # Of the rows that this VM has.
         self.newest_row_version = 0
+        # Whether other VMs relay rows to this one.
         self.is_relayed: Callable[[], bool] = lambda: False
-        self.on_rows: list[Callable[[int, Rows], None]] = []
+        # Whether the VM that should relay rows gets none itself.
+        self.is_source_lost: Callable[[], bool] = lambda: False
+        # How long to wait before own calls once no VM relays rows, in s.
+        self.call_delay: Callable[[], float] = lambda: 0.0
+        # Requests the rows of a table after a version from other VMs.
+        self.request_rows: Callable[[str, int], None] = lambda *_: None
+        # Called with the table, the version of the newest row before, new
+        # rows, and whether they were read from the store.
+        self.on_rows: list[Callable[[str, int, Rows, bool], None]] = []
         # Called each time that all rows of the table were read.
         self.on_full_read: list[Callable[[], None]] = []
 
@@ -93,6 +119,17 @@
         """Return the version of the newest row that this VM knows of."""
         return max(self.newest_row_version, self._reported_row_version)
 
+    def list_changes(self, after: int) -> Rows | None:
+        """Return the rows that changed after a version, oldest first.
+
+        Return nothing if this VM does not have all of them.
+        """
+        if self._needs_full_read or self._position < after:
+            return None
+        changed = [r for r in self._rows.values() if r.version > after]
+        changed.sort(key=lambda r: r.version)
+        return Rows(tuple(changed), self._position, 0.0)
+
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
@@ -117,30 +154,53 @@
             self._record_response()
             self._apply_full_read(table_rows)
             return
-        if self.is_relayed() and not self._delayed_deletions:
-            await self._wait_for_relayed_rows()
-            if (
-                self.is_relayed()
-                and self._reported_row_version <= self.newest_row_version
-            ):
-                return
-        wait = (
-            _SHORT_FEED_WAIT_S
-            if self._delayed_deletions or self.is_relayed()
-            else _FEED_WAIT_S
+        if self.is_relayed():
+            self._record_relay()
+            await self._follow_relay()
+            return
+        self._is_cut_off |= self.is_source_lost()
+        if self._leaves_store_alone():
+            await asyncio.sleep(_RELAY_CHECK_S)
+            return
+        is_short = self._delayed_deletions or self.has_lost_store()
+        await self._follow_store(
+            _SHORT_FEED_WAIT_S if is_short else _FEED_WAIT_S
         )
+
+    def _leaves_store_alone(self) -> bool:
+        """Return whether to wait for another VM's rows, without a call."""
+        delay = self.call_delay()
+        now = self._clock.now()
+        if delay and self.has_lost_store():
+            return now - self._called_at < _RELAYED_RETRY_S
+        return now - self._relayed_at < delay
+
+    async def _follow_store(self, wait: float) -> None:
+        self._called_at = self._clock.now()
         previous_version = self.newest_row_version
         changes = await self._store.follow(self.table, self._position, wait)
         self._record_response()
-        for row in changes.rows:
-            self._apply_row(row)
-        self._position = max(self._position, changes.store_version)
+        self._apply_changes(previous_version, changes, is_read=True)
         if changes.rows:
-            for callback in self.on_rows:
-                callback(previous_version, changes)
             await asyncio.sleep(_BATCH_PAUSE_S)
 
-    async def _wait_for_relayed_rows(self) -> None:
+    async def _follow_relay(self) -> None:
+        """Wait for relayed rows for a short time; request missing ones."""
+        since_call = self._clock.now() - self._called_at
+        if self._lost_since is not None and since_call > _PROBE_INTERVAL_S:
+            await self._follow_store(_SHORT_FEED_WAIT_S)
+        elif self._reported_row_version <= self._position:
+            self._row_requests = 0
+            await self._wait_for_report()
+        elif self._row_requests < _MAX_ROW_REQUESTS:
+            self._row_requests += 1
+            self.request_rows(self.table, self._position)
+            await asyncio.sleep(_RELAY_DELAY_S)
+        else:
+            self._row_requests = 0
+            await self._follow_store(_SHORT_FEED_WAIT_S)
+
+    async def _wait_for_report(self) -> None:
         """Wait until newer rows are reported, and for these to arrive."""
         self._newer_rows_reported.clear()
         try:
@@ -151,36 +211,49 @@
         await asyncio.sleep(_RELAY_DELAY_S)
 
     def apply_relayed(self, previous_version: int, changes: Rows) -> None:
-        """Apply rows that another VM read from the feed.
+        """Apply rows that another VM has.
 
         ``previous_version`` is that of the newest row that the other VM had
-        before. If this VM lacks rows up to that version, it reads the store
+        before. If this VM lacks rows up to that version, it requests them
         instead.
         """
-        if self._needs_full_read or previous_version > self.newest_row_version:
-            self.record_newest_row_version(
-                max(r.version for r in changes.rows)
-            )
+        if self._needs_full_read or previous_version > self._position:
+            if changes.rows:
+                self.record_newest_row_version(
+                    max(r.version for r in changes.rows)
+                )
             return
         self._record_relay()
-        for row in changes.rows:
-            self._apply_row(row)
+        self._apply_changes(self.newest_row_version, changes, is_read=False)
+
+    def _apply_changes(
+        self, previous_version: int, changes: Rows, is_read: bool
+    ) -> None:
+        """Apply rows, and pass on those that are new."""
+        new_rows = tuple(r for r in changes.rows if self._apply_row(r))
         self._position = max(self._position, changes.store_version)
+        if not new_rows:
+            return
+        for callback in self.on_rows:
+            callback(
+                self.table,
+                previous_version,
+                changes._replace(rows=new_rows),
+                is_read,
+            )
 
     def _record_relay(self) -> None:
-        now = self._clock.now()
-        if self._is_cut_off():
-            self._regained_at = now
-        self._relayed_at = now
+        self._relayed_at = self.last_read = self._clock.now()
+        self._end_outage()
 
-    def _is_cut_off(self) -> bool:
-        """Return whether no rows arrived since the store was lost."""
-        lost_since = self._lost_since
-        return lost_since is not None and self._relayed_at < lost_since
+    def _end_outage(self) -> None:
+        if self._is_cut_off:
+            self._is_cut_off = False
+            self._regained_at = self._clock.now()
 
     def _delays_deletions(self) -> bool:
         since_regained = self._clock.now() - self._regained_at
-        return self._is_cut_off() or since_regained < _EXPIRY_GRACE_S
+        return self._is_cut_off or since_regained < _EXPIRY_GRACE_S
 
     def record_newest_row_version(self, version: int) -> None:
         """Record the version of the newest row that another VM knows of."""
@@ -203,21 +276,24 @@
         for callback in self.on_full_read:
             callback()
 
-    def _apply_row(self, row: Row) -> None:
-        if row.version <= self._row_versions.get(row.key, 0):
-            return
-        self._row_versions[row.key] = row.version
+    def _apply_row(self, row: Row) -> bool:
+        """Apply a row; return whether it is newer than that of its key."""
+        known = self._rows.get(row.key)
+        if known is not None and row.version <= known.version:
+            return False
+        self._rows[row.key] = row
         self.newest_row_version = max(self.newest_row_version, row.version)
         if not row.is_deleted:
             self._present_keys.add(row.key)
             self._delayed_deletions.pop(row.key, None)
             self._handle_row(row)
-            return
+            return True
         self._present_keys.discard(row.key)
         if self._delays_deletions():
             self._delayed_deletions[row.key] = row
         else:
             self._handle_row(row)
+        return True
 
     def _apply_delayed_deletions(self) -> None:
         if not self._delayed_deletions or self._delays_deletions():
@@ -237,12 +313,13 @@
                 seconds=round(now - self._lost_since, 3),
             )
             self._lost_since = None
-            self._regained_at = now
+        self._end_outage()
 
     def _record_failure(self, error: PlatformError) -> None:
         if self._lost_since is None:
             self._lost_since = self._clock.now()
             self._log.write('store_lost', table=self.table, error=error)
+        self._is_cut_off |= not self.is_relayed()
 
 
 __all__ = ['Follower']
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -125,6 +125,7 @@
             self._row_relay.newest_row_versions(),
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
+            self._row_relay.has_lost_rows(),
         )
 
     def _list_sources(self, scope: Scope) -> list[str]:
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -95,7 +95,8 @@
     admitted in each second, newest first. ``unresponsive`` is the number
     of VMs that count as unresponsive for the sender. ``row_versions`` are
     the versions of the newest rows that it knows of, by table of the
-    store; it ``has_lost_store`` while the store does not answer it.
+    store; it ``has_lost_store`` while the store does not answer it, and
+    ``has_lost_rows`` while it gets no rows from other VMs either.
     """
 
     node: str
@@ -117,6 +118,7 @@
     row_versions: dict[str, int]
     stored_segments: list[StoredSegmentReport]
     prefills: list[PrefillReport]
+    has_lost_rows: bool = False
 
 
 class RelayedRow(NamedTuple):
@@ -142,6 +144,17 @@
     rows: list[RelayedRow]
 
 
+class RowRequest(NamedTuple):
+    """Asks for the rows of a table that changed after a version."""
+
+    node: str
+    table: str
+    after: int
+
+
+Message = GossipMessage | RelayedRows | RowRequest
+
+
 class BadMessageError(LentilrunError):
     """A message of an unknown kind, or one that can't be decoded."""
 
@@ -149,17 +162,20 @@
 _encoder = msgspec.msgpack.Encoder()
 _gossip_decoder = msgspec.msgpack.Decoder(GossipMessage)
 _rows_decoder = msgspec.msgpack.Decoder(RelayedRows)
-_GOSSIP_KIND = b'b'
-_ROWS_KIND = b'r'
+_request_decoder = msgspec.msgpack.Decoder(RowRequest)
+_kinds: dict[type[Message], bytes] = {
+    GossipMessage: b'b',
+    RelayedRows: b'r',
+    RowRequest: b'q',
+}
 
 
-def encode(message: GossipMessage | RelayedRows) -> bytes:
+def encode(message: Message) -> bytes:
     """Return a message as bytes: its kind, then msgpack."""
-    kind = _GOSSIP_KIND if isinstance(message, GossipMessage) else _ROWS_KIND
-    return kind + _encoder.encode(message)
+    return _kinds[type(message)] + _encoder.encode(message)
 
 
-def decode(data: bytes) -> GossipMessage | RelayedRows:
+def decode(data: bytes) -> Message:
     """Return the message in a datagram; raises ``BadMessageError``."""
     decoder = _decoders.get(data[:1])
     if decoder is None:
@@ -173,8 +189,13 @@
 _decoders: dict[
     bytes,
     msgspec.msgpack.Decoder[GossipMessage]
-    | msgspec.msgpack.Decoder[RelayedRows],
-] = {_GOSSIP_KIND: _gossip_decoder, _ROWS_KIND: _rows_decoder}
+    | msgspec.msgpack.Decoder[RelayedRows]
+    | msgspec.msgpack.Decoder[RowRequest],
+] = {
+    _kinds[GossipMessage]: _gossip_decoder,
+    _kinds[RelayedRows]: _rows_decoder,
+    _kinds[RowRequest]: _request_decoder,
+}
 
 __all__ = [
     'BadMessageError',
@@ -183,9 +204,11 @@
     'encode',
     'GossipMessage',
     'LoadReport',
+    'Message',
     'PrefillReport',
     'RelayedRow',
     'RelayedRows',
+    'RowRequest',
     'Scope',
     'StoredSegmentReport',
     'WeightsLoadReport',
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -16,13 +16,16 @@
 from ..decisions.topology import Member
 from ..decisions.topology import MESH_VMS
 from ..decisions.topology import pick_hubs
+from ..decisions.topology import pick_readers
 from ..decisions.topology import pick_recipients
 from ..decisions.topology import Recipients
 from .messages import BadMessageError
 from .messages import decode
 from .messages import encode
 from .messages import GossipMessage
+from .messages import Message
 from .messages import RelayedRows
+from .messages import RowRequest
 from .messages import Scope
 
 if TYPE_CHECKING:
@@ -56,7 +59,8 @@
     """Another VM; times by the clock, in seconds.
 
     ``unresponsive`` is the number of VMs that are unresponsive by its own
-    report. It ``has_lost_store`` while the store does not answer it.
+    report. It ``has_lost_store`` while the store does not answer it, and
+    ``has_lost_rows`` while it gets no rows from other VMs either.
     """
 
     def __init__(self, member: Member, address: Address, now: float) -> None:
@@ -68,6 +72,7 @@
         self.suspect_until = float('-inf')
         self.unresponsive = 0
         self.has_lost_store = False
+        self.has_lost_rows = False
 
 
 class GossipSource(Protocol):
@@ -102,18 +107,16 @@
         # By hub, the time since which it should send to this VM.
         self._expected_since: dict[str, float] = {}
         self._send_requested = asyncio.Event()
-        # Hubs by data centre, until the members, the suspects or the VMs
-        # without the store change.
+        # Hubs by data centre, until the members or the suspects change.
         self._hubs: dict[str, list[str]] | None = None
-        self._hubs_picked_for: tuple[frozenset[str], frozenset[str]] | None = (
-            None
-        )
+        self._hubs_picked_for: frozenset[str] = frozenset()
         self.incarnation = secrets.randbits(48)
         self.by_name: dict[str, Peer] = {}
         self.make_messages: GossipSource | None = None
         self.has_lost_store: Callable[[], bool] = lambda: False
         self.on_message: list[Callable[[GossipMessage], None]] = []
         self.on_relayed_rows: list[Callable[[RelayedRows], None]] = []
+        self.on_row_request: list[Callable[[RowRequest], None]] = []
         # Called for a peer that is new, has restarted or was removed.
         self.on_restart: list[Callable[[str], None]] = []
 
@@ -157,15 +160,13 @@
         now = self._clock.now()
         peers = self.by_name.items()
         suspects = frozenset(n for n, p in peers if p.suspect_until > now)
-        without_store = self._list_without_store()
-        picked_for = (suspects, without_store)
-        if self._hubs is None or picked_for != self._hubs_picked_for:
+        if self._hubs is None or suspects != self._hubs_picked_for:
             members = [
                 self.own_member,
                 *(p.member for p in self.by_name.values()),
             ]
-            self._hubs = pick_hubs(members, suspects, without_store)
-            self._hubs_picked_for = picked_for
+            self._hubs = pick_hubs(members, suspects)
+            self._hubs_picked_for = suspects
         return self._hubs
 
     def _list_without_store(self) -> frozenset[str]:
@@ -301,7 +302,7 @@
         answers from the store. Of other data centres only the preferred hub
         sends to this VM, and only if this VM is a hub.
         """
-        unfit = self._list_without_store() | self._list_silent_hubs()
+        unfit = self._list_unfit_hubs()
         ranked = [
             (rank, name)
             for names in self.hubs().values()
@@ -311,12 +312,20 @@
             ranked = [(0, name) for _, name in ranked]
         return [name for _, name in sorted(ranked) if name not in unfit]
 
-    def _list_silent_hubs(self) -> set[str]:
-        """Return the hubs that should send to this VM and do not."""
+    def list_readers(self) -> list[str]:
+        """Return the hubs that read the store for the fleet, in order."""
+        return pick_readers(self.hubs(), self._list_unfit_hubs())
+
+    def _list_unfit_hubs(self) -> set[str]:
+        """Return the VMs that are silent or get no answers from the store.
+
+        Only hubs that should send to this VM can be known to be silent.
+        """
         expected = (
             set(self.by_name) if self.is_mesh() else self._list_expected_hubs()
         )
-        return expected.difference(self.list_responsive())
+        silent = expected.difference(self.list_responsive())
+        return silent | self._list_without_store()
 
     async def run(self) -> None:
         """Send messages until cancelled."""
@@ -366,20 +375,18 @@
         if peer is not None:
             transport.sendto(data, peer.address)
 
-    def relay_rows(self, rows: RelayedRows) -> None:
-        """Send rows of the store to the VMs that this one is the hub of.
-
-        Rows that exceed a datagram are not sent: the others learn from
-        gossip that there are newer rows, and read them from the store.
-        """
+    def list_spokes(self) -> list[str]:
+        """Return the VMs that get the reports on the fleet from this hub."""
         members = [p.member for p in self.by_name.values()]
-        recipients = pick_recipients(self.own_member, members, self.hubs())
-        if not recipients.fleet:
-            return
-        data = encode(rows)
+        return pick_recipients(self.own_member, members, self.hubs()).fleet
+
+    def send(self, names: Iterable[str], message: Message) -> None:
+        """Send a message to some VMs, unless it exceeds a datagram."""
+        data = encode(message)
         if len(data) > _MAX_DATAGRAM_BYTES:
+            self._log.write('peer_message_too_long', bytes=len(data))
             return
-        for name in recipients.fleet:
+        for name in names:
             self._send_datagram(name, data)
 
     def _detect_failures(self) -> None:
@@ -432,6 +439,9 @@
         if isinstance(message, RelayedRows):
             for callback in self.on_relayed_rows:
                 callback(message)
+        elif isinstance(message, RowRequest):
+            for handle_request in self.on_row_request:
+                handle_request(message)
         else:
             self._receive_message(message)
 
@@ -463,6 +473,7 @@
         peer.suspect_until = float('-inf')
         peer.unresponsive = message.unresponsive
         peer.has_lost_store = message.has_lost_store
+        peer.has_lost_rows = message.has_lost_rows
 
 
 __all__ = [
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -1,4 +1,4 @@
-"""Relaying of store rows from hubs to the other VMs."""
+"""Relaying of store rows from the hubs that read them to the other VMs."""
 
 from __future__ import annotations
 
@@ -8,20 +8,34 @@
 from ..platform.rows import Rows
 from .messages import RelayedRow
 from .messages import RelayedRows
+from .messages import RowRequest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Iterator
+    from collections.abc import Sequence
 
     from .follower import Follower
     from .messages import GossipMessage
     from .peers import Peers
 
+# Below the size of a datagram, which holds names and versions besides.
+_MAX_VALUE_BYTES = 48_000
+_ROW_OVERHEAD_BYTES = 40
+# A VM that is no hub waits this long before it calls the store: until its
+# hub is replaced if it is silent, and longer if its hub responds but has no
+# rows, as the store is then down for all hubs.
+_SILENT_HUB_DELAY_S = 0.4
+_LOST_ROWS_DELAY_S = 1.5
+
 
 class RowRelay:
-    """Applies rows that a hub relays; as a hub, relays rows that it reads.
+    """Gets the rows that others read; as a hub, passes rows on.
 
-    A VM reads the store itself while it has no responsive hub that can,
-    or if reported rows have not arrived.
+    The readers of the fleet follow the store and send what they read to
+    all hubs. The preferred hub of each data centre sends it to the VMs
+    that are no hubs. A VM that knows of newer rows than it has asks for
+    them. It reads the store itself while no responsive VM has rows for it,
+    or if it gets none when it asks.
     """
 
     def __init__(self, peers: Peers, followers: list[Follower]) -> None:
@@ -30,18 +44,55 @@
         peers.has_lost_store = self.has_lost_store
         peers.on_message.append(self._record_versions)
         peers.on_relayed_rows.append(self._apply_rows)
+        peers.on_row_request.append(self._respond)
         for follower in followers:
             follower.is_relayed = self._is_relayed
-            follower.on_rows.append(self._make_relay_callback(follower.table))
+            follower.is_source_lost = self._is_source_lost
+            follower.call_delay = self._call_delay
+            follower.request_rows = self._request
+            follower.on_rows.append(self._relay)
+
+    def _list_sources(self) -> list[str]:
+        """Return the responsive VMs that have rows for this one."""
+        peers = self._peers
+        if not peers.is_hub():
+            hub = peers.find_hub()
+            if hub is None or hub.has_lost_rows:
+                return []
+            return [hub.member.name]
+        readers = peers.list_readers()
+        if peers.own_member.name in readers:
+            return []
+        responsive = peers.list_responsive()
+        return [
+            n
+            for n in readers
+            if n in responsive and not peers.by_name[n].has_lost_store
+        ]
 
     def _is_relayed(self) -> bool:
+        return bool(self._list_sources())
+
+    def _is_source_lost(self) -> bool:
+        """Return whether the hub of this VM responds but gets no rows."""
         hub = self._peers.find_hub()
-        return hub is not None and not hub.has_lost_store
+        return hub is not None and hub.has_lost_rows
+
+    def _call_delay(self) -> float:
+        if self._peers.is_hub():
+            return 0.0
+        if self._is_source_lost():
+            return _LOST_ROWS_DELAY_S
+        return _SILENT_HUB_DELAY_S
 
     def has_lost_store(self) -> bool:
         """Return whether the last store call of any table failed."""
         return any(f.has_lost_store() for f in self._followers.values())
 
+    def has_lost_rows(self) -> bool:
+        """Return whether neither the store nor another VM has rows."""
+        return self.has_lost_store() and not self._is_relayed()
+
     def newest_row_versions(self) -> dict[str, int]:
         """Return the version of the newest row known of, by table.
 
@@ -52,20 +103,53 @@
             t: f.newest_known_row_version() for t, f in self._followers.items()
         }
 
-    def _make_relay_callback(self, table: str) -> Callable[[int, Rows], None]:
-        def relay(previous_version: int, changes: Rows) -> None:
-            rows = [RelayedRow(*row) for row in changes.rows]
-            self._peers.relay_rows(
-                RelayedRows(
-                    self._peers.own_member.name,
-                    table,
-                    previous_version,
-                    changes.store_version,
-                    rows,
-                )
+    def _relay(
+        self, table: str, previous_version: int, changes: Rows, is_read: bool
+    ) -> None:
+        """Pass rows on that were read from the store, or relayed."""
+        peers = self._peers
+        recipients = set(peers.list_spokes())
+        if is_read and peers.own_member.name in peers.list_readers():
+            recipients.update(n for h in peers.hubs().values() for n in h)
+        recipients.discard(peers.own_member.name)
+        if recipients:
+            self._send(recipients, table, previous_version, changes)
+
+    def _send(
+        self,
+        recipients: set[str],
+        table: str,
+        previous_version: int,
+        changes: Rows,
+    ) -> None:
+        """Send rows in messages that each fit a datagram.
+
+        A row that does not fit one ends the series: the others learn from
+        gossip that there are newer rows, and read them from the store.
+        """
+        own = self._peers.own_member.name
+        for rows, version in _split(changes):
+            relayed = [RelayedRow(*row) for row in rows]
+            message = RelayedRows(
+                own, table, previous_version, version, relayed
             )
-
-        return relay
+            self._peers.send(recipients, message)
+            previous_version = version
+
+    def _request(self, table: str, after: int) -> None:
+        own = self._peers.own_member.name
+        self._peers.send(self._list_sources(), RowRequest(own, table, after))
+
+    def _respond(self, request: RowRequest) -> None:
+        """Send the rows that another VM asks for, if this one has them."""
+        follower = self._followers.get(request.table)
+        changes = (
+            follower.list_changes(request.after)
+            if follower is not None
+            else None
+        )
+        if changes is not None:
+            self._send({request.node}, request.table, request.after, changes)
 
     def _record_versions(self, message: GossipMessage) -> None:
         for table, version in message.row_versions.items():
@@ -83,4 +167,21 @@
         )
 
 
+def _split(changes: Rows) -> Iterator[tuple[Sequence[Row], int]]:
+    """Yield rows by datagram, with the version up to which they are whole."""
+    rows: list[Row] = []
+    size = 0
+    for row in changes.rows:
+        row_size = len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
+        if rows and size + row_size > _MAX_VALUE_BYTES:
+            # Rows of one transaction have the same version.
+            yield rows, row.version - 1
+            rows, size = [], 0
+        if row_size > _MAX_VALUE_BYTES:
+            return
+        rows.append(row)
+        size += row_size
+    yield rows, changes.store_version
+
+
 __all__ = ['RowRelay']
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterator
     from collections.abc import Sequence
     from typing import Any
 
@@ -231,6 +232,10 @@
     def __exit__(self, *exception: object) -> None:
         os.close(self._log_file)
 
+    def __iter__(self) -> Iterator[Node]:
+        """Return the running VMs."""
+        return iter([self.nodes[name] for name in self._tasks])
+
     def _add(self, name: str, data_centre: str) -> None:
         port = 2000 + len(self.nodes)
         address = Address(_HOST, port)
--- a/tests/gateway/test_hubs.py
+++ b/tests/gateway/test_hubs.py
@@ -165,11 +165,13 @@
 
 async def _swap_hubs(nodes: list[Node]) -> None:
     """Let the second hub become the first for some seconds."""
-    read, follow = nodes[0].store.read, nodes[0].store.follow
-    _reject_store_calls(nodes[0])
+    send = nodes[0].peers._send_datagram
+    nodes[0].peers._send_datagram = lambda name, data: None
     await asyncio.sleep(2.5)
-    nodes[0].store.read, nodes[0].store.follow = read, follow
+    assert all(n.peers.hubs()['a'][0] == 'vm1' for n in nodes[1:])
+    nodes[0].peers._send_datagram = send
     await asyncio.sleep(2.0)
+    assert all(n.peers.hubs()['a'][0] == 'vm0' for n in nodes)
 
 
 async def _leave(nodes: list[Node]) -> None:
