Count use of all data centres while all VMs of a large fleet start

Cause: for its first 3 s a process sent only its own reports, to all VMs it had found. If all VMs start, no hub sent sums for this time, so VMs knew only of what the hub of their own data centre had counted.

Ruled out: the counts of a checkpoint are read before the first request.

Change: a starting VM sends its reports to all, and as a hub its sums as well.

--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -18,7 +18,6 @@
 from ..decisions.topology import pick_hubs
 from ..decisions.topology import pick_readers
 from ..decisions.topology import pick_recipients
-from ..decisions.topology import Recipients
 from .messages import BadMessageError
 from .messages import decode
 from .messages import encode
@@ -354,7 +353,8 @@
         members = [p.member for p in self.by_name.values()]
         recipients = pick_recipients(self.own_member, members, hubs)
         if self.is_starting():
-            recipients = Recipients(list(self.by_name), [], [])
+            # Hubs send sums besides: all VMs may be starting.
+            recipients = recipients._replace(vm=list(self.by_name))
         self._send_messages(recipients.vm, Scope.VM)
         self._send_messages(recipients.data_centre, Scope.DATA_CENTRE)
         self._send_messages(recipients.fleet, Scope.FLEET)
--- a/tests/gateway/fleets.py
+++ b/tests/gateway/fleets.py
@@ -49,6 +49,7 @@
 _DATAGRAM_S = 0.001
 _WEIGHTS_LOAD_S = 0.5
 _HOST = '127.0.0.1'
+_FIRST_PORT = 2000
 
 
 def _make_rows(
@@ -237,7 +238,8 @@
         return iter([self.nodes[name] for name in self._tasks])
 
     def _add(self, name: str, data_centre: str) -> None:
-        port = 2000 + len(self.nodes)
+        names = [*self.nodes, name]
+        port = _FIRST_PORT + names.index(name)
         address = Address(_HOST, port)
         settings = NodeSettings(
             name,
@@ -277,9 +279,14 @@
         for task in self._tasks.pop(name):
             task.cancel()
 
+    def replace(self, name: str) -> None:
+        """Build a new process of a VM that was stopped, and start it."""
+        self._add(name, self.nodes[name].settings.data_centre)
+        self.start(name)
+
     def transmit(self, sender: str, data: bytes, address: Address) -> None:
         """Deliver a datagram to the VM at an address."""
-        recipient = list(self.nodes)[address.port - 2000]
+        recipient = list(self.nodes)[address.port - _FIRST_PORT]
         if self.loses(sender, recipient, data):
             return
         self._loop.call_later(_DATAGRAM_S, self._deliver, recipient, data)
--- /dev/null
+++ b/tests/gateway/test_restarts.py
@@ -0,0 +1,87 @@
+"""What all VMs know of each other's use after they started together."""
+
+from __future__ import annotations
+
+import asyncio
+
+from fleets import ModelledFleet
+from lentilrun.gateway import peers
+from lentilrun.gateway.recent import Origin
+from lentilrun.standins import timeloop
+import pytest
+
+_FLEET = dict.fromkeys('abcd', 19)
+_TOKENS = 4000.0
+
+
+def _count_known_use(fleet: ModelledFleet) -> set[float]:
+    return {
+        node.quotas.export_admitted(Origin.REMOTE).get('workspace', 0.0)
+        for node in fleet
+    }
+
+
+@pytest.mark.parametrize('users', [['a005', 'c005'], ['a000', 'b001', 'd007']])
+def test_use_is_known_while_all_vms_start(
+    users: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After all VMs restart, each data centre knows of the others' use.
+
+    For three seconds hubs sent no sums, so that each data centre admitted
+    a workspace's whole quota.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(1.2)
+            for name in users:
+                node = fleet.nodes[name]
+                workspace = node.view.configuration.workspaces['workspace']
+                node.quotas._add_use(workspace.name, _TOKENS)
+            await asyncio.sleep(1.0)
+            assert node.peers.is_starting()
+            assert _count_known_use(fleet) == {_TOKENS * len(users)}
+            # It counts once when the usual messages follow.
+            await asyncio.sleep(peers.STARTING_S)
+            assert _count_known_use(fleet) == {_TOKENS * len(users)}
+
+    timeloop.run(main)
+
+
+_USERS = ('a005', 'b007', 'c005', 'd003')
+_USE_INTERVAL_S = 0.1
+_USE_TOKENS = 1200.0
+
+
+async def _use_quota(fleet: ModelledFleet, seconds: float) -> float:
+    """Let some VMs admit tokens at a steady rate; return their sum."""
+    rounds = round(seconds / _USE_INTERVAL_S)
+    for _ in range(rounds):
+        for name in _USERS:
+            fleet.nodes[name].quotas._add_use('workspace', _USE_TOKENS)
+        await asyncio.sleep(_USE_INTERVAL_S)
+    return rounds * len(_USERS) * _USE_TOKENS
+
+
+def _list_used(fleet: ModelledFleet) -> list[float]:
+    return [
+        n.quotas.used_tokens(n.view.configuration.workspaces['workspace'])
+        for n in fleet
+    ]
+
+
+def test_all_use_counts_while_all_vms_start(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """No VM counts less than what all VMs have admitted since the start."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(1.2)
+            used = await _use_quota(fleet, 4.5)
+            await asyncio.sleep(1.0)
+            assert min(_list_used(fleet)) >= used
+
+    timeloop.run(main)
