Assume use that hubs had not counted at the last checkpoint

Cause: a hub writes the checkpoint from what it has counted, and reports of other VMs reach it up to 0.85 s late. Only the time since the checkpoint was assumed to continue at the last rate, not the time of the reports.

Change: that time is added (Quotas.adopt_checkpoint).

--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -172,21 +172,39 @@
         """Discard all baselines: the next messages set new ones."""
         self._baselines.clear()
 
-    def adopt(self, uses: dict[str, list[int]], age: float = 0.0) -> None:
+    def adopt(self, uses: dict[str, list[int]]) -> None:
         """Apply counts of other processes after the start of this one.
 
         ``uses`` holds the tokens of each second, newest first, by
-        workspace. ``age`` is the time since they were counted, in seconds.
-        Since then, but for no longer than the time between two checkpoints,
-        the use of their last second is assumed to continue.
+        workspace.
+        """
+        self._adopt(uses, 0.0, 0.0)
+
+    def adopt_checkpoint(self, uses: dict[str, list[int]], age: float) -> None:
+        """Apply counts that were saved ``age`` seconds ago.
+
+        What VMs had not reported by then, and what they admitted until the
+        next checkpoint was due, is not among them: for this time, the use
+        of the last second is assumed to continue.
         """
-        now = self._clock.now()
         uncounted_s = min(age, _CHECKPOINT_INTERVAL_S)
+        age_at_end = age - uncounted_s
+        uncounted_s += self._peers.report_lag()
+        self._adopt(uses, age_at_end, uncounted_s)
+
+    def _adopt(
+        self, uses: dict[str, list[int]], age: float, uncounted_s: float
+    ) -> None:
+        """Apply counts that ended ``age`` seconds ago.
+
+        The use of the last second is counted for ``uncounted_s`` more.
+        """
+        now = self._clock.now()
         for name, used_per_second in uses.items():
             window = self._window(name)
             window.adopt(
                 [used_per_second[0] * uncounted_s, *used_per_second],
-                now - age + uncounted_s,
+                now - age,
             )
             window.discard_expired(now)
 
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -82,7 +82,7 @@
                 continue
             age = max(0.0, table_rows.store_time - checkpoint.written)
             self._log.write('usage_taken', uses=checkpoint.uses, age=age)
-            self._quotas.adopt(checkpoint.uses, age)
+            self._quotas.adopt_checkpoint(checkpoint.uses, age)
 
 
 __all__ = ['UsageCheckpointer']
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -85,3 +85,28 @@
             assert min(_list_used(fleet)) >= used
 
     timeloop.run(main)
+
+
+def test_use_up_to_a_restart_of_all_vms_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """What was admitted after the last checkpoint is assumed.
+
+    The use in a checkpoint of a hub lags what the other VMs admitted.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(10.0)
+            used = await _use_quota(fleet, 7.0)
+            for name in fleet.nodes:
+                fleet.stop(name)
+            await asyncio.sleep(0.3)
+            for name in fleet.nodes:
+                fleet.replace(name)
+            await asyncio.sleep(0.5)
+            assert min(_list_used(fleet)) >= used
+            assert max(_list_used(fleet)) <= 1.25 * used
+
+    timeloop.run(main)
