Let a hub without the store get rows from the only reader that is left

Callers saw: of two hubs of a fleet in one data centre the store rejects the preferred one; it still counted as a reader, so it took no rows from the other and reported that it had none. Its VMs asked it for nothing, and one that the store rejected too kept an old configuration if its relayed datagram was lost.

Cause: unfit hubs filled up the two readers.

Change: unfit hubs are readers only if all are.

--- a/src/lentilrun/decisions/topology.py
+++ b/src/lentilrun/decisions/topology.py
@@ -59,15 +59,17 @@
     """Return the hubs that read the changes of the store, in order.
 
     They are the preferred hubs of two data centres, if possible. ``unfit``
-    VMs are silent or get no responses from the store; if all hubs are, the
-    first ones are picked all the same.
+    VMs are silent or get no responses from the store: none of them is
+    picked unless all hubs are unfit.
     """
     ranked = sorted(
-        (name in unfit, rank, name)
+        (rank, name)
         for names in hubs.values()
         for rank, name in enumerate(names)
     )
-    return [name for _, _, name in ranked[:_READERS]]
+    names = [name for _, name in ranked]
+    fit = [name for name in names if name not in unfit]
+    return (fit or names)[:_READERS]
 
 
 class Recipients(NamedTuple):
--- a/tests/decisions/test_topology.py
+++ b/tests/decisions/test_topology.py
@@ -5,6 +5,7 @@
 from lentilrun.decisions.topology import Member
 from lentilrun.decisions.topology import MESH_VMS
 from lentilrun.decisions.topology import pick_hubs
+from lentilrun.decisions.topology import pick_readers
 from lentilrun.decisions.topology import pick_recipients
 import pytest
 
@@ -64,3 +65,22 @@
     members[7] = members[7]._replace(power=2.0)
     assert pick_hubs(members, [])['a'] == ['vm07', 'vm00']
     assert pick_hubs(members, ['vm07'])['a'] == ['vm00', 'vm01']
+
+
+@pytest.mark.parametrize(
+    ('data_centres', 'unfit', 'expected'),
+    [
+        ('abc', [], ['vm00', 'vm01']),
+        ('abc', ['vm00'], ['vm01', 'vm02']),
+        ('abc', ['vm00', 'vm01', 'vm02'], ['vm03', 'vm04']),
+        # A hub without the store gets rows from the only reader.
+        ('a', ['vm00'], ['vm01']),
+        ('a', ['vm00', 'vm01'], ['vm00', 'vm01']),
+    ],
+)
+def test_readers(
+    data_centres: str, unfit: list[str], expected: list[str]
+) -> None:
+    """Two hubs read the store, of two data centres if possible."""
+    hubs = pick_hubs(_make(20, data_centres), [])
+    assert pick_readers(hubs, unfit) == expected
--- a/tests/gateway/test_storecalls.py
+++ b/tests/gateway/test_storecalls.py
@@ -16,6 +16,8 @@
 
 _SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
 _LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
+# Its two hubs are its readers.
+_SINGLE_DATA_CENTRE = {'a': 14}
 # The first byte of datagrams with rows.
 _ROWS_KIND = b'r'
 # After its start, a VM exchanges messages with its hubs only.
@@ -100,7 +102,9 @@
 
 
 # The readers of the large fleet are a000 and b000, its hubs also a001, b001.
-@pytest.mark.parametrize('data_centres', [_SMALL_FLEET, _LARGE_FLEET])
+@pytest.mark.parametrize(
+    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
+)
 @pytest.mark.parametrize(
     'fault',
     [
@@ -116,6 +120,7 @@
         _Fault(['c000', 'c001', 'b001'], rejects=True, lost_rows=1),
         _Fault(['a001', 'd000'], rejects=True, lost_rows=2),
         _Fault(['c000', 'c005', 'd007'], rejects=True, lost_rows=1),
+        _Fault(['a000', 'a005'], rejects=True, lost_rows=1),
     ],
 )
 def test_changes_arrive_in_time_despite_a_fault(
