--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -138,6 +138,7 @@
             self._crashes.recent_cleared.export(max_origin),
             self._rollouts.export(self.is_driving_rollouts()),
             self._rollouts.reporter.recent.export(max_origin),
+            self._row_relay.has_lost_rows(),
         )
 
     def _list_sources(self, scope: Scope) -> list[str]:
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -161,8 +161,9 @@
     def _compute_takeover_time(self, unresolved: list[Rollout]) -> float:
         """Return when this VM may take over, by the clock, in seconds."""
         assert self._work_since is not None
+        candidates = sorted([self._node, *self._peers.list_responsive()])
         own_start = self._work_since + compute_takeover_delay(
-            self._node, self._peers.list_responsive()
+            self._node, candidates, ()
         )
         driven_at = max(r.driven_at for r in unresolved)
         return max(own_start, driven_at + _DRIVER_TTL_S)
--- a/tests/gateway/test_rollout_nodes.py
+++ b/tests/gateway/test_rollout_nodes.py
@@ -10,8 +10,8 @@
 
 from deployments import Deployment
 from lentilrun.decisions import topology
-from lentilrun.gateway import peers
 from lentilrun.gateway.node import Node
+from lentilrun.gateway import peers
 from lentilrun.gateway.rollouts import Stage
 import pytest
 
