Keep the share to the deadline, also if a bad version is completed

The version answered well under the load of the canary and of the whole traffic (one failure in 30 s) and was completed 13.3 s after the order; until its deadline at 15 s it then got 154 to 157 of 542 to 589 requests, allowed 104 to 109.

Cause: the share was kept only until completion, and that came as early as the margin let it.

Now completion comes 0.4 to 0.7 s before the deadline, and the canary, the ramp and the rest of the time together keep to the limits at the usual rate.

A verdict on slow responses needs five of them; that on the mean no longer needs responses that are slow by themselves; doubt needs more than one target.

--- a/src/lentilrun/decisions/rollouts.py
+++ b/src/lentilrun/decisions/rollouts.py
@@ -19,11 +19,13 @@
     from collections.abc import Mapping
 
 # Shares of the limits that are used, until all requests go to the new
-# version and after that. The rest is for VMs that start and count anew.
-_CANARY_USE = 0.75
-_CANARY_SLACK_USE = 0.7
-_RAMP_USE = 0.97
-_RAMP_SLACK_USE = 0.95
+# version and while they do. The rest is for the time from completion to the
+# deadline, in which a bad version that was not found out gets all requests,
+# and for VMs that start and count anew.
+_CANARY_USE = 0.6
+_CANARY_SLACK_USE = 0.55
+_RAMP_USE = 0.9
+_RAMP_SLACK_USE = 0.85
 # The slack is given out over this time, so that a bad version shows before
 # it has got all of it.
 _SLACK_S = 4.0
@@ -41,17 +43,18 @@
 _FULL_ROUTE_SHARE = 0.1
 # Completion begins this long before the deadline, in seconds and as a
 # share of the time for the roll-out.
-_MAX_MARGIN_S = 3.0
+_MAX_MARGIN_S = 1.2
 _MARGIN_SHARE = 0.25
 # If it is doubtful whether the version is good, that is decided after this
 # share of the margin.
 _DOUBT_SHARE = 0.6
-_MIN_RAMP_S = 0.6
-_MAX_RAMP_S = 1.2
+_MIN_RAMP_S = 0.5
+_MAX_RAMP_S = 0.8
 _MIN_RESPONSES = 8
-# A few targets get all requests of the canary, so that their load is like
-# that of the old ones; these change after this time.
+# A part of the targets gets all requests of the canary, so that their load
+# is at least that of the old ones. They change after a time.
 _MIN_CANARY_TARGETS = 2
+_CANARY_TARGET_SHARE = 0.2
 _ROTATION_S = 4.0
 # Of these, one with more requests than this, and in relation to the mean of
 # the old ones, gets no more.
@@ -146,10 +149,7 @@
 
 
 def pick_canary_targets(
-    in_flight: Mapping[str, int],
-    old_in_flight: float,
-    limits: ExposureLimits,
-    age: float,
+    in_flight: Mapping[str, int], old_in_flight: float, age: float
 ) -> list[str]:
     """Return the targets that may get a request of the canary now.
 
@@ -158,8 +158,8 @@
     time since the order, in seconds.
     """
     names = sorted(in_flight)
-    share = _CANARY_USE * limits.share
-    count = max(_MIN_CANARY_TARGETS, math.ceil(share * len(names)))
+    count = math.ceil(_CANARY_TARGET_SHARE * len(names))
+    count = max(_MIN_CANARY_TARGETS, count)
     if len(names) > count:
         first = int(age / _ROTATION_S) * count % len(names)
         names = (names + names)[first : first + count]
--- a/src/lentilrun/decisions/rolloutverdict.py
+++ b/src/lentilrun/decisions/rolloutverdict.py
@@ -34,7 +34,7 @@
 # the old version: 2.8 times as long.
 _SLOW_LEVELS = 6
 _SLOW_Z_SCORE = 3.0
-_MIN_SLOW = 4
+_MIN_SLOW = 5
 _MIN_COMPARED = 8
 _MIN_MEAN_RATIO = 1.8
 _MIN_T_STATISTIC = 4.0
@@ -53,7 +53,6 @@
 # with the old version.
 _DOUBTFUL_PROBABILITY = 0.03
 _DOUBTFUL_EXTRA_SHARE = 0.05
-_MIN_DOUBTFUL = 2
 # It is also doubtful if its responses take so many times as long.
 _DOUBTFUL_MEAN_RATIO = 1.5
 _DOUBTFUL_T_STATISTIC = 2.5
@@ -160,16 +159,20 @@
         return ''
     median = statistics.median(map(measure.read, old))
     slow = _find_slow(new, measure, median)
-    if len(slow) < _MIN_SLOW or not _is_widespread(slow):
-        return ''
     old_slow = len(_find_slow(old, measure, median))
-    if is_share_higher(len(slow), len(new), old_slow, len(old), _SLOW_Z_SCORE):
+    if (
+        len(slow) >= _MIN_SLOW
+        and _is_widespread(slow)
+        and is_share_higher(
+            len(slow), len(new), old_slow, len(old), _SLOW_Z_SCORE
+        )
+    ):
         return (
             f'{where}: {measure.name} of {len(slow)} of {len(new)} slow, '
             f'of the old version {old_slow} of {len(old)}'
         )
     ratio = _compute_mean_ratio(new, old, measure, _MIN_T_STATISTIC)
-    if ratio < _MIN_MEAN_RATIO:
+    if ratio < _MIN_MEAN_RATIO or not _is_widespread(new):
         return ''
     return f'{where}: {measure.name} took {ratio:.2f} times as long'
 
@@ -244,8 +247,8 @@
     return _find_fault(recent, old)
 
 
-def _count_bad(new: Sequence[Outcome], old: Sequence[Outcome]) -> int:
-    """Return how many of ``new`` failed, or are slow compared to ``old``."""
+def _list_bad(new: Sequence[Outcome], old: Sequence[Outcome]) -> list[Outcome]:
+    """Return those of ``new`` that failed, or are slow beside ``old``."""
     bad = {i for i, o in enumerate(new) if o.fate is not Fate.GOOD}
     for measure in _MEASURES:
         measured = _list_measured(old, measure)
@@ -258,7 +261,7 @@
             if measure.read(o) != NO_LEVEL
             and measure.read(o) - median >= _SLOW_LEVELS
         )
-    return len(bad)
+    return [new[i] for i in sorted(bad)]
 
 
 def _compute_binomial_tail(hits: int, total: int, share: float) -> float:
@@ -288,16 +291,16 @@
     old_by_route = _group_by_route(_merge_breaks(old))
     for route, new_on_route in new_by_route.items():
         old_on_route = old_by_route.get(route, [])
-        bad = _count_bad(new_on_route, old_on_route)
-        old_bad = _count_bad(old_on_route, old_on_route)
-        usual_share = (old_bad + 1) / (len(old_on_route) + 2)
+        bad = _list_bad(new_on_route, old_on_route)
+        old_bad = _list_bad(old_on_route, old_on_route)
+        usual_share = (len(old_bad) + 1) / (len(old_on_route) + 2)
         if _is_rather_slow(new_on_route, old_on_route):
             return True
-        extra_share = bad / len(new_on_route) - usual_share
-        if bad < _MIN_DOUBTFUL or extra_share < _DOUBTFUL_EXTRA_SHARE:
+        extra_share = len(bad) / len(new_on_route) - usual_share
+        if extra_share < _DOUBTFUL_EXTRA_SHARE or not _is_widespread(bad):
             continue
         probability = _compute_binomial_tail(
-            bad, len(new_on_route), usual_share
+            len(bad), len(new_on_route), usual_share
         )
         if probability < _DOUBTFUL_PROBABILITY:
             return True
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -310,7 +310,6 @@
         names = pick_canary_targets(
             {n: s.count_in_flight(now) for n, s in warm.items()},
             statistics.fmean(s.count_in_flight(now) for s in old),
-            self._limits,
             now - rollout.known_at,
         )
         return [warm[n] for n in names]
