Reject versions beyond 64 bits in rows and reports

A target's row or report with a version of 30 digits was taken over; from then on no message between VMs could be encoded (OverflowError), so that the VM fell silent.

Found by test_any_target, whose property-based cases differ in each run: it had passed in the runs before. Seen red: that one, now also with the case as a fixed example, and 4 new ones for announcements, configurations and reports.

--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import NamedTuple
 
 import msgspec
@@ -32,6 +33,10 @@
 _READY = 'ready'
 
 
+# Versions and counts; messages between VMs carry up to 64 bits.
+Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
 class BadDocumentError(LentilrunError):
     """A row of the operators or of a target is malformed."""
 
@@ -107,7 +112,7 @@
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = _WireLimits()
@@ -116,17 +121,17 @@
 
 class _WireLoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: Number
 
 
 class _WireTarget(msgspec.Struct, rename='kebab'):
     service: str
     address: str
     zone: str = ''
-    slots: int = 1
+    slots: Number = 1
     state: str = _READY
     # The time at which the target started, in milliseconds since 1970.
-    born: int = 0
+    born: Number = 0
     models: list[_WireLoadedModel] = []
 
 
@@ -136,7 +141,7 @@
 
 class _WireAnnouncement(msgspec.Struct):
     model: str
-    version: int
+    version: Number
 
 
 _announcement_decoder = msgspec.json.Decoder(_WireAnnouncement)
@@ -278,6 +283,7 @@
     'decode_configuration',
     'decode_target',
     'is_weights_key',
+    'Number',
     'OPERATOR_TABLE',
     'TARGET_TABLE',
     'WeightsAnnouncement',
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -12,6 +12,7 @@
 from ..web.client import NotSentError
 from ..web.client import Request
 from .dialect import EXPECTED_INCARNATION
+from .documents import Number
 
 if TYPE_CHECKING:
     from ..decisions.facts import Target
@@ -54,7 +55,7 @@
 
 class _WireLoadedModel(msgspec.Struct):
     name: str
-    version: int
+    version: Number
 
 
 class _WireReport(msgspec.Struct):
@@ -63,7 +64,7 @@
     busy: bool = False
     # The number of orders that the engine accepted; it does not number the
     # reports.
-    sequence: int = 0
+    sequence: Number = 0
 
 
 _report_decoder = msgspec.json.Decoder(_WireReport)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -146,6 +146,10 @@
 @given(_draw(_TARGET))
 @example(b'{"service":"llm","address":"127.0.0.1:' + b'9' * 5000 + b'"}')
 @example(b'{"service":"\\ud800","address":"127.0.0.1:9"}')
+@example(
+    b'{"service":"llm","address":"127.0.0.1:9","models":'
+    b'[{"name":"m","version":' + b'9' * 30 + b'}]}'
+)
 def test_any_target(tmp_path: pathlib.Path, value: bytes) -> None:
     """A target is used, or left out with a line in the log."""
     row = Row('i-1', value, 1)
@@ -206,6 +210,37 @@
     assert decode_announcement(value).version == 2
 
 
+_LARGE = b'9' * 30
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"models":[{"name":"m","version":' + _LARGE + b'}]}',
+        b'{"models":[],"sequence":' + _LARGE + b'}',
+    ],
+)
+def test_report_beyond_64_bits(body: bytes) -> None:
+    """A version that no message could carry is not taken over."""
+    with pytest.raises(msgspec.MsgspecError):
+        engines._report_decoder.decode(body)
+
+
+@pytest.mark.parametrize(
+    ('decode', 'value'),
+    [
+        (decode_announcement, b'{"model":"m","version":' + _LARGE + b'}'),
+        (decode_configuration, b'{"version":' + _LARGE + b'}'),
+    ],
+)
+def test_version_beyond_64_bits(
+    decode: Callable[[bytes], object], value: bytes
+) -> None:
+    """A version that no message could carry makes a document malformed."""
+    with pytest.raises(BadDocumentError):
+        decode(value)
+
+
 @pytest.mark.parametrize('body', [b'{}', b'[]', b'{"models":7}', b'[' * 99999])
 def test_report_without_models(body: bytes) -> None:
     """Another response is not taken for the report of an engine."""
