Count unread rows from the store's own last response

A VM that relayed rows until its reader lost the store may take over after a silence that it did not notice; its first rows counted as just written, so the ages of announcements were too low again (test_silent_feeds, mesh case: 5.96 s instead of 8.0 s after the two readers were merged; red before, green now). test_weights_ages delays what other VMs relay too, as a VM with two readers learns in time otherwise. 56 tests of ages, silent feeds, restarts, store calls and hubs pass.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -91,6 +91,8 @@
         self._row_requests = 0
         # When the store, or a VM that relays rows, last responded.
         self.last_read = float('-inf')
+        # When the store last responded to this VM.
+        self._answered_at = float('-inf')
         # Rows of the response that is being applied may have been written
         # this long ago, in seconds; 0 if they were read without a break.
         self.unread_for = 0.0
@@ -314,11 +316,12 @@
     def _record_response(self, longest_interval: float) -> None:
         """Record a response that came in time within ``longest_interval`` s.
 
-        It counts from the last time that this VM or one that relays rows
-        to it responded.
+        It counts from the response before. A VM that relayed rows until
+        then may have had no response for as long without noticing.
         """
         now = self._clock.now()
-        interval = now - self.last_read
+        interval = now - self._answered_at
+        self._answered_at = now
         self.unread_for = interval if interval > longest_interval else 0.0
         self.last_read = now
         self._retry_pause = _MIN_RETRY_PAUSE_S
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-from fleets import ModelledFleet
 from lentilrun.gateway import peers
 from lentilrun.gateway.recent import Origin
 from lentilrun.standins import timeloop
+from modelledfleets import ModelledFleet
 import pytest
 
 _FLEET = dict.fromkeys('abcd', 19)
--- a/tests/gateway/test_storecalls.py
+++ b/tests/gateway/test_storecalls.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from deployments import BOUNDS
-from fleets import ModelledFleet
 from lentilrun.standins import timeloop
+from modelledfleets import ModelledFleet
 import pytest
 
 _SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
