--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -20,6 +20,8 @@
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
+from .attemptlog import AttemptRecord
+from .attemptlog import write_attempt
 from .crashes import list_suspects
 from .loads import LoadReservation
 from .messages import PrefillReport
@@ -50,7 +52,6 @@
 # A target that refused a request because it was full gets no requests for
 # this long.
 _FULL_TARGET_BACKOFF_S = 0.08
-_MAX_LOGGED_SEGMENTS = 8
 # A target has begun to answer without a crash once a stream lasts this long
 # after its first event.
 _CRASH_DELAY_S = 0.1
@@ -390,73 +391,19 @@
             state.blocked_until, now + _FULL_TARGET_BACKOFF_S
         )
 
-    def _compute_time_to_first_event(self) -> float | None:
-        """Return the time to the first event, in seconds, for the log."""
-        if self.first_event_at is None:
-            return None
-        return round(self.first_event_at - self.started_at, 3)
-
-    def _compute_stale_time(self) -> float | None:
-        """Return how long ago the weights were replaced, for the log.
-
-        It is in seconds, at the time when the attempt started.
-        """
-        prompt = self._call.prompt
-        version = self._assignment.weights_version
-        if prompt is None or version is None:
-            return None
-        elapsed = self._context.clock.now() - self.started_at
-        stale_for = self._context.view.stale_for(prompt.model, version)
-        return round(max(0.0, stale_for - elapsed), 3)
-
     def log(self, outcome: AttemptOutcome, sent_before: int) -> None:
         """Log how the attempt ended, after ``sent_before`` other ones."""
-        assignment = self._assignment
-        head = self._receiver.head
-        view = self._context.view
-        configuration = view.configuration
-        self._context.log.write(
-            'attempt',
-            id=self._call.request_id,
-            route=self._call.route.name,
-            target=assignment.state.target.incarnation,
-            fate=outcome,
-            status=head.status if head is not None else None,
-            held=round(self.started_at - self._call.incoming.arrived_at, 3),
-            wait=round(assignment.choice.estimated_wait, 4),
-            pace=round(assignment.choice.pace, 2),
-            cached=int(assignment.choice.prefill_plan.cached_tokens),
-            source=_format_source(assignment),
-            tokens=_count_tokens(self._call),
-            segments=_list_segments(self._call),
-            weights=assignment.weights_version,
-            stale=self._compute_stale_time(),
-            sent=sent_before,
-            left=round(self._time_left(), 3),
-            events=self._progress.last_event_id,
-            first=self._compute_time_to_first_event(),
-            seconds=round(self._context.clock.now() - self.started_at, 3),
-            configuration=configuration.version if configuration else None,
+        record = AttemptRecord(
+            self._call,
+            self._assignment,
+            outcome,
+            self._receiver.head,
+            self.started_at,
+            self.first_event_at,
+            self._progress.last_event_id,
+            sent_before,
         )
-
-
-def _format_source(assignment: Assignment) -> str | None:
-    source = assignment.choice.prefill_plan.source
-    return None if source is None else str(source)
-
-
-def _count_tokens(call: Call) -> tuple[int, int] | None:
-    """Return a call's prompt and output tokens, for the log."""
-    if call.prompt is None:
-        return None
-    return call.prompt.input_tokens, call.prompt.output_tokens
-
-
-def _list_segments(call: Call) -> list[str]:
-    """Return the identities of a call's first segments, for the log."""
-    if call.prompt is None:
-        return []
-    return [s.identity for s in call.prompt.segments[:_MAX_LOGGED_SEGMENTS]]
+        write_attempt(self._context, record)
 
 
 __all__ = [
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -21,7 +21,7 @@
 from ..platform.rollouts import STATUS_TABLE
 from ..platform.rows import Write
 from .discovery import FLEET_TABLE
-from .rollouts import Stage
+from .rolloutstate import Stage
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
@@ -30,8 +30,8 @@
     from .logs import Log
     from .orderlease import OrderLease
     from .peers import Peers
-    from .rollouts import Rollout
     from .rollouts import Rollouts
+    from .rolloutstate import Rollout
 
 _KEY_PREFIX = 'rollout/'
 _IDLE_INTERVAL_S = 0.5
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import collections
-import enum
 import statistics
 from typing import TYPE_CHECKING
 
@@ -17,8 +15,9 @@
 from .messages import OutcomeReport
 from .messages import RolloutReport
 from .recent import Origin
-from .rolloutledger import OutcomeLedger
 from .rolloutledger import OutcomeReporter
+from .rolloutstate import Rollout
+from .rolloutstate import Stage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,60 +44,6 @@
 _UNNAMED_S = 1.0
 
 
-class Stage(enum.IntEnum):
-    """What a VM knows of a roll-out; a larger one replaces a smaller.
-
-    ``BANNED`` is the verdict of a VM, which operators can't see yet.
-    """
-
-    UNKNOWN = 0
-    CANARY = 1
-    RAMP = 2
-    BANNED = 3
-    ROLLED_BACK = 4
-    COMPLETED = 5
-
-    def is_final(self) -> bool:
-        """Return whether the stage was written for operators."""
-        return self >= Stage.ROLLED_BACK
-
-    def is_running(self) -> bool:
-        """Return whether the new version gets requests besides the old."""
-        return self in (Stage.CANARY, Stage.RAMP)
-
-
-class Rollout:
-    """The state of one order at this VM; times by the clock, in seconds.
-
-    ``total`` and ``new`` count the requests that this VM sent since then,
-    by route.
-    """
-
-    def __init__(
-        self, order: RolloutOrder, now: float, has_slack: bool
-    ) -> None:
-        """Start counting ``now``; see ``Exposure`` for ``has_slack``."""
-        self.order = order
-        self.version = order.version_name()
-        self.known_at = now
-        self.has_slack = has_slack
-        self.stage = Stage.UNKNOWN
-        self.reason = ''
-        self.driver_turn = (0, 0)
-        self.driven_at = float('-inf')
-        self.changed_at = now
-        self.total: collections.Counter[str] = collections.Counter()
-        self.new: collections.Counter[str] = collections.Counter()
-        # See ``Exposure``; refilled at a time by the clock.
-        self.tokens = 0.0
-        self.refilled_at = now
-        self.ledger = OutcomeLedger(order.row_version)
-
-    def is_resolved(self) -> bool:
-        """Return whether nothing is left to do."""
-        return self.stage.is_final()
-
-
 class Rollouts:
     """The newest order of each service, and the versions that are retired.
 
@@ -521,4 +466,4 @@
     )
 
 
-__all__ = ['Rollout', 'Rollouts', 'Stage']
+__all__ = ['Rollouts']
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import re
-import socket
-import struct
 import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -26,6 +24,9 @@
 from ..errors import LentilrunError
 from .memory import DEFAULT_MEMORY_LIMITS
 from .memory import MemoryBudget
+from .sockets import abort
+from .sockets import has_input
+from .sockets import make_socket
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -43,20 +44,11 @@
 _MAX_IDLE_CONNECTIONS = 64
 _READ_CHUNK_BYTES = 64 * 1024
 _MAX_MISMATCHED_RESPONSES = 4
-# A connection is closed if sent bytes stay unacknowledged for this time or
-# if the server leaves keep-alive probes unanswered: a VM without power or
-# behind a network partition doesn't close its connections.
-_TCP_USER_TIMEOUT_MS = 1000
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_MAX_KEEPALIVE_PROBES = 2
 # Servers state for how long they keep an idle connection open. The client
 # stops using it this much earlier, as a request may otherwise be sent while
 # the server closes the connection.
 _IDLE_TIMEOUT_MARGIN_S = 0.7
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
-# Lingering is on, for 0 s.
-_DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 _MIN_STATUS = 100
 _STATUS_END = 600
 _HTTP_1_0 = 'HTTP/1.0'
@@ -297,45 +289,6 @@
     expires_at: float
 
 
-def _make_socket() -> socket.socket:
-    client_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    client_socket.setblocking(False)
-    tcp = socket.IPPROTO_TCP
-    client_socket.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    client_socket.setsockopt(
-        tcp, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS
-    )
-    client_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    client_socket.setsockopt(tcp, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    client_socket.setsockopt(tcp, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
-    client_socket.setsockopt(tcp, socket.TCP_KEEPCNT, _MAX_KEEPALIVE_PROBES)
-    return client_socket
-
-
-def _abort(stream: IOStream) -> None:
-    """Close a stream; bytes that were not delivered yet are discarded.
-
-    A plain close would still deliver them, so that a server could start a
-    request that was given up.
-    """
-    if not stream.closed():
-        stream.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_ON_CLOSE
-        )
-    stream.close()
-
-
-def _has_input(stream: IOStream) -> bool:
-    """Return whether bytes or a close arrived that were not read yet."""
-    try:
-        stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return True
-
-
 class Client:
     """Pools connections by address; closes the idle ones on exit."""
 
@@ -383,7 +336,7 @@
                 continue
             # Bytes received while idle belong to no request: the stream
             # can't be used again.
-            is_clean = not stream._read_buffer_size and not _has_input(stream)
+            is_clean = not stream._read_buffer_size and not has_input(stream)
             if expires_at > time.monotonic() and is_clean:
                 return stream
             stream.close()
@@ -407,7 +360,7 @@
 
     async def _connect(self, address: Address, timeout: float) -> IOStream:
         connect_timeout = min(self._connect_timeout, timeout)
-        stream = IOStream(_make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES)
+        stream = IOStream(make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES)
         try:
             async with asyncio.timeout(connect_timeout):
                 await stream.connect((address.host, address.port))
@@ -443,7 +396,7 @@
         if handler.is_stopped:
             stream.close()
             raise NotSentError(f'stopped before it was sent to {address}')
-        handler.start(lambda: _abort(stream), self._memory)
+        handler.start(lambda: abort(stream), self._memory)
         idle_timeout = 0.0
         is_complete = False
         try:
@@ -464,7 +417,7 @@
         finally:
             handler.end()
             if not is_complete:
-                _abort(stream)
+                abort(stream)
             elif not idle_timeout:
                 stream.close()
         if idle_timeout:
--- a/tests/gateway/test_rollout_nodes.py
+++ b/tests/gateway/test_rollout_nodes.py
@@ -12,7 +12,7 @@
 from lentilrun.decisions import topology
 from lentilrun.gateway.node import Node
 from lentilrun.gateway import peers
-from lentilrun.gateway.rollouts import Stage
+from lentilrun.gateway.rolloutstate import Stage
 import pytest
 
 if TYPE_CHECKING:
