Log the limit of requests that a target states

A response may hold Server-Limit, the requests a second that the target takes from all VMs together. Nothing obeys it yet. The stand-in of a target can state one.

--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -9,6 +9,7 @@
 
 from ..decisions.facts import Prompt
 from ..decisions.facts import PromptSegment
+from ..web.numbers import parse_decimal
 from ..web.numbers import parse_number
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
 _NOT_EXECUTED = 'X-Not-Executed'
 _INCARNATION = 'X-Instance-Id'
 _WEIGHTS_VERSION = 'X-Weight-Versions'
+_RATE_LIMIT = 'Server-Limit'
 _WORKSPACE = 'X-Tenant-Id'
 _CACHE_SALT = 'X-Cache-Salt'
 _FETCH_FROM = 'X-Kv-Fetch-From'
@@ -115,6 +117,8 @@
     ``not_run`` is set if the target states that the request has not run,
     ``misdirected`` if the request expected another incarnation or weights
     version. ``is_signed`` is set if the service itself made the response.
+    ``rate_limit`` is the number of requests per second that the target takes
+    from all VMs together, nothing if it states no limit.
     """
 
     status: int
@@ -125,6 +129,7 @@
     is_signed: bool
     is_encoded: bool
     is_stream: bool
+    rate_limit: float | None
 
 
 def _parse_segments(text: str) -> tuple[PromptSegment, ...]:
@@ -237,6 +242,7 @@
         _SIGNATURE in headers,
         'Content-Encoding' in headers,
         content_type.startswith(_EVENT_STREAM_TYPE),
+        parse_decimal(headers.get(_RATE_LIMIT)),
     )
 
 
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -59,7 +59,8 @@
     prompt has ``crash_segment`` crashes the replica before its first event.
     The next ``delayed_orders`` orders are handled after ``order_delay_s``. A
     response begins after ``response_delay_s``; every ``failure_interval``-th
-    request fails (0: none).
+    request fails (0: none). Responses state ``rate_limit``, in requests per
+    second, if it is set.
     """
 
     def __init__(self) -> None:
@@ -80,6 +81,7 @@
         self.order_delay_s = 1.0
         self.response_delay_s = 0.0
         self.failure_interval = 0
+        self.rate_limit: float | None = None
 
 
 class ReplicaState:
@@ -141,8 +143,14 @@
     def compute_etag(self) -> str | None:
         return None
 
+    def state_rate_limit(self) -> None:
+        limit = self.state.plan.rate_limit
+        if limit is not None:
+            self.set_header('Server-Limit', str(limit))
+
     def reject(self, status: int) -> None:
         self.set_status(status)
+        self.state_rate_limit()
         self.set_header('X-Not-Executed', '1')
         self.set_header('X-Instance-Id', self.state.incarnation)
         self.finish()
@@ -285,6 +293,7 @@
             return
         self.set_header('X-Request-Id', request_id)
         self.set_header('X-Instance-Id', self.state.incarnation)
+        self.state_rate_limit()
         if fault != 'unsigned':
             self.set_header('X-Response-Signature', 'signed')
         if not self.state.plan.is_framed:
--- a/src/lentilrun/web/numbers.py
+++ b/src/lentilrun/web/numbers.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+
 # Longer numbers are not sent, and would not fit into 64 bits.
 _MAX_DIGITS = 18
+_DECIMAL = re.compile(r'[0-9]{1,18}(\.[0-9]{0,18})?|\.[0-9]{1,18}')
 
 
 def parse_number(text: str | None) -> int | None:
@@ -14,4 +17,11 @@
     return int(text) if text.isascii() and text.isdecimal() else None
 
 
-__all__ = ['parse_number']
+def parse_decimal(text: str | None) -> float | None:
+    """Return a decimal number without a sign, or nothing if malformed."""
+    if text is None or _DECIMAL.fullmatch(text.strip(' ')) is None:
+        return None
+    return float(text)
+
+
+__all__ = ['parse_decimal', 'parse_number']
--- a/tests/gateway/test_attempt_log.py
+++ b/tests/gateway/test_attempt_log.py
@@ -54,6 +54,25 @@
     assert [a['segments'] for a in attempts] == [names[:8]] * 2
 
 
+def test_limit_that_a_target_states(tmp_path: pathlib.Path) -> None:
+    """Each line holds the limit that the response stated, if any."""
+    path = tmp_path / 'log'
+    log_file = os.open(path, os.O_WRONLY | os.O_CREAT)
+
+    async def body() -> None:
+        async with Deployment(log_file) as deployment:
+            state = deployment.add_replica('a1', 'app')
+            node = await deployment.start_node('vm1')
+            await deployment.ask(node, '/plain/x')
+            state.plan.rate_limit = 12.5
+            await deployment.ask(node, '/plain/x')
+
+    asyncio.run(body())
+    lines = [msgspec.json.decode(t) for t in path.read_bytes().splitlines()]
+    limits = [e.get('limit') for e in lines if e['event'] == 'attempt']
+    assert limits == [None, 12.5]
+
+
 def test_attempts_that_the_router_ends(tmp_path: pathlib.Path) -> None:
     """They have an outcome of their own, in the log and in the counts."""
     path = tmp_path / 'log'
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from lentilrun.platform import dialect
 from lentilrun.platform.dialect import ForwardedHeaders
+import pytest
 from tornado.httputil import HTTPHeaders
 
 # Headers are decoded as Latin-1; the HTTP parser strips their values and
@@ -45,6 +46,7 @@
         'X-Instance-Id': _VALUES,
         'X-Weight-Versions': _VALUES,
         'X-Not-Executed': _VALUES,
+        'Server-Limit': _VALUES,
         'X-Response-Signature': _VALUES,
         'Content-Type': _VALUES,
         'Content-Encoding': _VALUES,
@@ -78,11 +80,37 @@
 
 @given(st.integers(0, 999), _TARGET_HEADERS)
 @example(200, {'X-Weight-Versions': '9' * 5000})
+@example(200, {'Server-Limit': '9' * 5000})
 def test_target_headers(status: int, values: dict[str, str]) -> None:
     """Malformed values of a target's response count as absent."""
     headers = HTTPHeaders(values)
     head = dialect.read_response_head(status, headers)
     assert head.weights_version is None or head.weights_version < _MAX_NUMBER
+    assert head.rate_limit is None or 0.0 <= head.rate_limit <= _MAX_NUMBER
     assert head.is_signed == ('X-Response-Signature' in values)
     dialect.is_response_to(headers, 'r')
     dialect.make_response_headers(headers)
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [
+        ('1', 1.0),
+        ('1.1', 1.1),
+        ('0.25', 0.25),
+        (' 12. ', 12.0),
+        ('.5', 0.5),
+        ('0', 0.0),
+        ('', None),
+        ('.', None),
+        ('-1', None),
+        ('1e3', None),
+        ('nan', None),
+        ('inf', None),
+        ('1, 2', None),
+    ],
+)
+def test_rate_limit(text: str, expected: float | None) -> None:
+    """A limit is a decimal number; a malformed one counts as absent."""
+    headers = HTTPHeaders({'Server-Limit': text})
+    assert dialect.read_response_head(200, headers).rate_limit == expected
