--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -50,6 +50,7 @@
 _WEIGHTS_LOAD_S = 0.5
 _HOST = '127.0.0.1'
 _FIRST_PORT = 2000
+_FIRST_TARGET_PORT = 9000
 
 
 def _make_rows(
@@ -218,6 +219,7 @@
         )
         self.stores: dict[str, ModelledStore] = {}
         self.nodes: dict[str, Node] = {}
+        self.targets_by_port: dict[int, str] = {}
         self.loses: Callable[[str, str, bytes], bool] = lambda *_: False
         self.configure(1)
         self.announce_weights(1)
@@ -309,10 +311,15 @@
         value = make_weights_announcement(version)
         self.state.put('op', f'version/{MODEL}', value)
 
-    def register(self, name: str, state: str = 'ready') -> None:
-        """Write the row of an engine."""
-        address = f'{_HOST}:{9000 + len(name)}'
-        value = make_target_row('llm', address, {MODEL: 1}, state)
+    def register(
+        self, name: str, state: str = 'ready', service: str = 'llm'
+    ) -> None:
+        """Write the row of a target, an engine unless stated otherwise."""
+        ports = {n: p for p, n in self.targets_by_port.items()}
+        port = ports.get(name, _FIRST_TARGET_PORT + len(ports))
+        self.targets_by_port[port] = name
+        versions = {MODEL: 1} if service == 'llm' else {}
+        value = make_target_row(service, f'{_HOST}:{port}', versions, state)
         self.state.put('servers', name, value)
 
     def count_calls(self) -> collections.Counter[str]:
--- /dev/null
+++ b/tests/gateway/modelledtargets.py
@@ -0,0 +1,228 @@
+"""Targets and callers of a modelled fleet, on simulated time."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import itertools
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from lentilrun.gateway.call import IncomingRequest
+from lentilrun.gateway.call import Refusal
+from lentilrun.standins.configuration import HOST
+from lentilrun.standins.configuration import KEY
+from lentilrun.standins.configuration import MODEL
+from lentilrun.standins.configuration import RESUMABLE_PATH
+from lentilrun.standins.configuration import SAFE_PATH
+from lentilrun.web.client import InterruptedExchangeError
+from tornado.httputil import HTTPHeaders
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from lentilrun.config.ini import Address
+    from lentilrun.gateway.node import Node
+    from lentilrun.standins.timeloop import TimeLoop
+    from lentilrun.web.client import Request
+    from lentilrun.web.client import ResponseHandler
+    from modelledfleets import ModelledFleet
+
+_NETWORK_S = 0.001
+_EVENT = b'id: 1\ndata: piece\n\n'
+
+
+class Arrival(NamedTuple):
+    """A request that reached a target from a VM; ``at`` in seconds."""
+
+    at: float
+    vm: str
+    target: str
+
+
+class Ending(NamedTuple):
+    """How a call ended, ``held`` seconds after it arrived.
+
+    ``status`` and ``retry_after`` are those of a refusal, 0 without one.
+    """
+
+    at: float
+    held: float
+    status: int
+    retry_after: float
+
+
+class ModelledTargets:
+    """Targets that respond after ``response_s`` seconds.
+
+    ``rate_limits`` holds the limits that they state, by name; those in
+    ``broken`` close each connection instead of a response.
+    """
+
+    def __init__(self, loop: TimeLoop, fleet: ModelledFleet) -> None:
+        """Let the targets that are registered respond to all VMs."""
+        self._loop = loop
+        self._fleet = fleet
+        self.response_s = 0.03
+        self.rate_limits: dict[str, float] = {}
+        self.broken: set[str] = set()
+        self.arrivals: list[Arrival] = []
+        # When a VM first received a limit of a target.
+        self.told: dict[tuple[str, str], float] = {}
+        for node in fleet.nodes.values():
+            self.connect(node)
+
+    def connect(self, node: Node) -> None:
+        """Let a VM send its requests to the targets."""
+
+        async def exchange(
+            address: Address,
+            request: Request,
+            handler: ResponseHandler,
+            reuse: bool = True,
+        ) -> None:
+            await self._exchange(node, address, request, handler)
+
+        node.target_client.exchange = exchange  # type: ignore[method-assign]
+
+    async def _exchange(
+        self,
+        node: Node,
+        address: Address,
+        request: Request,
+        handler: ResponseHandler,
+    ) -> None:
+        vm = node.settings.name
+        target = self._fleet.targets_by_port[address.port]
+        await asyncio.sleep(_NETWORK_S)
+        self.arrivals.append(Arrival(self._loop.time(), vm, target))
+        await asyncio.sleep(self.response_s)
+        if target in self.broken:
+            raise InterruptedExchangeError('reset')
+        headers = self._make_headers(target, request)
+        await asyncio.sleep(_NETWORK_S)
+        if 'Server-Limit' in headers:
+            self.told.setdefault((target, vm), self._loop.time())
+        handler.receive_head(200, headers)
+        if 'X-Prefix-Hash' in request.headers:
+            relaying = handler.receive_chunk(_EVENT)
+            if relaying is not None:
+                await relaying
+
+    def _make_headers(self, target: str, request: Request) -> HTTPHeaders:
+        headers = HTTPHeaders(
+            {
+                'X-Request-Id': request.headers['X-Request-Id'],
+                'X-Instance-Id': target,
+                'X-Response-Signature': 's',
+                'Transfer-Encoding': 'chunked',
+            }
+        )
+        if 'X-Prefix-Hash' in request.headers:
+            headers['Content-Type'] = 'text/event-stream'
+        if target in self.rate_limits:
+            headers['Server-Limit'] = str(self.rate_limits[target])
+        return headers
+
+    def list_times(self, target: str) -> list[float]:
+        """Return when requests reached a target from VMs that knew a limit.
+
+        A VM knows it once it has received a response that states it.
+        """
+        return [
+            a.at
+            for a in self.arrivals
+            if a.target == target
+            and a.at >= self.told.get((target, a.vm), float('inf'))
+        ]
+
+
+def count_most(times: Sequence[float], window: float) -> int:
+    """Return the largest number of sorted times in any ``window`` s."""
+    most = 0
+    recent: collections.deque[float] = collections.deque()
+    for time in times:
+        recent.append(time)
+        while recent[0] <= time - window:
+            recent.popleft()
+        most = max(most, len(recent))
+    return most
+
+
+class _Writer:
+    """Receives the response to a call; implements ``ResponseWriter``."""
+
+    async def begin(self, status: int, headers: HTTPHeaders) -> None:
+        """Receive the head of a streamed response."""
+
+    async def write(self, data: bytes) -> None:
+        """Receive data of a streamed response."""
+
+    async def finish(self) -> None:
+        """Receive the end of a streamed response."""
+
+    async def send(
+        self, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Receive a whole response."""
+
+    def abort(self) -> None:
+        """Receive the end of a response that broke off."""
+
+
+class Callers:
+    """Callers that send requests to the VMs in turn."""
+
+    def __init__(self, loop: TimeLoop) -> None:
+        self._loop = loop
+        self._ids = itertools.count(1)
+        self.endings: list[Ending] = []
+
+    async def send(
+        self, nodes: Sequence[Node], rate: float, seconds: float, path: str
+    ) -> None:
+        """Send ``rate`` requests per second; wait until all have ended."""
+        tasks = []
+        for number in range(int(rate * seconds)):
+            node = nodes[number % len(nodes)]
+            tasks.append(asyncio.ensure_future(self._call(node, path)))
+            await asyncio.sleep(1.0 / rate)
+        await asyncio.gather(*tasks)
+
+    async def _call(self, node: Node, path: str) -> None:
+        now = self._loop.time()
+        headers = HTTPHeaders(
+            {
+                'Host': HOST,
+                'X-Request-Id': f'request-{next(self._ids)}',
+                'X-Deadline-Ms': '5000',
+                'Api-Key': KEY,
+            }
+        )
+        if path == RESUMABLE_PATH:
+            headers['X-Model'] = MODEL
+            headers['X-Token-Usage'] = '700,20'
+            headers['X-Prefix-Hash'] = 'aa:500,bb:200'
+        incoming = IncomingRequest('GET', path, headers, b'', now)
+        status, retry_after = 0, 0.0
+        try:
+            call = node.admission.admit(incoming)
+            await node.dispatcher.run(call, _Writer())
+        except Refusal as refusal:
+            status = refusal.status
+            retry_after = refusal.retry_after or 0.0
+        ended_at = self._loop.time()
+        self.endings.append(
+            Ending(ended_at, ended_at - now, status, retry_after)
+        )
+
+
+__all__ = [
+    'Arrival',
+    'Callers',
+    'count_most',
+    'Ending',
+    'ModelledTargets',
+    'RESUMABLE_PATH',
+    'SAFE_PATH',
+]
