--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -28,7 +28,7 @@
     'key_refused': 'no workspace holds the key',
     'quota': 'the workspace is over its rate and burst',
     'no_target': 'no target could take it in time',
-    'rate_limited': 'all targets limit their requests; no turn was left in time',
+    'rate_limited': 'all targets limit their requests, and no turn was left',
     'overloaded': 'every target would answer after the deadline',
     'quarantined': 'targets crashed under it too often',
     'retries_spent': 'a target turned it away, and no retry was left',
