--- a/src/lentilrun/standins/rowstore.py
+++ b/src/lentilrun/standins/rowstore.py
@@ -47,11 +47,24 @@
         self.loses_answers = False
 
 
+class RowStoreCopy(NamedTuple):
+    """A copy of the rows, with the version up to which it has them."""
+
+    rows: dict[tuple[str, str, str], StoredRow]
+    changes: list[StoredRow]
+    version: int
+
+
 class RowStoreState:
-    """All rows, and the changes since the last compaction."""
+    """All rows, and the changes since the last compaction.
+
+    ``era`` rises each time that the store is restored from a copy; versions
+    after that of the copy are then given out again.
+    """
 
     def __init__(self) -> None:
         self.version = 0
+        self.era = 0
         self.rows: dict[tuple[str, str, str], StoredRow] = {}
         self.changes: list[StoredRow] = []
         self.compacted_version = 0
@@ -86,6 +99,22 @@
         self.changes.clear()
         self.compacted_version = self.version
 
+    def copy(self) -> RowStoreCopy:
+        """Return a copy from which the store can be restored."""
+        return RowStoreCopy(dict(self.rows), list(self.changes), self.version)
+
+    def restore(self, copy: RowStoreCopy) -> None:
+        """Lose all that was written since a copy was made."""
+        self.era += 1
+        self.rows = dict(copy.rows)
+        self.changes = list(copy.changes)
+        self.version = copy.version
+        self.wake_followers()
+
+    def has_history(self, after: int) -> bool:
+        """Return whether the changes after a version are all there."""
+        return self.compacted_version <= after <= self.version
+
     def get_row_version(self, reference: dict[str, Any]) -> int:
         """Return the version of a row, 0 if it does not exist."""
         row = self.rows.get(
@@ -138,6 +167,7 @@
 
     async def prepare(self) -> None:
         self.state.calls += 1
+        self.set_header('Store-Era', str(self.state.era))
         if self.state.faults.is_down:
             self.reject()
         elif self.state.faults.hangs:
@@ -150,6 +180,7 @@
 
     def respond(self, status: int, rows: list[StoredRow]) -> None:
         self.set_status(status)
+        self.set_header('Store-Era', str(self.state.era))
         self.set_header('Content-Type', 'application/json')
         body = {
             'rows': [_encode_row(r) for r in rows],
@@ -179,15 +210,16 @@
         table = self.get_argument('table')
         after = int(self.get_argument('after'))
         wait_s = int(self.get_argument('wait-ms')) / 1e3
-        if after < state.compacted_version:
+        if not state.has_history(after):
             self.respond(_GONE, [])
             return
+        era = state.era
         wait_until = time.monotonic() + wait_s
         while not (rows := state.list_changes(table, after)):
             if state.faults.is_down:
                 self.reject()
                 return
-            if after < state.compacted_version:
+            if not state.has_history(after) or state.era != era:
                 break
             time_left = min(_FAULT_CHECK_S, wait_until - time.monotonic())
             if time_left <= 0.0:
@@ -195,7 +227,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(time_left):
                     await state.changed.wait()
-        if after < state.compacted_version and not rows:
+        if not state.has_history(after) and not rows:
             self.respond(_GONE, [])
             return
         self.respond(_OK, rows)
@@ -228,4 +260,10 @@
     )
 
 
-__all__ = ['make_application', 'RowStoreFaults', 'RowStoreState', 'StoredRow']
+__all__ = [
+    'make_application',
+    'RowStoreCopy',
+    'RowStoreFaults',
+    'RowStoreState',
+    'StoredRow',
+]
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -107,7 +107,7 @@
         """Return the rows changed after a version, once there are any."""
         await self._call(f'follow {table}')
         state = self._state
-        if after < state.compacted_version:
+        if not state.has_history(after):
             raise HistoryLostError('gone')
         until = self._loop.time() + wait
         while not (rows := state.list_changes(table, after)):
