Follow a store that is restored from an older copy

What callers saw: after a restoration, changes of the configuration that the store had acknowledged were not in force for seconds (404 for routes that had been added, the old service for others), and replicas that were leaving got requests.

Cause: row versions were believed never to fall; the store gives them out again. The class: a number of another system taken for an order of events.

Ruled out: the configuration itself did not come back older, and the feed was not silent (8680 lines stale_read in 13 s, none of configuration_in_force).

Change: the adapter makes a row version of the store's era and its number, so that it grows wherever it is compared, also at VMs that only hear of it from others. Answers of an earlier era are refused; those of a later one end a read, a feed or a condition. Stale reads pause. What the copy forgot stays known: targets that were leaving or gone. Tokens of the lease grow with the era, and a lease that may have been lost is waited for. VMs write lost rows of their own again.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -198,10 +198,15 @@
 class _Store:
     """A VM's access to the shared store."""
 
+    era_known_at = restored_at = float('-inf')
+
     def __init__(self, shared: _SharedStore, loop: TimeLoop) -> None:
         self._shared = shared
         self._loop = loop
 
+    def current_era(self) -> int:
+        return 0
+
     def estimate_clock(self) -> float:
         return self._loop.now()
 
--- a/src/lentilrun/gateway/discovery.py
+++ b/src/lentilrun/gateway/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -30,6 +31,8 @@
 # A VM that joins later is found after this time at most, or once it sends.
 _READ_INTERVAL_S = 30.0
 _RETRY_PAUSE_S = 0.5
+# All VMs together read the table at this rate after the store was restored.
+_REREADS_PER_S = 40.0
 
 
 class _VmRow(NamedTuple):
@@ -63,12 +66,16 @@
         self._address = address
         self._log = log
         self.on_read: list[Callable[[Rows], None]] = []
+        self._restored = asyncio.Event()
+        store.on_restored.append(self._restored.set)
 
     async def run(self) -> None:
         """Join the fleet and look for new members until cancelled.
 
         This VM's row is written before the others are read: of two VMs
-        that join at the same time, at least one reads the other's row.
+        that join at the same time, at least one reads the other's row. It is
+        written again if it is missing, as after the store was restored from
+        an older copy.
         """
         has_joined = False
         while True:
@@ -76,6 +83,8 @@
                 if not has_joined:
                     await self._join()
                 table_rows = await self._store.read(FLEET_TABLE)
+                if self._own_key() not in {r.key for r in table_rows.rows}:
+                    await self._join()
             except PlatformError as error:
                 self._log.write('fleet_unread', error=error)
                 await asyncio.sleep(_RETRY_PAUSE_S)
@@ -87,14 +96,31 @@
                 has_joined = True
                 self._usage.restore(table_rows)
             self._peers.request_send()
-            await asyncio.sleep(_READ_INTERVAL_S)
+            await self._wait_for_restoration(_READ_INTERVAL_S)
+
+    async def _wait_for_restoration(self, timeout: float) -> None:
+        """Wait for ``timeout`` s, or for less if the store is restored.
+
+        The VMs then read the store one after the other.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                await self._restored.wait()
+        except TimeoutError:
+            return
+        self._restored.clear()
+        vms = self._peers.count_members()
+        await asyncio.sleep(random.uniform(0.0, vms / _REREADS_PER_S))
+
+    def _own_key(self) -> str:
+        return _VM_KEY_PREFIX + self._member.name
 
     async def _join(self) -> None:
         own = self._member
         row = _VmRow(*self._address, own.data_centre, own.power)
         value = msgspec.json.encode(row)
-        key = _VM_KEY_PREFIX + own.name
-        await self._store.write([Write(FLEET_TABLE, key, value, None)])
+        write = Write(FLEET_TABLE, self._own_key(), value, None)
+        await self._store.write([write])
 
     def _add_peers(self, table_rows: Rows) -> None:
         for row in table_rows.rows:
--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -10,6 +10,7 @@
 from ..platform.rows import HistoryLostError
 from ..platform.rows import Row
 from ..platform.rows import Rows
+from ..platform.rowversions import find_era
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,6 +47,9 @@
 # Rows that expired during an outage of the store, as their writers could
 # not renew them, are written again within this time after it.
 _EXPIRY_GRACE_S = 2.2
+# A row of a copy that this VM knew as deleted is believed after this time:
+# until then the store has removed it again if its writer is gone.
+_REVIVAL_GRACE_S = 6.0
 
 
 class Follower:
@@ -57,6 +61,11 @@
     store either. An outage ends when the store answers this VM or another
     VM relays rows.
 
+    When the store was restored from an older copy, all rows are read anew.
+    Deletions are delayed then too, as lost rows are written again. Rows
+    that this VM knew as deleted are passed on after ``_REVIVAL_GRACE_S``
+    seconds, or once they are written again.
+
     While other VMs relay rows, it makes no calls. It requests rows from
     them if it learns that there are newer ones than it has.
     """
@@ -78,8 +87,12 @@
         self._rows: dict[str, Row] = {}
         self._present_keys: set[str] = set()
         self._delayed_deletions: dict[str, Row] = {}
-        # The store version up to which the changes are known.
+        # Rows of a copy that were deleted before, and when they are believed.
+        self._revived: dict[str, tuple[float, Row]] = {}
+        # The store version up to which the changes are known, and the one
+        # since which none is missing, deletions included.
         self._position = 0
+        self._complete_since: int | None = None
         self._needs_full_read = True
         self._retry_pause = _MIN_RETRY_PAUSE_S
         self._lost_since: float | None = None
@@ -114,6 +127,8 @@
         self.on_rows: list[Callable[[str, int, Rows, bool], None]] = []
         # Called each time that all rows of the table were read.
         self.on_full_read: list[Callable[[], None]] = []
+        # Called with the era of the store after it was restored.
+        self.on_era: list[Callable[[int], None]] = []
 
     def has_been_read(self) -> bool:
         """Return whether the table was read at least once."""
@@ -134,6 +149,8 @@
         """
         if self._needs_full_read or self._position < after:
             return None
+        if self._complete_since is None or after < self._complete_since:
+            return None
         changed = [r for r in self._rows.values() if r.version > after]
         changed.sort(key=lambda r: r.version)
         return Rows(tuple(changed), self._position, 0.0)
@@ -155,10 +172,14 @@
                     _MAX_RETRY_PAUSE_S, self._retry_pause * 2
                 )
             self._apply_delayed_deletions()
+            self._apply_revived()
 
     async def _step(self) -> None:
         if self._needs_full_read:
             table_rows = await self._store.read(self.table)
+            if table_rows.store_version < self._position:
+                # Rows that it lacks may have been written since.
+                raise PlatformError('a stale response')
             self._record_response(0.0)
             self._apply_full_read(table_rows)
             return
@@ -241,6 +262,7 @@
         self, previous_version: int, changes: Rows, is_read: bool
     ) -> None:
         """Apply rows, and pass on those that are new."""
+        self._record_era(changes.store_version)
         new_rows = tuple(r for r in changes.rows if self._apply_row(r))
         self._position = max(self._position, changes.store_version)
         if not new_rows:
@@ -272,11 +294,20 @@
             self._reported_row_version = version
             self._newer_rows_reported.set()
 
+    def _record_era(self, version: int) -> None:
+        """Record that rows of a version come; it may be of a later era."""
+        if self._position and find_era(version) > find_era(self._position):
+            self._regained_at = self._clock.now()
+            self._log.write(
+                'store_restored', table=self.table, era=find_era(version)
+            )
+            for callback in self.on_era:
+                callback(find_era(version))
+
     def _apply_full_read(self, table_rows: Rows) -> None:
-        if table_rows.store_version < self._position:
-            # A stale response: rows that it lacks may have been written since.
-            self._log.write('stale_read', table=self.table)
-            return
+        self._record_era(table_rows.store_version)
+        if self._complete_since is None:
+            self._complete_since = table_rows.store_version
         self._needs_full_read = False
         keys = {r.key for r in table_rows.rows}
         for row in table_rows.rows:
@@ -294,10 +325,10 @@
             return False
         self._rows[row.key] = row
         self.newest_row_version = max(self.newest_row_version, row.version)
+        self._revived.pop(row.key, None)
         if not row.is_deleted:
             self._present_keys.add(row.key)
-            self._delayed_deletions.pop(row.key, None)
-            self._handle_row(row)
+            self._pass_on(row, known)
             return True
         self._present_keys.discard(row.key)
         if self._delays_deletions():
@@ -306,6 +337,27 @@
             self._handle_row(row)
         return True
 
+    def _pass_on(self, row: Row, known: Row | None) -> None:
+        """Pass a row on, unless its key was deleted in an earlier era."""
+        is_delayed = self._delayed_deletions.pop(row.key, None) is not None
+        if (
+            known is not None
+            and known.is_deleted
+            and not is_delayed
+            and find_era(row.version) > find_era(known.version)
+        ):
+            believed_at = self._clock.now() + _REVIVAL_GRACE_S
+            self._revived[row.key] = (believed_at, row)
+            return
+        self._handle_row(row)
+
+    def _apply_revived(self) -> None:
+        now = self._clock.now()
+        for key, (believed_at, row) in list(self._revived.items()):
+            if believed_at <= now:
+                del self._revived[key]
+                self._handle_row(row)
+
     def _apply_delayed_deletions(self) -> None:
         if not self._delayed_deletions or self._delays_deletions():
             return
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -207,6 +207,8 @@
             self.clock,
             self.log,
         )
+        for follower in (self.operator_rows, self.target_rows):
+            follower.on_era.append(self.store.record_reported_era)
         self.row_relay = RowRelay(
             self.peers, [self.operator_rows, self.target_rows]
         )
--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -25,6 +25,8 @@
 _RENEW_BELOW_S = 0.8
 # Margin for the time that an order takes to reach an engine.
 _ORDER_DELAY_MARGIN_S = 0.25
+# Fencing tokens that are given out in an era of the store are below this.
+_FENCES_IN_ERA = 10**6
 
 
 class _LeaseRow(NamedTuple):
@@ -47,6 +49,10 @@
     sent, so that it ends by the holder's clock before it does by the
     store's. Another VM may acquire it only after a gap: for this
     time an engine must have received no order from the previous holder.
+
+    When the store was restored from an older copy, the newest lease may be
+    lost: it is acquired only after the longest time that it may have been
+    held, and fencing tokens grow with the era.
     """
 
     def __init__(
@@ -101,20 +107,30 @@
         self._record_lease(table_rows)
         for callback in self.on_read:
             callback(table_rows)
-        row = self._row
-        if row.holder != self._name:
-            wait = (
-                row.until
-                + self._gap
-                + _ORDER_DELAY_MARGIN_S
-                - table_rows.store_time
-            )
-            if wait > 0.0:
-                self._held_until = float('-inf')
-                return wait
-        await self._write(row, table_rows.store_time, sent_at)
+        wait = self._compute_wait(table_rows.store_time)
+        if wait > 0.0:
+            self._held_until = float('-inf')
+            return wait
+        await self._write(self._row, table_rows.store_time, sent_at)
         return 0.0
 
+    def _compute_wait(self, store_time: float) -> float:
+        """Return the time until this VM may acquire the lease, in s."""
+        gap = self._gap + _ORDER_DELAY_MARGIN_S
+        row = self._row
+        if row.fence < self._first_fence():
+            # There may have been a later lease, and the VM may have it still.
+            store = self._store
+            since = store.era_known_at if row.fence else store.restored_at
+            return since + _LEASE_S + gap - self._clock.now()
+        if row.holder == self._name:
+            return 0.0
+        return row.until + gap - store_time
+
+    def _first_fence(self) -> int:
+        """Return the smallest fencing token of the store's era."""
+        return self._store.current_era() * _FENCES_IN_ERA
+
     async def release(self) -> None:
         """End the lease now, if this VM holds it; send no orders after it.
 
@@ -146,7 +162,9 @@
         self, row: _LeaseRow, store_time: float, sent_at: float
     ) -> None:
         is_new = row.holder != self._name or not self.is_held()
-        fence = row.fence + 1 if is_new else row.fence
+        fence = row.fence
+        if is_new:
+            fence = max(fence, self._first_fence()) + 1
         lease = _LeaseRow(self._name, fence, store_time + _LEASE_S)
         value = msgspec.json.encode(lease)
         write = Write(FLEET_TABLE, self._key, value, self._row_version)
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -263,8 +263,20 @@
             callback()
 
     def register(self, target: Target) -> None:
-        """Add or update a target from its registration."""
+        """Add or update a target from its registration.
+
+        A restored store may hold an older one: of an earlier start, or from
+        before the target reported that it leaves.
+        """
         state = self.states.get(target.incarnation)
+        if state is not None:
+            before = state.target
+            if target.started_at_ms < before.started_at_ms:
+                return
+            if target.started_at_ms == before.started_at_ms:
+                target = target._replace(
+                    is_draining=target.is_draining or before.is_draining
+                )
         if state is None or state.target.started_at_ms != target.started_at_ms:
             self.states[target.incarnation] = TargetState(
                 target,
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -18,8 +18,15 @@
 from ..web.client import InterruptedExchangeError
 from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.numbers import parse_number
+from .rowversions import find_era
+from .rowversions import make_version
+from .rowversions import MAX_ERA
+from .rowversions import MAX_NUMBER
+from .rowversions import split_version
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from ..config.ini import Address
@@ -34,19 +41,25 @@
 _OK = 200
 _GONE = 410
 _PRECONDITION_FAILED = 412
+# Rises by one each time that the store is restored from an older copy.
+_ERA = 'Store-Era'
 
 
 _Query = dict[str, str | int]
 
 
 class HistoryLostError(LentilrunError):
-    """The store no longer has the changes after a row version."""
+    """The store does not have the changes after a row version."""
 
     code = Code.PLATFORM_UNAVAILABLE
 
 
 class Row(NamedTuple):
-    """A row; ``version`` is that of the transaction that last wrote it."""
+    """A row; ``version`` is that of the transaction that last wrote it.
+
+    Versions are made by ``rowversions``: rows that are read in a later era
+    of the store have larger ones, also if they were not written since.
+    """
 
     key: str
     value: bytes
@@ -88,15 +101,14 @@
     deleted: Any = False
 
 
-_MAX_VERSION = (1 << 63) - 1
-_Version = Annotated[int, msgspec.Meta(ge=0, le=_MAX_VERSION)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 # A deeply nested document exceeds the recursion limit.
 _DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _WireRows(msgspec.Struct, rename='kebab'):
     # The newest version of the whole store, not that of one of the rows.
-    row_version: _Version
+    row_version: _Number
     # The reading of the monotonic clock of the store; no wall-clock time.
     now_ms: float
     rows: list[msgspec.Raw] = []
@@ -107,7 +119,7 @@
 _row_decoder = msgspec.json.Decoder(_WireRow)
 
 
-def _decode_row(raw: msgspec.Raw) -> Row | None:
+def _decode_row(raw: msgspec.Raw, era: int) -> Row | None:
     """Return a row, or nothing if its key is unreadable.
 
     A row whose other fields are malformed has an empty value.
@@ -116,9 +128,10 @@
         wire_row = _row_decoder.decode(raw)
     except _DECODE_ERRORS:
         return None
-    version = wire_row.row_version
-    if type(version) is not int or not 0 <= version <= _MAX_VERSION:
-        return Row(wire_row.key, b'', 0)
+    number = wire_row.row_version
+    if type(number) is not int or not 0 <= number <= MAX_NUMBER:
+        return Row(wire_row.key, b'', make_version(era, 0))
+    version = make_version(era, number)
     if wire_row.deleted is True:
         return Row(wire_row.key, b'', version, True)
     return Row(wire_row.key, _decode_value(wire_row.value), version)
@@ -134,21 +147,26 @@
         return b''
 
 
-def _decode_rows(body: bytes) -> tuple[Rows, bool]:
+def _decode_rows(body: bytes, era: int) -> tuple[Rows, bool]:
     """Return the rows with a key, and whether more rows follow.
 
-    Raises ``PlatformError``, also if the next rows can't be asked for.
+    They are of an ``era``. Raises ``PlatformError``, also if the next rows
+    can't be asked for.
     """
     try:
         wire_rows = _rows_decoder.decode(body)
     except _DECODE_ERRORS as error:
         raise PlatformError('the store sent a malformed response') from error
-    decoded = [_decode_row(r) for r in wire_rows.rows]
+    decoded = [_decode_row(r, era) for r in wire_rows.rows]
     rows = tuple(r for r in decoded if r is not None)
     if wire_rows.has_more and not rows:
         raise PlatformError('the store sent rows without a key')
     return (
-        Rows(rows, wire_rows.row_version, wire_rows.now_ms / 1e3),
+        Rows(
+            rows,
+            make_version(era, wire_rows.row_version),
+            wire_rows.now_ms / 1e3,
+        ),
         wire_rows.has_more,
     )
 
@@ -157,6 +175,8 @@
     """Reads, follows and writes rows.
 
     The platform charges for every call; ``call_count`` counts them.
+    ``era_known_at`` is when the current era was first known, and
+    ``restored_at`` when the era last rose, by the clock, in seconds.
     """
 
     def __init__(self, client: Client, address: Address, clock: Clock) -> None:
@@ -165,6 +185,18 @@
         self._clock = clock
         self._store_clock_offset_s = 0.0
         self.call_count = 0
+        # The newest era that a response stated, if there was any response,
+        # and that another VM reported.
+        self._era: int | None = None
+        self._reported_era = 0
+        self.era_known_at = float('-inf')
+        self.restored_at = float('-inf')
+        # Called when a response or another VM shows that it was restored.
+        self.on_restored: list[Callable[[], None]] = []
+
+    def current_era(self) -> int:
+        """Return the newest era of the store's responses, at first 0."""
+        return self._era or 0
 
     def estimate_clock(self) -> float:
         """Return a lower bound of the store's clock, in seconds."""
@@ -181,12 +213,51 @@
         except (NotSentError, InterruptedExchangeError) as error:
             raise PlatformError(str(error)) from error
 
+    def _record_era(self, response: Response) -> int:
+        """Return the era of a response; raises ``PlatformError``.
+
+        A response of an earlier era was delayed, and shows what is no
+        longer in the store.
+        """
+        era = parse_number(response.headers.get(_ERA)) or 0
+        if era > MAX_ERA:
+            raise PlatformError('the store stated a malformed era')
+        if era < self.current_era():
+            raise PlatformError('a response from before a restoration')
+        if era != self._era:
+            self._enter_era(era)
+        return era
+
+    def _enter_era(self, era: int) -> None:
+        is_first = self._era is None
+        self._era = era
+        if is_first:
+            self.era_known_at = self._clock.now()
+        elif era > self._reported_era:
+            self._record_restoration()
+
+    def record_reported_era(self, era: int) -> None:
+        """Record the era that another VM read the store in.
+
+        Responses to this VM are still believed if they state earlier ones.
+        """
+        if self._era is None or era <= max(self._era, self._reported_era):
+            return
+        self._reported_era = era
+        self._record_restoration()
+
+    def _record_restoration(self) -> None:
+        self.restored_at = self.era_known_at = self._clock.now()
+        for callback in self.on_restored:
+            callback()
+
     async def read(self, table: str) -> Rows:
         """Return all rows of a table that have an empty ``part``.
 
         Rows with an unreadable key are left out, other malformed ones have
         an empty value. Raises ``PlatformError``.
         """
+        era: int | None = None
         rows: list[Row] = []
         first_key = ''
         while True:
@@ -199,6 +270,9 @@
                 query['from'] = first_key
             page, has_more = await self._read_page(query)
             self._store_clock_offset_s = page.store_time - self._clock.now()
+            if era not in (None, find_era(page.store_version)):
+                raise PlatformError('the store was restored during a read')
+            era = find_era(page.store_version)
             rows += page.rows
             if not has_more:
                 return Rows(tuple(rows), page.store_version, page.store_time)
@@ -212,18 +286,21 @@
             raise PlatformError(
                 f'the store responded with status {response.status}'
             )
-        return _decode_rows(response.body)
+        return _decode_rows(response.body, self._record_era(response))
 
     async def follow(self, table: str, after: int, wait: float) -> Rows:
         """Return the rows changed after a store version, once there are any.
 
         ``wait`` is the longest time to wait, in seconds; there may be no
-        rows then. Raises ``HistoryLostError`` if the store no longer has
+        rows then. Raises ``HistoryLostError`` if the store does not have
         all these changes, and ``PlatformError``.
         """
+        position = split_version(after)
+        if position.era < self.current_era():
+            raise HistoryLostError(f'{after} is of an earlier era')
         query = {
             'table': table,
-            'after': after,
+            'after': position.number,
             'wait-ms': int(wait * 1e3),
         }
         path = '/lentilrun/rows-feed?' + urlencode(query)
@@ -237,7 +314,10 @@
             raise PlatformError(
                 f'the store responded with status {response.status}'
             )
-        changes, has_more = _decode_rows(response.body)
+        era = self._record_era(response)
+        if era != position.era:
+            raise HistoryLostError(f'{after} is of another era than {era}')
+        changes, has_more = _decode_rows(response.body, era)
         if has_more:
             return changes._replace(store_version=changes.rows[-1].version)
         return changes
@@ -245,14 +325,26 @@
     async def write(self, writes: Sequence[Write]) -> Rows:
         """Write all rows, or none.
 
-        Raises ``ConflictError`` if a row has another version than expected,
-        and ``PlatformError`` if there is no response; the rows may have
+        Raises ``ConflictError`` if a row has another version than expected
+        or the store was restored since that was read, and ``PlatformError``
+        if there is no response; in the two last cases, the rows may have
         been written all the same.
         """
+        expected_eras = {
+            find_era(w.expected_version) for w in writes if w.expected_version
+        }
+        if expected_eras - {self.current_era()}:
+            raise ConflictError('a row was read in an earlier era')
+        sent_in_era = self.current_era()
         body = msgspec.json.encode(
             {
                 'expected': [
-                    {**_make_row_name(w), 'row-version': w.expected_version}
+                    {
+                        **_make_row_name(w),
+                        'row-version': split_version(
+                            w.expected_version
+                        ).number,
+                    }
                     for w in writes
                     if w.expected_version is not None
                 ],
@@ -277,7 +369,12 @@
             raise PlatformError(
                 f'the store responded with status {response.status}'
             )
-        return _decode_rows(response.body)[0]
+        era = self._record_era(response)
+        is_conditional = any(w.expected_version is not None for w in writes)
+        if is_conditional and era != sent_in_era:
+            # A row that is another one may have the expected number.
+            raise ConflictError('the store was restored before a write')
+        return _decode_rows(response.body, era)[0]
 
 
 def _make_row_name(write: Write) -> dict[str, str | int]:
--- a/src/lentilrun/standins/rowstore.py
+++ b/src/lentilrun/standins/rowstore.py
@@ -147,7 +147,8 @@
         return sorted(last_changes.values(), key=lambda r: r.version)
 
 
-def _encode_row(row: StoredRow) -> dict[str, Any]:
+def encode_row(row: StoredRow) -> dict[str, Any]:
+    """Return a row as it is sent."""
     fields: dict[str, Any] = {
         'table': row.table,
         'part': row.part,
@@ -183,7 +184,7 @@
         self.set_header('Store-Era', str(self.state.era))
         self.set_header('Content-Type', 'application/json')
         body = {
-            'rows': [_encode_row(r) for r in rows],
+            'rows': [encode_row(r) for r in rows],
             'has-more': False,
             'row-version': self.state.version,
             'now-ms': int(time.monotonic() * 1e3),
@@ -261,6 +262,7 @@
 
 
 __all__ = [
+    'encode_row',
     'make_application',
     'RowStoreCopy',
     'RowStoreFaults',
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -8,30 +8,31 @@
 
 import asyncio
 import collections
+import contextlib
 import os
 from typing import NamedTuple
 from typing import TYPE_CHECKING
+from urllib.parse import parse_qsl
+from urllib.parse import urlsplit
 
 from deployments import BOUNDS
 from lentilrun.config.ini import Address
-from lentilrun.errors import ConflictError
-from lentilrun.errors import PlatformError
 from lentilrun.gateway import node as node_module
 from lentilrun.gateway.node import Node
 from lentilrun.gateway.peers import Peers
 from lentilrun.platform import engines
 from lentilrun.platform.engines import EngineReport
 from lentilrun.platform.node import NodeSettings
-from lentilrun.platform.rows import HistoryLostError
-from lentilrun.platform.rows import Row
-from lentilrun.platform.rows import Rows
 from lentilrun.standins.configuration import make_configuration
 from lentilrun.standins.configuration import make_target_row
 from lentilrun.standins.configuration import make_weights_announcement
 from lentilrun.standins.configuration import MODEL
+from lentilrun.standins.rowstore import encode_row
 from lentilrun.standins.rowstore import RowStoreState
-from lentilrun.standins.rowstore import StoredRow
+from lentilrun.web.client import InterruptedExchangeError
+from lentilrun.web.client import Response
 import msgspec
+from tornado.httputil import HTTPHeaders
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -42,11 +43,17 @@
 
     from lentilrun.decisions.facts import Target
     from lentilrun.platform.engines import WeightsLoadOrder
-    from lentilrun.platform.rows import Write
+    from lentilrun.standins.rowstore import StoredRow
     from lentilrun.standins.timeloop import TimeLoop
+    from lentilrun.web.client import Request
     import pytest
 
+_OK = 200
+_GONE = 410
+_CONFLICT = 412
+_UNAVAILABLE = 503
 _CALL_S = 0.004
+_HANG_S = 2.8
 _DATAGRAM_S = 0.001
 _WEIGHTS_LOAD_S = 0.5
 _HOST = '127.0.0.1'
@@ -54,21 +61,8 @@
 _FIRST_TARGET_PORT = 9000
 
 
-def _make_rows(
-    state: RowStoreState, rows: Sequence[StoredRow], now: float
-) -> Rows:
-    return Rows(
-        tuple(
-            Row(r.key, r.value or b'', r.version, r.value is None)
-            for r in rows
-        ),
-        state.version,
-        now,
-    )
-
-
 class ModelledStore:
-    """The calls of one VM to the store; implements ``RowStore``.
+    """The calls of one VM to the store; implements ``Client.fetch``.
 
     ``calls`` counts them by kind and table. ``rejects`` lets them fail,
     and ``hangs`` lets them go unanswered.
@@ -81,68 +75,74 @@
         self.rejects = False
         self.hangs = False
 
-    def estimate_clock(self) -> float:
-        """Return the store's clock."""
-        return self._loop.time()
+    async def fetch(
+        self, address: Address, request: Request, reuse: bool = True
+    ) -> Response:
+        """Respond to a call."""
+        parts = urlsplit(request.path)
+        query = dict(parse_qsl(parts.query))
+        if parts.path == '/lentilrun/rows-tx':
+            return await self._write(msgspec.json.decode(request.body))
+        if parts.path == '/lentilrun/rows-get':
+            return await self._read(query['table'])
+        return await self._follow(
+            query['table'], int(query['after']), int(query['wait-ms']) / 1e3
+        )
 
     async def _call(self, kind: str) -> None:
         self.calls[kind] += 1
         await asyncio.sleep(_CALL_S)
-        self._check()
         if self.hangs:
-            await asyncio.sleep(2.8)
-            raise PlatformError('no answer')
+            await asyncio.sleep(_HANG_S)
+            raise InterruptedExchangeError('no answer')
 
-    def _check(self) -> None:
-        if self.rejects or self._state.faults.is_down:
-            raise PlatformError('the store said 503')
+    def _is_away(self) -> bool:
+        return self.rejects or self._state.faults.is_down
+
+    def _respond(
+        self, rows: Sequence[StoredRow], status: int = _OK
+    ) -> Response:
+        if self._is_away():
+            status = _UNAVAILABLE
+        state = self._state
+        body = {
+            'rows': [encode_row(r) for r in rows],
+            'row-version': state.version,
+            'now-ms': self._loop.time() * 1e3,
+        }
+        headers = HTTPHeaders({'Store-Era': str(state.era)})
+        return Response(status, headers, msgspec.json.encode(body))
 
-    async def read(self, table: str) -> Rows:
-        """Return all rows of a table."""
+    async def _read(self, table: str) -> Response:
         await self._call(f'read {table}')
         rows = [r for r in self._state.rows.values() if r.table == table]
-        return _make_rows(self._state, rows, self._loop.time())
+        return self._respond(rows)
 
-    async def follow(self, table: str, after: int, wait: float) -> Rows:
-        """Return the rows changed after a version, once there are any."""
+    async def _follow(self, table: str, after: int, wait: float) -> Response:
         await self._call(f'follow {table}')
         state = self._state
-        if not state.has_history(after):
-            raise HistoryLostError('gone')
+        era = state.era
         until = self._loop.time() + wait
         while not (rows := state.list_changes(table, after)):
+            if self._is_away() or state.era != era:
+                break
             time_left = until - self._loop.time()
-            if time_left <= 0.0:
+            if time_left <= 0.0 or not state.has_history(after):
                 break
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(min(time_left, 0.1)):
                     await state.changed.wait()
-            except TimeoutError:
-                self._check()
-        return _make_rows(state, rows, self._loop.time())
+        if not state.has_history(after):
+            return self._respond([], _GONE)
+        return self._respond(rows)
 
-    async def write(self, writes: Sequence[Write]) -> Rows:
-        """Write all rows, or none."""
-        await self._call(f'write {writes[0].key.split("/")[0]}')
-        body = {
-            'expected': [
-                {
-                    'table': w.table,
-                    'part': '',
-                    'key': w.key,
-                    'row-version': w.expected_version,
-                }
-                for w in writes
-                if w.expected_version is not None
-            ],
-            'puts': [],
-            'remove': [],
-        }
-        if not self._state.commit(body):
-            raise ConflictError('a row has another version than expected')
-        for write in writes:
-            self._state.put(write.table, write.key, write.value)
-        return _make_rows(self._state, [], self._loop.time())
+    async def _write(self, body: dict[str, Any]) -> Response:
+        key = [*body['puts'], *body['remove']][0]['key']
+        await self._call(f'write {key.split("/")[0]}')
+        if self._is_away():
+            return self._respond([])
+        is_committed = self._state.commit(body)
+        return self._respond([], _OK if is_committed else _CONFLICT)
 
 
 class _Transport:
@@ -272,8 +272,7 @@
         )
         node = Node(settings, self._log_file)
         store = ModelledStore(self.state, self._loop)
-        for method in ('read', 'follow', 'write', 'estimate_clock'):
-            setattr(node.store, method, getattr(store, method))
+        node.store_client.fetch = store.fetch  # type: ignore[method-assign]
         node.peers._transport = _Transport(self, name)
         self.nodes[name] = node
         self.stores[name] = store
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -218,3 +218,48 @@
                     assert after[2].fence > before[2].fence
 
     _play(monkeypatch, vms, main)
+
+
+def _has_rows(fleet: ModelledFleet) -> bool:
+    keys = {key for table, _, key in fleet.state.rows if table == 'fleet'}
+    return {f'vm/{name}' for name in fleet.nodes} <= keys
+
+
+@pytest.mark.parametrize('vms', [_SMALL, _HUBS])
+def test_rows_of_vms_that_were_lost(
+    vms: dict[str, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """VMs that joined after the copy was made write their rows again."""
+
+    async def run(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, vms) as fleet:
+            restoration = _Restoration(fleet)
+            fleet.start()
+            await asyncio.sleep(_STARTED_S)
+            assert _has_rows(fleet)
+            await restoration.run()
+            await fleet.wait_until(lambda: _has_rows(fleet), 5.0)
+
+    timeloop.run(run)
+
+
+@pytest.mark.parametrize('vms', [_SMALL, _HUBS])
+def test_orders_long_after_the_store_was_restored(
+    vms: dict[str, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The lease is free again, also for VMs that did not read the store."""
+
+    async def main(fleet: ModelledFleet) -> None:
+        fleet.announce_weights(2)
+        await asyncio.sleep(3.0)
+        restoration = _Restoration(fleet)
+        await asyncio.sleep(3.0)
+        await restoration.run()
+        await asyncio.sleep(8.0)
+        fleet.announce_weights(3)
+        await fleet.wait_until(
+            lambda: all(fleet.engines.is_at(f'e{n}', 3) for n in range(8)),
+            4.0,
+        )
+
+    _play(monkeypatch, vms, main)
