Go on with a roll-out after the store was restored

An order that operators write again after a restoration has a new row version; it counted as a new order, and the outcomes until then were lost. A final status that the copy does not have was never written again, and a lost row of the progress made each write fail for its condition.

Change: an equal order of a later era is the same one; the VM that holds the lease writes a final status again that was not seen since the restoration; rows that a restored store no longer has are forgotten.

--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -20,6 +20,7 @@
 from ..platform.rollouts import RolloutState
 from ..platform.rollouts import STATUS_TABLE
 from ..platform.rows import Write
+from ..platform.rowversions import find_era
 from .discovery import FLEET_TABLE
 from .rolloutstate import Stage
 
@@ -44,6 +45,10 @@
     RolloutState.COMPLETED: Stage.COMPLETED,
     RolloutState.ROLLED_BACK: Stage.ROLLED_BACK,
 }
+_FINAL_STATES = {
+    Stage.COMPLETED: RolloutState.COMPLETED,
+    Stage.ROLLED_BACK: RolloutState.ROLLED_BACK,
+}
 
 
 class _RolloutRow(NamedTuple):
@@ -134,18 +139,18 @@
         Raises ``ConflictError`` or ``PlatformError`` if the store is not
         read or written.
         """
-        unresolved = self._rollouts.list_unresolved()
-        if self.is_leaving or not unresolved:
+        work = self._list_work()
+        if self.is_leaving or not work:
             self._work_since = None
             return _IDLE_INTERVAL_S
-        for rollout in unresolved:
+        for rollout in work:
             self._rollouts.judge(rollout)
         now = self._clock.now()
         if self._work_since is None:
             self._work_since = now
         if not self._lease.is_held():
             self._ramped_at.clear()
-            if self._compute_takeover_time(unresolved) > now:
+            if self._compute_takeover_time(work) > now:
                 return _WORK_INTERVAL_S
         wait = await self._lease.acquire()
         if wait > 0.0:
@@ -154,7 +159,7 @@
             self.apply_rows(await self._store.read(FLEET_TABLE))
             self._needs_read = False
         self._tick += 1
-        for rollout in self._rollouts.list_unresolved():
+        for rollout in self._list_work():
             await self._advance(rollout)
         return _WORK_INTERVAL_S
 
@@ -170,6 +175,7 @@
 
     def apply_rows(self, table_rows: Rows) -> None:
         """Apply the rows in which VMs keep the progress of roll-outs."""
+        self._forget_lost_rows(table_rows)
         for row in table_rows.rows:
             if not row.key.startswith(_KEY_PREFIX):
                 continue
@@ -191,8 +197,45 @@
                     stored.row.retired,
                 )
 
+    def _forget_lost_rows(self, table_rows: Rows) -> None:
+        """Forget the rows that a restored store no longer has."""
+        era = find_era(table_rows.store_version)
+        keys = {row.key for row in table_rows.rows}
+        for service, stored in list(self._stored.items()):
+            if find_era(stored.row_version) < era and (
+                _KEY_PREFIX + service not in keys
+            ):
+                del self._stored[service]
+
+    def _list_work(self) -> list[Rollout]:
+        """Return the roll-outs to drive or whose status may be lost."""
+        return [
+            rollout
+            for rollout in self._rollouts.by_service.values()
+            if not rollout.is_resolved() or self._has_lost_status(rollout)
+        ]
+
+    def _has_lost_status(self, rollout: Rollout) -> bool:
+        """Return whether the final status was not seen since a restoration.
+
+        VMs that did not see that the store was restored leave it alone.
+        """
+        if rollout.changed_at > self._store.restored_at:
+            return False
+        stored = self._stored.get(rollout.order.service)
+        return (
+            stored is None
+            or find_era(stored.row_version) < self._store.current_era()
+            or not stored.row.state.is_final()
+        )
+
     async def _advance(self, rollout: Rollout) -> None:
         """Decide on a roll-out's next step and carry it out."""
+        if rollout.is_resolved():
+            await self._write(
+                rollout, _FINAL_STATES[rollout.stage], rollout.reason
+            )
+            return
         stored = self._stored.get(rollout.order.service)
         if stored is None or stored.row.order < rollout.order.row_version:
             await self._write(rollout, RolloutState.RUNNING, '')
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -82,6 +82,10 @@
             and order.row_version <= current.order.row_version
         ):
             return
+        if current is not None and order.is_repeated(current.order):
+            current.replace_order(order)
+            self._apply_early_report(order)
+            return
         rollout = Rollout(
             order, self._clock.now(), not self._peers.is_starting()
         )
@@ -94,12 +98,15 @@
             duration=order.duration,
             row_version=order.row_version,
         )
+        self._apply_early_report(order)
+        for callback in self.on_order:
+            callback()
+
+    def _apply_early_report(self, order: RolloutOrder) -> None:
         key = (order.service, order.row_version)
         early = self._early_reports.pop(key, None)
         if early is not None:
             self._apply_report(early)
-        for callback in self.on_order:
-            callback()
 
     def list_unresolved(self) -> list[Rollout]:
         """Return the roll-outs that have not ended."""
--- a/src/lentilrun/gateway/rolloutstate.py
+++ b/src/lentilrun/gateway/rolloutstate.py
@@ -61,6 +61,11 @@
         self.refilled_at = now
         self.ledger = OutcomeLedger(order.row_version)
 
+    def replace_order(self, order: RolloutOrder) -> None:
+        """Go on with the same order, which operators wrote again."""
+        self.order = order
+        self.ledger.order = order.row_version
+
     def is_resolved(self) -> bool:
         """Return whether nothing is left to do."""
         return self.stage.is_final()
--- a/src/lentilrun/platform/rollouts.py
+++ b/src/lentilrun/platform/rollouts.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from .documents import BadDocumentError
+from .rowversions import find_era
 
 STATUS_TABLE = 'status'
 _PREFIX = 'rollout/'
@@ -41,6 +42,16 @@
         """Return the version as targets have it."""
         return str(self.version)
 
+    def is_repeated(self, before: RolloutOrder) -> bool:
+        """Return whether operators wrote an earlier order again.
+
+        They do when the store was restored from a copy without it.
+        """
+        is_later = find_era(self.row_version) > find_era(before.row_version)
+        return is_later and self == before._replace(
+            row_version=self.row_version
+        )
+
 
 class _WireOrder(msgspec.Struct, rename='kebab'):
     service: str
