Keep the headers of a request that its Connection header lists

What callers saw: a request with 'Connection: close, X-Request-Id' ended with its deadline; with X-Model or X-Prefix-Hash in the list, the target ran another request than the caller's. A target that listed X-Response-Signature had its response passed on without it.

Cause: all headers that Connection lists were taken for those of one connection. Those by which callers and targets know a request or a response stay now.

Found by the property test of callers' heads. Before: it failed with the example that it has now, and five of the new cases; after: all pass.

--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -52,6 +52,22 @@
         'upgrade',
     )
 )
+# Headers for callers and targets, which stay although Connection lists them:
+# without them, a target ran another request or a response seemed foreign.
+_END_TO_END_HEADERS = frozenset(
+    (
+        'content-encoding',
+        'content-type',
+        'last-event-id',
+        'x-length-hint',
+        'x-model',
+        'x-prefix-hash',
+        'x-request-id',
+        'x-response-signature',
+        'x-token-usage',
+        'x-weight-versions',
+    )
+)
 # Headers that only the router may send to a target; those of callers are
 # removed.
 _RESERVED_HEADERS = frozenset(
@@ -181,7 +197,8 @@
 ) -> HTTPHeaders:
     """Copy headers, except excluded ones and those that Connection lists."""
     connection_options = headers.get('Connection', '').lower().split(',')
-    dropped = excluded | {o.strip() for o in connection_options}
+    listed = {o.strip() for o in connection_options}
+    dropped = excluded | (listed - _END_TO_END_HEADERS)
     copied = HTTPHeaders()
     for name, value in headers.get_all():
         if name.lower() not in dropped:
--- a/tests/gateway/test_caller_heads.py
+++ b/tests/gateway/test_caller_heads.py
@@ -67,6 +67,12 @@
     b'Api-Key: key-1\r\nX-Prefix-Hash: a:1,,b:x,c\r\n\r\nab'
 )
 
+# Its ID once was not passed on, so that no response seemed to belong to it.
+_LISTED_REQUEST_ID = (
+    b'GET /plain/x HTTP/1.1\r\nHost: example\r\nX-Request-Id: r1\r\n'
+    b'Api-Key: key-1\r\nConnection: close, X-Request-Id\r\n\r\n'
+)
+
 
 @st.composite
 def _draw_request(draw: st.DrawFn) -> bytes:
@@ -108,6 +114,7 @@
 )
 @given(st.lists(_draw_request(), min_size=8, max_size=16))
 @example([_EMPTY_SEGMENT])
+@example([_LISTED_REQUEST_ID])
 def test_any_request(tmp_path: pathlib.Path, requests: list[bytes]) -> None:
     """Each request gets a response or a closed connection."""
     log = tmp_path / 'log'
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -114,3 +114,25 @@
     """A limit is a decimal number; a malformed one counts as absent."""
     headers = HTTPHeaders({'Server-Limit': text})
     assert dialect.read_response_head(200, headers).rate_limit == expected
+
+
+@pytest.mark.parametrize(
+    'name',
+    ['X-Request-Id', 'X-Model', 'X-Token-Usage', 'X-Prefix-Hash', 'X-Own'],
+)
+def test_headers_that_connection_lists(name: str) -> None:
+    """Only those that concern no target are left out."""
+    headers = HTTPHeaders({name: '1', 'Connection': f'close, {name}'})
+    forwarded = dialect.make_forwarded_headers(headers, _FORWARDED)
+    assert (name in forwarded) is (name != 'X-Own')
+
+
+def test_signature_that_connection_lists() -> None:
+    """The caller gets it, as it proves that the response is the target's."""
+    headers = HTTPHeaders(
+        {
+            'X-Response-Signature': 's',
+            'Connection': 'close, X-Response-Signature',
+        }
+    )
+    assert 'X-Response-Signature' in dialect.make_response_headers(headers)
