Believe a target's newest row, but not that of a copy

A target that reports that it leaves stayed so for each VM until it started anew, whatever it wrote: a replica that takes its report back (the soak's do) was lost for good. Found by reading the soak. What a target has reported is now kept only against rows of a later era of the store, which may be those of a copy, and a start that is earlier than the known one is ignored only then.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -160,6 +160,7 @@
         self._vm_count = vms
         self._stack = contextlib.AsyncExitStack()
         self.store = rowstore.RowStoreState()
+        self._operator_rows: dict[str, bytes] = {}
         self.replicas: dict[str, replica.ReplicaState] = {}
         self.replica_proxies: dict[str, Proxy] = {}
         self.vms: list[VmProcess] = []
@@ -214,13 +215,24 @@
         """Write the next configuration."""
         self.configuration_version += 1
         value = make_configuration(self.configuration_version, **overrides)
-        self.store.put('op', 'config', msgspec.json.encode(value))
+        self._write_operator_row('config', msgspec.json.encode(value))
 
     def announce_weights(self) -> None:
         """Announce the next version of the model's weights."""
         self.weights_version += 1
         value = make_weights_announcement(self.weights_version)
-        self.store.put('op', f'version/{MODEL}', value)
+        self._write_operator_row(f'version/{MODEL}', value)
+
+    def _write_operator_row(self, key: str, value: bytes) -> None:
+        self._operator_rows[key] = value
+        self.store.put('op', key, value)
+
+    def write_again(self) -> None:
+        """Write what the store lost when it was restored from a copy."""
+        for key, value in self._operator_rows.items():
+            self.store.put('op', key, value)
+        for name in self.replicas:
+            self.register(name)
 
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a replica's row."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -31,6 +31,9 @@
 _UNFRAMED_FAULTS = ('torn', 'empty')
 _UNFRAMED_SHARE = 0.5
 _MAX_CONSECUTIVE_FAULTS = 4
+_RESTORED_SHARE = 0.5
+# Operators and replicas write again this long after a restoration.
+_REWRITE_DELAY_S = 0.3
 
 
 class FaultEvent(NamedTuple):
@@ -50,6 +53,7 @@
         self._rng = rng
         # Draws of its own, so that the other faults of a seed stay the same.
         self._framing_rng = random.Random(rng.getstate()[1][0])
+        self._restoration_rng = random.Random(rng.getstate()[1][1])
         self._tasks: set[asyncio.Task[None]] = set()
         # VMs that are paused or being restarted.
         self._reserved: set[str] = set()
@@ -180,9 +184,26 @@
         return name
 
     async def _compact_store(self) -> str:
+        if self._restoration_rng.random() < _RESTORED_SHARE:
+            return await self._restore_store()
         self._deployment.store.compact()
         return ''
 
+    async def _restore_store(self) -> str:
+        """Let the store return from a copy, after an outage."""
+        rng = self._restoration_rng
+        store = self._deployment.store
+        copy = store.copy()
+        age = rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S)
+        await asyncio.sleep(age)
+        store.faults.is_down = True
+        await asyncio.sleep(rng.uniform(_MIN_FAULT_S, _MAX_FAULT_S))
+        store.restore(copy)
+        store.faults.is_down = False
+        await asyncio.sleep(_REWRITE_DELAY_S)
+        self._deployment.write_again()
+        return f'restored {age:.1f}'
+
     async def _break_replica(self) -> str:
         name = self._rng.choice(list(self._deployment.replicas))
         plan = self._deployment.replicas[name].plan
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -90,6 +90,8 @@
         self.rate_limit = rate_limit
         self._estimator = estimator
         self.weights_versions = dict(target.weights_versions)
+        # The era of the store in which its registration was last believed.
+        self.row_era = 0
         self.in_flight = 0
         self.long_in_flight = 0
         self.prefill_tokens = 0.0
@@ -263,20 +265,8 @@
             callback()
 
     def register(self, target: Target) -> None:
-        """Add or update a target from its registration.
-
-        A restored store may hold an older one: of an earlier start, or from
-        before the target reported that it leaves.
-        """
+        """Add or update a target from its registration."""
         state = self.states.get(target.incarnation)
-        if state is not None:
-            before = state.target
-            if target.started_at_ms < before.started_at_ms:
-                return
-            if target.started_at_ms == before.started_at_ms:
-                target = target._replace(
-                    is_draining=target.is_draining or before.is_draining
-                )
         if state is None or state.target.started_at_ms != target.started_at_ms:
             self.states[target.incarnation] = TargetState(
                 target,
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -9,6 +9,7 @@
 from ..platform.documents import BadDocumentError
 from ..platform.rollouts import decode_order
 from ..platform.rollouts import is_rollout_key
+from ..platform.rowversions import find_era
 from .messages import AnnouncementReport
 
 if TYPE_CHECKING:
@@ -263,6 +264,14 @@
             return
         state = self.targets.states.get(row.key)
         before = state.target if state is not None else None
+        row_era = find_era(row.version)
+        if state is not None and row_era > state.row_era:
+            if target.started_at_ms < state.target.started_at_ms:
+                # The copy has it from before the target's last start.
+                return
+            if _leaves_still(state.target, target):
+                target = target._replace(is_draining=True)
+                row_era = state.row_era
         if before is None or _has_changed(before, target):
             self._log.write(
                 'target_known',
@@ -275,6 +284,16 @@
                 row_version=row.version,
             )
         self.targets.register(target)
+        self.targets.states[row.key].row_era = row_era
+
+
+def _leaves_still(before: Target, copied: Target) -> bool:
+    """Return whether a copy shows a target as before it was leaving."""
+    return (
+        before.is_draining
+        and not copied.is_draining
+        and before.started_at_ms == copied.started_at_ms
+    )
 
 
 def _has_changed(before: Target, after: Target) -> bool:
