Remove what nothing uses any more

Rollouts.list_unresolved lost its last caller to RolloutDriver._list_work; the modelled targets recorded which VMs they had told a limit, but the tests count all requests, which is stricter. The length of a period is private.

--- a/src/lentilrun/decisions/ratelimits.py
+++ b/src/lentilrun/decisions/ratelimits.py
@@ -24,7 +24,7 @@
     from collections.abc import Iterator
 
 # Turns are valid for the period to which they belong.
-PERIOD_S = 1.0
+_PERIOD_S = 1.0
 # A target that takes less gets requests at this rate, as only a response
 # shows that the limit has ended.
 _MIN_LIMIT_PER_S = 0.1
@@ -42,11 +42,11 @@
 
 def compute_period(now: float) -> int:
     """Return the number of the period at a time."""
-    return math.floor(now / PERIOD_S)
+    return math.floor(now / _PERIOD_S)
 
 
 def _first_turn(limit: float, period: int) -> int:
-    return math.floor(max(limit, _MIN_LIMIT_PER_S) * PERIOD_S * period)
+    return math.floor(max(limit, _MIN_LIMIT_PER_S) * _PERIOD_S * period)
 
 
 def _next_own_turn(turn: int, place: Place) -> int:
@@ -65,10 +65,10 @@
     limit: float, place: Place, period: int
 ) -> Iterator[float]:
     """Yield when each turn of a VM begins, for turns after a period."""
-    rate = max(limit, _MIN_LIMIT_PER_S) * PERIOD_S
+    rate = max(limit, _MIN_LIMIT_PER_S) * _PERIOD_S
     turn = _next_own_turn(_first_turn(limit, period + 1), place)
     while True:
-        yield (math.ceil((turn + 1) / rate) - 1) * PERIOD_S
+        yield (math.ceil((turn + 1) / rate) - 1) * _PERIOD_S
         turn += place.members
 
 
@@ -87,6 +87,5 @@
     'count_turns',
     'find_turn',
     'list_turn_starts',
-    'PERIOD_S',
     'Place',
 ]
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -108,10 +108,6 @@
         if early is not None:
             self._apply_report(early)
 
-    def list_unresolved(self) -> list[Rollout]:
-        """Return the roll-outs that have not ended."""
-        return [r for r in self.by_service.values() if not r.is_resolved()]
-
     def set_stage(self, rollout: Rollout, stage: Stage, reason: str) -> None:
         """Record a stage that this VM decided on or read."""
         if stage is rollout.stage or rollout.stage.is_final():
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -67,8 +67,6 @@
         self.rate_limits: dict[str, float] = {}
         self.broken: set[str] = set()
         self.arrivals: list[Arrival] = []
-        # When a VM first received a limit of a target.
-        self.told: dict[tuple[str, str], float] = {}
         for node in fleet.nodes.values():
             self.connect(node)
 
@@ -101,8 +99,6 @@
             raise InterruptedExchangeError('reset')
         headers = self._make_headers(target, request)
         await asyncio.sleep(_NETWORK_S)
-        if 'Server-Limit' in headers:
-            self.told.setdefault((target, vm), self._loop.time())
         handler.receive_head(200, headers)
         if 'X-Prefix-Hash' in request.headers:
             relaying = handler.receive_chunk(_EVENT)
@@ -124,18 +120,6 @@
             headers['Server-Limit'] = str(self.rate_limits[target])
         return headers
 
-    def list_times(self, target: str) -> list[float]:
-        """Return when requests reached a target from VMs that knew a limit.
-
-        A VM knows it once it has received a response that states it.
-        """
-        return [
-            a.at
-            for a in self.arrivals
-            if a.target == target
-            and a.at >= self.told.get((target, a.vm), float('inf'))
-        ]
-
 
 def count_most(times: Sequence[float], window: float) -> int:
     """Return the largest number of sorted times in any ``window`` s."""
