Begin no roll-out for an order that only a copy has

What operators would have seen, found by reading the change: after a restoration, an order that a newer one had replaced counted as new, since its row is read in a later era. The newer roll-out was dropped with what it had shown, so that a banned version could get requests again once its order was written again. And a final status was not written again if the copy had that of another order of the service.

Cause: in a later era a row is newer than all before, which is right for a row that is written again and wrong for one that the copy holds. An order that equals a replaced one is ignored until the current one was written again; after that, an equal order is a new one.

Before: the two new cases of tests/gateway/test_restored_rollouts.py failed (another Rollout object; no status within 9 s). After: all six pass, three times, with the 98 tests of roll-outs.

--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -224,6 +224,7 @@
             stored is None
             or find_era(stored.row_version) < self._store.current_era()
             or not stored.row.state.is_final()
+            or stored.row.version != rollout.version
         )
 
     async def _advance(self, rollout: Rollout) -> None:
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -12,6 +12,7 @@
 from ..decisions.rollouts import refill_tokens
 from ..decisions.rolloutverdict import find_fault
 from ..decisions.rolloutverdict import is_doubtful
+from ..platform.rowversions import find_era
 from .messages import OutcomeReport
 from .messages import RolloutReport
 from .recent import Origin
@@ -42,6 +43,8 @@
 # A version that appears beside another one gets no requests for this time:
 # the order that names it may arrive after its targets.
 _UNNAMED_S = 1.0
+# Orders of a service that are remembered: a copy is older by few of them.
+_MAX_REPLACED_ORDERS = 8
 
 
 class Rollouts:
@@ -67,6 +70,8 @@
         self._log = log
         self.reporter = OutcomeReporter(node, clock)
         self.by_service: dict[str, Rollout] = {}
+        # The orders before the newest one of each service, oldest first.
+        self._replaced: dict[str, list[RolloutOrder]] = {}
         self.retired: dict[str, set[str]] = {}
         self._first_seen: dict[tuple[str, str], float] = {}
         # Final reports on orders that this VM has not read yet.
@@ -77,30 +82,54 @@
     def apply_order(self, order: RolloutOrder) -> None:
         """Apply an order that operators wrote."""
         current = self.by_service.get(order.service)
-        if (
-            current is not None
-            and order.row_version <= current.order.row_version
-        ):
+        if current is None:
+            self._begin(order)
+        elif order.row_version <= current.order.row_version:
             return
-        if current is not None and order.is_repeated(current.order):
+        elif order.is_repeated(current.order):
             current.replace_order(order)
             self._apply_early_report(order)
-            return
+        elif self._is_of_copy(order, current.order):
+            self._log_order('rollout_order_of_copy', order)
+        else:
+            self._remember(current.order)
+            self._begin(order)
+
+    def _begin(self, order: RolloutOrder) -> None:
         rollout = Rollout(
             order, self._clock.now(), not self._peers.is_starting()
         )
         self.by_service[order.service] = rollout
         self.retired.get(order.service, set()).discard(rollout.version)
+        self._log_order('rollout_ordered', order)
+        self._apply_early_report(order)
+        for callback in self.on_order:
+            callback()
+
+    def _log_order(self, event: str, order: RolloutOrder) -> None:
         self._log.write(
-            'rollout_ordered',
+            event,
             service=order.service,
-            to=rollout.version,
+            to=order.version_name(),
             duration=order.duration,
             row_version=order.row_version,
         )
-        self._apply_early_report(order)
-        for callback in self.on_order:
-            callback()
+
+    def _remember(self, replaced: RolloutOrder) -> None:
+        orders = self._replaced.setdefault(replaced.service, [])
+        orders.append(replaced)
+        del orders[:-_MAX_REPLACED_ORDERS]
+
+    def _is_of_copy(self, order: RolloutOrder, current: RolloutOrder) -> bool:
+        """Return whether a restored store has an order that was replaced.
+
+        Once operators have written the current one again, an equal order is
+        a new one.
+        """
+        if find_era(order.row_version) <= find_era(current.row_version):
+            return False
+        replaced = self._replaced.get(order.service, ())
+        return any(order.is_repeated(before) for before in replaced)
 
     def _apply_early_report(self, order: RolloutOrder) -> None:
         key = (order.service, order.row_version)
