Log which events each attempt of a stream received, and its framing

What callers saw: streams whose events were missing or out of order, without a line that tells an end that wasn't one from a gap, a repetition or a bad join. The line of an attempt now has the numbers of its first and last event and whether the response had a length or chunks.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -397,6 +397,7 @@
             self.started_at,
             self.first_event_at,
             self._progress.last_event_id,
+            self._receiver.trace(),
             sent_before,
             self._receiver.is_on_kept_connection,
             self._error,
--- a/src/lentilrun/gateway/attemptlog.py
+++ b/src/lentilrun/gateway/attemptlog.py
@@ -14,6 +14,7 @@
     from .call import Call
     from .choice import Assignment
     from .context import DispatchContext
+    from .relay import StreamTrace
 
 _MAX_LOGGED_SEGMENTS = 8
 
@@ -22,7 +23,8 @@
     """An attempt that ended; times by the clock, in seconds.
 
     ``sent_before`` attempts of the call were sent before it.
-    ``last_event_id`` is the last event that the caller has received. The
+    ``last_event_id`` is the last event that the caller has received, and
+    ``trace`` tells what this attempt received of a stream. The
     request ``is_on_kept_connection`` if it was sent over one that was open
     before; ``error`` is why there was no connection, or no whole response.
     """
@@ -34,6 +36,7 @@
     started_at: float
     first_event_at: float | None
     last_event_id: int
+    trace: StreamTrace | None
     sent_before: int
     is_on_kept_connection: bool
     error: LentilrunError | None
@@ -71,6 +74,8 @@
         error=_format_error(record.error),
         left=round(call.deadline - now, 3),
         events=record.last_event_id,
+        ids=_format_ids(record.trace),
+        framed=record.trace.is_framed if record.trace is not None else None,
         first=_compute_time_to_first_event(record),
         seconds=round(now - record.started_at, 3),
         configuration=configuration.version if configuration else None,
@@ -87,6 +92,13 @@
     return repr(cause)
 
 
+def _format_ids(trace: StreamTrace | None) -> tuple[int, int] | None:
+    """Return the numbers of the first and last event of an attempt."""
+    if trace is None or trace.first_id is None or trace.last_id is None:
+        return None
+    return trace.first_id, trace.last_id
+
+
 def _compute_time_to_first_event(record: AttemptRecord) -> float | None:
     if record.first_event_at is None:
         return None
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from tornado.iostream import StreamClosedError
@@ -31,6 +32,19 @@
 _UNCOUNTED_EVENT_BYTES = 64 * 1024
 
 
+class StreamTrace(NamedTuple):
+    """What one attempt received of a stream.
+
+    ``first_id`` and ``last_id`` are the numbers of its first and last event,
+    nothing if no event had one. A response that ``is_framed`` has a length or
+    comes in chunks; any other one ends with its connection.
+    """
+
+    is_framed: bool
+    first_id: int | None
+    last_id: int | None
+
+
 class StreamProgress:
     """What the caller has received of a stream, over all attempts.
 
@@ -86,6 +100,8 @@
         self._expects_body = expects_body
         self._is_relayed = False
         self._is_framed = True
+        self._first_id: int | None = None
+        self._last_id: int | None = None
         self._buffer = EventBuffer()
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
@@ -135,9 +151,24 @@
             self._buffer.take_rest()
             self.stop()
             return None
+        self._record_numbers(events)
         unseen = self._progress.drop_seen(events)
         return self._relay(unseen) if unseen else None
 
+    def _record_numbers(self, events: bytes) -> None:
+        numbers = _EVENT_ID.findall(events)
+        if not numbers:
+            return
+        if self._first_id is None:
+            self._first_id = int(numbers[0])
+        self._last_id = int(numbers[-1])
+
+    def trace(self) -> StreamTrace | None:
+        """Return what was received of a stream; nothing if it is none."""
+        if not self._is_relayed:
+            return None
+        return StreamTrace(self._is_framed, self._first_id, self._last_id)
+
     async def _relay(self, events: bytes) -> None:
         self._record_first_event()
         try:
@@ -191,4 +222,4 @@
         await self._writer.send(self.status, headers, body)
 
 
-__all__ = ['ResponseReceiver', 'StreamProgress']
+__all__ = ['ResponseReceiver', 'StreamProgress', 'StreamTrace']
--- a/tests/gateway/test_attempt_log.py
+++ b/tests/gateway/test_attempt_log.py
@@ -45,6 +45,13 @@
     assert all(0.0 <= a['first'] <= a['seconds'] for a in attempts)
 
 
+def test_numbers_of_each_attempt(tmp_path: pathlib.Path) -> None:
+    """Each line has the first and last event that its attempt received."""
+    attempts = _log_attempts(tmp_path)
+    assert [a['ids'] for a in attempts] == [[1, 1], [2, 3]]
+    assert [a['framed'] for a in attempts] == [True, True]
+
+
 def test_segments_of_a_prompt(tmp_path: pathlib.Path) -> None:
     """Each line names the first of the prompt's segments."""
     names = [f'{n:02x}' for n in range(20)]
