--- a/tests/gateway/test_stream_order.py
+++ b/tests/gateway/test_stream_order.py
@@ -155,7 +155,9 @@
     'comments have no number': _Case(
         _RESUMABLE,
         (
-            make_chunked(b': a\n\n', make_events(1), b': b\n\n', is_ended=False),
+            make_chunked(
+                b': a\n\n', make_events(1), b': b\n\n', is_ended=False
+            ),
             make_chunked(b': c\n\n', make_events(2), b': d\n\n'),
         ),
         [1, 2],
