Let callers receive each event of a stream once and in sequence

What callers saw: events that were missing or came twice, without the stream being broken off. Cause: only the first number of each read was compared with the last event that the caller had, and only to drop what it had already; a gap was never looked for, within a read nothing was, and an event without a number always passed. Numbers with two blanks before or one behind them, and those in lines that end in CR, were not seen at all, and a stream without numbers was begun anew within the response after it broke off.

Ruled out: the buffer of events; it returns whole events whatever the packets are (tests/web/test_eventstream.py, now for CR too).

The order over all runs is decided in one place without I/O, decisions/streamorder.py, which judges each event. A run with a gap, a repetition or an event of unknown place is ended after its last sound event and counts as broken off, so that it goes on elsewhere where the route allows it. The usual packet, with the next numbers of a consecutive stream, is passed on after one search as before.

--- /dev/null
+++ b/src/lentilrun/decisions/streamorder.py
@@ -0,0 +1,207 @@
+"""Which events of a stream its caller may receive, over all its runs.
+
+Designed for this load: targets crash, are replaced or load weights while
+hundreds of streams run, and each stream that may be resumed goes on at
+another target. The caller must receive each event once and in sequence,
+whatever the runs send: events from the beginning again, events left out, or
+many events in one packet.
+
+Targets number the events of a stream 1, 2, 3 and so on. A stream whose first
+event has another number is only required to have growing numbers.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import NamedTuple
+
+from ..web.eventstream import find_event_ids
+from ..web.eventstream import has_data
+from ..web.eventstream import split_events
+
+_FIRST_ID = 1
+
+
+class Verdict(enum.StrEnum):
+    """What becomes of an event; ``SKIP`` is one that the caller has.
+
+    The others end the run: ``GAP`` is an event with another one missing
+    before it, ``REPETITION`` a number that the run has sent before, and
+    ``UNNUMBERED`` an event of a further run of which nothing tells whether
+    the caller has it.
+    """
+
+    PASS = 'pass'
+    SKIP = 'skip'
+    GAP = 'gap'
+    REPETITION = 'repetition'
+    UNNUMBERED = 'unnumbered'
+
+
+_FAULTS = frozenset((Verdict.GAP, Verdict.REPETITION, Verdict.UNNUMBERED))
+
+
+class Position(NamedTuple):
+    """Where a run of a stream stands.
+
+    ``last_id`` is the last event that the caller has, 0 if it has none, and
+    ``run_last_id`` the last one that the run sent. A run that ``is_new``
+    sends only events that the caller doesn't have. In a stream that
+    ``is_consecutive`` each number is the one before it plus one; nothing if
+    there was no event yet.
+    """
+
+    last_id: int
+    run_last_id: int | None
+    is_new: bool
+    is_consecutive: bool | None
+
+    def judge(self, number: int | None, event: bytes) -> Verdict:
+        """Return what becomes of the next event of the run."""
+        if number is None:
+            return self._judge_unnumbered(event)
+        if self.run_last_id is not None and number <= self.run_last_id:
+            return Verdict.REPETITION
+        if self.is_consecutive and not self._follows(number):
+            return Verdict.GAP
+        if self.is_consecutive is not None and number <= self.last_id:
+            return Verdict.SKIP
+        return Verdict.PASS
+
+    def _judge_unnumbered(self, event: bytes) -> Verdict:
+        if self.is_new:
+            return Verdict.PASS
+        return Verdict.UNNUMBERED if has_data(event) else Verdict.SKIP
+
+    def _follows(self, number: int) -> bool:
+        """Return whether the run left no event out before ``number``."""
+        if self.run_last_id is None:
+            return number <= self.last_id + 1
+        return number == self.run_last_id + 1
+
+    def advance(self, number: int | None, verdict: Verdict) -> Position:
+        """Return the position after an event that was passed or skipped."""
+        if number is None:
+            return self
+        if verdict is Verdict.SKIP:
+            return self._replace(run_last_id=number)
+        is_consecutive = self.is_consecutive
+        if is_consecutive is None:
+            is_consecutive = number == _FIRST_ID
+        return Position(number, number, True, is_consecutive)
+
+
+class Selection(NamedTuple):
+    """The events of a run that are to be passed on.
+
+    ``position`` is where the run then stands. With a ``fault`` the run is to
+    be ended after them.
+    """
+
+    events: bytes
+    position: Position
+    fault: Verdict | None = None
+
+
+class StreamProgress:
+    """What the caller has received of a stream, over all its runs."""
+
+    def __init__(self, last_event: int) -> None:
+        """The caller has the events up to ``last_event``; 0 is none."""
+        self.last_event_id = last_event
+        self.has_started = False
+        self._has_ids = False
+        self._is_consecutive: bool | None = True if last_event else None
+
+    def is_empty(self) -> bool:
+        """Return whether the caller has received no event at all."""
+        return not self.has_started and not self.last_event_id
+
+    def may_continue(self) -> bool:
+        """Return whether another run may go on with the stream.
+
+        Nothing tells where to go on in a stream without numbers.
+        """
+        return self._has_ids or not self.has_started
+
+    def make_position(self) -> Position:
+        """Return where a further run begins."""
+        return Position(
+            self.last_event_id, None, self.is_empty(), self._is_consecutive
+        )
+
+    def record(self, selection: Selection) -> None:
+        """Record what was passed on to the caller."""
+        if not selection.events:
+            return
+        self.has_started = True
+        position = selection.position
+        self._has_ids |= position.run_last_id is not None
+        self._is_consecutive = position.is_consecutive
+        self.last_event_id = position.last_id
+
+
+class StreamRun:
+    """The events of one attempt at a stream.
+
+    ``first_id`` is the number of the first event that the target sent,
+    nothing if no event had one.
+    """
+
+    def __init__(self, progress: StreamProgress) -> None:
+        self._progress = progress
+        self._position = progress.make_position()
+        self.first_id: int | None = None
+
+    @property
+    def last_id(self) -> int | None:
+        """The number of the last event that the target sent."""
+        return self._position.run_last_id
+
+    def select(self, events: bytes) -> Selection:
+        """Return which of complete events are to be passed on."""
+        ids = find_event_ids(events)
+        if self._are_next(ids):
+            position = self._position
+            if ids:
+                position = position.advance(ids[-1], Verdict.PASS)
+            return Selection(events, position)
+        return self._select_each(events)
+
+    def record(self, selection: Selection) -> None:
+        """Record that a selection is passed on."""
+        self._position = selection.position
+        self._progress.record(selection)
+
+    def _are_next(self, ids: list[int]) -> bool:
+        """Return whether the events go on with a consecutive stream."""
+        position = self._position
+        if not position.is_new or not position.is_consecutive:
+            return False
+        first = position.last_id + 1
+        return ids == list(range(first, first + len(ids)))
+
+    def _select_each(self, events: bytes) -> Selection:
+        position = self._position
+        chosen: list[bytes] = []
+        for event in split_events(events):
+            ids = find_event_ids(event)
+            number = ids[-1] if ids else None
+            if self.first_id is None:
+                self.first_id = number
+            verdict = position.judge(number, event)
+            if verdict in _FAULTS:
+                return Selection(b''.join(chosen), position, verdict)
+            if verdict is Verdict.PASS:
+                chosen.append(event)
+            position = position.advance(number, verdict)
+        return Selection(b''.join(chosen), position)
+
+
+__all__ = [
+    'Position',
+    'Selection',
+    'StreamProgress',
+    'StreamRun',
+    'Verdict',
+]
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -37,13 +37,13 @@
     from ..config.ini import Address
     from ..decisions.facts import Target
     from ..decisions.quarantine import Suspect
+    from ..decisions.streamorder import StreamProgress
     from ..errors import LentilrunError
     from ..platform.dialect import ResponseHead
     from .call import Call
     from .call import ResponseWriter
     from .choice import Assignment
     from .context import DispatchContext
-    from .relay import StreamProgress
     from .targetstate import TargetState
 
 # A target that refused a request because it was full gets no requests for
--- a/src/lentilrun/gateway/attemptlog.py
+++ b/src/lentilrun/gateway/attemptlog.py
@@ -76,6 +76,7 @@
         events=record.last_event_id,
         ids=_format_ids(record.trace),
         framed=record.trace.is_framed if record.trace is not None else None,
+        order=record.trace.fault if record.trace is not None else None,
         first=_compute_time_to_first_event(record),
         seconds=round(now - record.started_at, 3),
         configuration=configuration.version if configuration else None,
--- a/src/lentilrun/gateway/exchange.py
+++ b/src/lentilrun/gateway/exchange.py
@@ -20,12 +20,12 @@
 
     from ..config.ini import Address
     from ..coordination.clock import Clock
+    from ..decisions.streamorder import StreamProgress
     from ..errors import LentilrunError
     from ..web.client import Client
     from ..web.client import Request
     from .call import Call
     from .relay import ResponseReceiver
-    from .relay import StreamProgress
 
 _SERVER_ERROR = 500
 # No attempt starts with less time than this until the deadline.
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -11,6 +11,7 @@
 from ..decisions.streammoves import MAX_BUDGET_SHARE
 from ..decisions.streammoves import may_move
 from ..decisions.streammoves import RunningStream
+from ..decisions.streamorder import StreamProgress
 from ..decisions.waiting import compute_retry_after
 from ..decisions.waiting import decide
 from ..decisions.waiting import Decision
@@ -28,7 +29,6 @@
 from .exchange import MIN_ATTEMPT_TIME_S
 from .forwarding import ForwardedAttempt
 from .peers import Peer
-from .relay import StreamProgress
 from .turnplace import TurnPlace
 
 if TYPE_CHECKING:
@@ -244,6 +244,8 @@
         """
         if assignment.weights_version is None or self._call.is_forwarded:
             return False
+        if not self._progress.may_continue():
+            return False
         call = self._call
         stream = RunningStream(
             call.route.is_idempotent(),
@@ -276,6 +278,8 @@
             return False
         if not call.route.is_idempotent():
             return False
+        if not self._progress.may_continue():
+            return False
         if self._possible_runs >= call.route.max_attempts:
             return False
         if self._context.crashes.is_quarantined(self._suspects):
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -28,12 +28,12 @@
     from tornado.httputil import HTTPHeaders
 
     from ..coordination.clock import Clock
+    from ..decisions.streamorder import StreamProgress
     from ..platform.dialect import ResponseHead
     from ..web.client import Client
     from .call import Call
     from .call import ResponseWriter
     from .peers import Peer
-    from .relay import StreamProgress
 
 _CALL_HEADER = 'Lentilrun-Forwarded'
 _REFUSAL_HEADER = 'Lentilrun-Refusal'
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import re
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from tornado.iostream import StreamClosedError
 
+from ..decisions.streamorder import StreamRun
 from ..platform import dialect
 from ..platform.dialect import ResponseHead
 from ..web.client import is_framed
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
-from ..web.eventstream import split_events
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -21,9 +20,11 @@
 
     from tornado.httputil import HTTPHeaders
 
+    from ..decisions.streamorder import Selection
+    from ..decisions.streamorder import StreamProgress
+    from ..decisions.streamorder import Verdict
     from .call import ResponseWriter
 
-_EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
 _OK = 200
 _SUCCESS_STATUS_END = 300
 _MAX_EVENT_BYTES = 4 * 1024 * 1024
@@ -37,41 +38,14 @@
 
     ``first_id`` and ``last_id`` are the numbers of its first and last event,
     nothing if no event had one. A response that ``is_framed`` has a length or
-    comes in chunks; any other one ends with its connection.
+    comes in chunks; any other one ends with its connection. The router ended
+    the attempt if it sent a ``fault``.
     """
 
     is_framed: bool
     first_id: int | None
     last_id: int | None
-
-
-class StreamProgress:
-    """What the caller has received of a stream, over all attempts.
-
-    Events are numbered by their ``id``.
-    """
-
-    def __init__(self, last_event: int) -> None:
-        self.last_event_id = last_event
-        self.has_started = False
-
-    def is_empty(self) -> bool:
-        """Return whether the caller has received no event at all."""
-        return not self.has_started and not self.last_event_id
-
-    def drop_seen(self, events: bytes) -> bytes:
-        """Return the events without those that the caller has received."""
-        numbers = [int(n) for n in _EVENT_ID.findall(events)]
-        if not numbers or numbers[0] > self.last_event_id:
-            self.last_event_id = max([self.last_event_id, *numbers])
-            return events
-        unseen = []
-        for event in split_events(events):
-            match = _EVENT_ID.search(event)
-            if match is None or int(match[1]) > self.last_event_id:
-                unseen.append(event)
-        self.last_event_id = max([self.last_event_id, *numbers])
-        return b''.join(unseen)
+    fault: Verdict | None
 
 
 class ResponseReceiver(ResponseHandler):
@@ -100,8 +74,8 @@
         self._expects_body = expects_body
         self._is_relayed = False
         self._is_framed = True
-        self._first_id: int | None = None
-        self._last_id: int | None = None
+        self._run = StreamRun(progress)
+        self._fault: Verdict | None = None
         self._buffer = EventBuffer()
 
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
@@ -151,38 +125,40 @@
             self._buffer.take_rest()
             self.stop()
             return None
-        self._record_numbers(events)
-        unseen = self._progress.drop_seen(events)
-        return self._relay(unseen) if unseen else None
-
-    def _record_numbers(self, events: bytes) -> None:
-        numbers = _EVENT_ID.findall(events)
-        if not numbers:
-            return
-        if self._first_id is None:
-            self._first_id = int(numbers[0])
-        self._last_id = int(numbers[-1])
+        if not events:
+            return None
+        return self._relay(self._run.select(events))
 
     def trace(self) -> StreamTrace | None:
         """Return what was received of a stream; nothing if it is none."""
         if not self._is_relayed:
             return None
-        return StreamTrace(self._is_framed, self._first_id, self._last_id)
+        run = self._run
+        return StreamTrace(
+            self._is_framed, run.first_id, run.last_id, self._fault
+        )
 
-    async def _relay(self, events: bytes) -> None:
-        self._record_first_event()
+    async def _relay(self, selection: Selection) -> None:
+        if selection.events:
+            self._record_first_event()
         try:
-            await self._send(events)
+            await self._send(selection)
         except StreamClosedError:
             self.caller_disconnected = True
             self.stop()
+        if selection.fault is not None:
+            self._fault = selection.fault
+            self.stop()
 
-    async def _send(self, events: bytes) -> None:
-        if not self._progress.has_started:
-            self._progress.has_started = True
+    async def _send(self, selection: Selection) -> None:
+        has_started = self._progress.has_started
+        self._run.record(selection)
+        if not selection.events:
+            return
+        if not has_started:
             headers = dialect.make_response_headers(self.headers)
             await self._writer.begin(self.status, headers)
-        await self._writer.write(events)
+        await self._writer.write(selection.events)
 
     def is_truncated(self) -> bool:
         """Return whether a stream has broken off, though it looks complete.
@@ -222,4 +198,4 @@
         await self._writer.send(self.status, headers, body)
 
 
-__all__ = ['ResponseReceiver', 'StreamProgress', 'StreamTrace']
+__all__ = ['ResponseReceiver', 'StreamTrace']
--- a/src/lentilrun/web/eventstream.py
+++ b/src/lentilrun/web/eventstream.py
@@ -1,13 +1,19 @@
-"""Event streams: where their events end, whatever the packets are."""
+"""Event streams: where their events end, whatever the packets are.
+
+Source: the event stream format of the HTML standard (server-sent events).
+"""
 
 from __future__ import annotations
 
 import re
 
-_END_LF = b'\n\n'
-_END_CRLF = b'\n\r\n'
+# An event ends with an empty line; lines end in LF, CRLF or CR.
+_ENDS = (b'\n\n', b'\n\r\n', b'\r\r')
+_MAX_END_BYTES = max(len(end) for end in _ENDS)
 # Blank lines that follow an event belong to it.
-_EVENT = re.compile(rb'.*?\n(?:\r?\n)+', re.DOTALL)
+_EVENT = re.compile(rb'.*?(?:\n(?:\r?\n)+|\r\r[\r\n]*)', re.DOTALL)
+_EVENT_ID = re.compile(rb'(?:\A|(?<=[\r\n]))id: *(\d{1,18}) *(?=[\r\n])')
+_DATA = re.compile(rb'(?:\A|(?<=[\r\n]))data(?=[:\r\n])')
 _LINE_ENDS = b'\r\n'
 
 
@@ -16,6 +22,16 @@
     return _EVENT.findall(events)
 
 
+def find_event_ids(events: bytes) -> list[int]:
+    """Return the IDs of events that are numbers, in their order."""
+    return [int(text) for text in _EVENT_ID.findall(events)]
+
+
+def has_data(event: bytes) -> bool:
+    """Return whether an event is more than a comment."""
+    return _DATA.search(event) is not None
+
+
 class EventBuffer:
     """Collects the bytes of a stream until an event is complete."""
 
@@ -28,11 +44,9 @@
     def add(self, chunk: bytes) -> bytes:
         """Add bytes; remove and return all events that are complete."""
         data = self._data
-        start = max(0, len(data) + 1 - len(_END_CRLF))
+        start = max(0, len(data) + 1 - _MAX_END_BYTES)
         data += chunk
-        end = max(
-            _find_end(data, _END_LF, start), _find_end(data, _END_CRLF, start)
-        )
+        end = max(_find_end(data, text, start) for text in _ENDS)
         events = bytes(data[:end])
         del data[:end]
         return events
@@ -54,4 +68,4 @@
     return position + len(separator) if position >= 0 else 0
 
 
-__all__ = ['EventBuffer', 'split_events']
+__all__ = ['EventBuffer', 'find_event_ids', 'has_data', 'split_events']
--- a/tests/web/test_eventstream.py
+++ b/tests/web/test_eventstream.py
@@ -8,7 +8,7 @@
 from lentilrun.web.eventstream import split_events
 import pytest
 
-_LINE_ENDS = st.sampled_from(['\n', '\r\n'])
+_LINE_ENDS = st.sampled_from(['\n', '\r\n', '\r'])
 _LINES = st.lists(
     st.text(st.characters(exclude_characters='\r\n'), min_size=1), min_size=1
 )
--- a/tests/web/test_late_copies.py
+++ b/tests/web/test_late_copies.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from lentilrun.config.ini import Address
+from lentilrun.decisions.streamorder import StreamProgress
 from lentilrun.gateway.relay import ResponseReceiver
-from lentilrun.gateway.relay import StreamProgress
 from lentilrun.web.client import Client
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
--- a/tests/web/test_malformed_responses.py
+++ b/tests/web/test_malformed_responses.py
@@ -9,8 +9,9 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from lentilrun.config.ini import Address
+from lentilrun.decisions.streamorder import StreamProgress
+from lentilrun.decisions.streamorder import StreamRun
 from lentilrun.gateway.relay import ResponseReceiver
-from lentilrun.gateway.relay import StreamProgress
 from lentilrun.web.client import Client
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import NotSentError
@@ -157,9 +158,10 @@
 @pytest.mark.parametrize('number', ['9' * 5000, '9' * 18, '7'])
 def test_event_id_of_any_length(number: str) -> None:
     """A stream is relayed whatever numbers its events have."""
-    progress = StreamProgress(0)
+    run = StreamRun(StreamProgress(0))
     events = f'id: {number}\ndata: x\n\n'.encode()
-    assert progress.drop_seen(events) == events
+    selection = run.select(events)
+    assert (selection.events, selection.fault) == (events, None)
 
 
 @pytest.mark.parametrize(
