End no stream with a response that is no part of it

What callers saw: a stream that ended as complete before its last event. After a target had broken a stream off, a rejection (4xx) or any whole response with a body of another type from the next target counted as delivered, and the stream that the caller had begun to receive was ended as complete.

Cause: what ends a stream was decided from the last response alone, without regard to what the caller had received before. Ruled out: server errors (5xx), which ended the call as failed and broke the stream off.

Such a response now counts as failed: the stream goes on elsewhere if it may, and is broken off otherwise.

--- a/src/lentilrun/gateway/attemptoutcome.py
+++ b/src/lentilrun/gateway/attemptoutcome.py
@@ -9,7 +9,8 @@
     """How an attempt ended.
 
     ``NOT_RUN`` means that the target states that it has not run the request,
-    and ``FAILED`` that its response is whole and reports a server error.
+    and ``FAILED`` that its response is whole and reports a server error, or
+    is not the rest of the stream that it was to continue.
     ``BROKEN`` covers connections that closed early and unusable responses.
     ``TIMED_OUT`` is an attempt that the router ended at the deadline or
     because the caller stopped waiting, ``MOVED`` one that it ended to
--- a/src/lentilrun/gateway/exchange.py
+++ b/src/lentilrun/gateway/exchange.py
@@ -130,7 +130,7 @@
         return AttemptOutcome.NOT_RUN
     if not receiver.is_usable():
         return AttemptOutcome.BROKEN
-    if head.status >= _SERVER_ERROR:
+    if head.status >= _SERVER_ERROR or receiver.is_beside_stream():
         return AttemptOutcome.FAILED
     return AttemptOutcome.DELIVERED
 
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -185,6 +185,14 @@
             return head.is_signed and not head.is_encoded
         return not head.is_encoded
 
+    def is_beside_stream(self) -> bool:
+        """Return whether the response is no stream, though one was begun.
+
+        The caller has events from an earlier attempt, whose stream this
+        response neither continues nor ends.
+        """
+        return self._progress.has_started and not self._is_relayed
+
     async def deliver(self) -> None:
         """Send the whole response, or complete a stream that was relayed."""
         if self._progress.has_started:
