Believe the end of a connection only if the target still runs

What callers saw: a stream that ended as complete before its last event. A stream without a length or chunks ends with its connection, and the kernel of a process that was killed ends its connections in the same way, often between two events, as each event is one write. Once one event had come, in this attempt or an earlier one, such an end counted as the end of the stream.

Ruled out on the way: streams that end within an event or by a reset, which were found before; responses in chunks, whose last chunk tells the end.

After such an end the target is asked for its report, which needs no slot; if the same start of it answers, it has ended the stream itself. A target without a report, or one that takes no request now, must take a connection, which is kept for the next request. If it doesn't, the stream counts as broken off: it goes on elsewhere if its route allows it, and is broken off for the caller otherwise.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -8,6 +8,7 @@
 from ..decisions.facts import RouteKind
 from ..decisions.quarantine import list_segments
 from ..decisions.sources import pick_kv_cache_store
+from ..errors import LentilrunError
 from ..metrics.registry import Timing
 from ..platform import dialect
 from ..platform.dialect import ForwardedHeaders
@@ -38,7 +39,6 @@
     from ..decisions.facts import Target
     from ..decisions.quarantine import Suspect
     from ..decisions.streamorder import StreamProgress
-    from ..errors import LentilrunError
     from ..platform.dialect import ResponseHead
     from .call import Call
     from .call import ResponseWriter
@@ -54,6 +54,10 @@
 _CRASH_DELAY_S = 0.1
 
 
+class UnknownEndError(LentilrunError):
+    """A stream ended with its connection, maybe before its last event."""
+
+
 class AttemptResult(NamedTuple):
     """How an attempt ended; the receiver holds the target's response.
 
@@ -224,8 +228,22 @@
         if result.error is None and not receiver.is_truncated():
             # The whole response arrived, though it can't be used.
             self._has_answered |= result.outcome is AttemptOutcome.BROKEN
+        if result.outcome is AttemptOutcome.DELIVERED:
+            return await self._check_end()
         return result.outcome
 
+    async def _check_end(self) -> AttemptOutcome:
+        """Return how a response that seems whole has ended."""
+        if not self._receiver.has_unknown_end():
+            return AttemptOutcome.DELIVERED
+        is_end = await self._context.stream_ends.confirm(
+            self._call, self._assignment.state
+        )
+        if is_end:
+            return AttemptOutcome.DELIVERED
+        self._error = UnknownEndError('the target does not run any more')
+        return AttemptOutcome.BROKEN
+
     def _make_headers(self) -> HTTPHeaders:
         assignment = self._assignment
         call = self._call
--- a/src/lentilrun/gateway/context.py
+++ b/src/lentilrun/gateway/context.py
@@ -18,6 +18,7 @@
     from .reachability import Reachability
     from .rollouts import Rollouts
     from .storedsegments import StoredSegments
+    from .streamends import StreamEnds
     from .targets import Targets
     from .versionreader import VersionReader
     from .view import View
@@ -40,6 +41,7 @@
     rollouts: Rollouts
     stored_segments: StoredSegments
     version_reader: VersionReader
+    stream_ends: StreamEnds
     metrics: Metrics
     log: Log
 
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -185,6 +185,9 @@
                 reuse,
             )
         outcome = result.outcome
+        if receiver.has_unknown_end():
+            # Other VMs send streams in chunks.
+            outcome = AttemptOutcome.BROKEN
         refusal = None
         reason = _read_refusal_reason(receiver.headers)
         head = receiver.head
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -45,6 +45,7 @@
 from .server import MetricsPort
 from .server import ReadinessPort
 from .storedsegments import StoredSegments
+from .streamends import StreamEnds
 from .supervision import Runnable
 from .supervision import supervise
 from .targets import Targets
@@ -282,6 +283,7 @@
                 self.rollouts,
                 self.stored_segments,
                 self.version_reader,
+                StreamEnds(self.clock, self.target_client, self.log),
                 self.metrics,
                 self.log,
             )
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -169,12 +169,11 @@
         """
         if self._buffer.is_within_event():
             return True
-        return (
-            self._is_relayed
-            and self._expects_body
-            and not self._is_framed
-            and self._progress.is_empty()
-        )
+        return self.has_unknown_end() and self._progress.is_empty()
+
+    def has_unknown_end(self) -> bool:
+        """Return whether a stream ended with its connection only."""
+        return self._is_relayed and self._expects_body and not self._is_framed
 
     def is_usable(self) -> bool:
         """Return whether the response may be passed to the caller as it is."""
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -29,11 +29,13 @@
 
     ``weights_versions`` holds the loaded version by model, and
     ``order_count`` the number of orders accepted since the engine started.
+    ``started_at_ms`` is in milliseconds since 1970, nothing if not stated.
     """
 
     weights_versions: dict[str, int]
     is_busy: bool
     order_count: int
+    started_at_ms: int | None = None
 
 
 class WeightsLoadOrder(NamedTuple):
@@ -65,6 +67,7 @@
     # The number of orders that the engine accepted; it does not number the
     # reports.
     sequence: Number = 0
+    born: Number | None = None
 
 
 _report_decoder = msgspec.json.Decoder(_WireReport)
@@ -90,7 +93,9 @@
         message = f'{target.incarnation} sent a malformed report'
         raise PlatformError(message) from error
     versions = {m.name: m.version for m in wire_report.models}
-    return EngineReport(versions, wire_report.busy, wire_report.sequence)
+    return EngineReport(
+        versions, wire_report.busy, wire_report.sequence, wire_report.born
+    )
 
 
 async def send_weights_load_order(
--- a/tests/gateway/scriptedtargets.py
+++ b/tests/gateway/scriptedtargets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 import socket
 import struct
 from typing import NamedTuple
@@ -12,6 +13,7 @@
 from deployments import Deployment
 from lentilrun.standins.configuration import make_target_row
 from lentilrun.standins.configuration import MODEL
+import msgspec
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -20,20 +22,34 @@
 _LINGER_OFF = struct.pack('ii', 1, 0)
 # The router reads in the meantime, so that packets aren't joined.
 _PACKET_PAUSE_S = 0.01
-_REPORT = f'{{"models": [{{"name": "{MODEL}", "version": 1}}]}}'
+_STARTED_AT_MS = 1000
+_RESTARTED_AT_MS = 2000
+
+
+class Fate(enum.Enum):
+    """What becomes of a target after a response.
+
+    One that is ``GONE`` takes no connection, as its process has ended; one
+    that is ``MUTE`` takes connections and closes them. One that has
+    ``RESTARTED`` answers as another start of the same target.
+    """
+
+    RUNS = enum.auto()
+    GONE = enum.auto()
+    MUTE = enum.auto()
+    RESTARTED = enum.auto()
 
 
 class Script(NamedTuple):
     """A response: its head's own lines, its packets, and its ``ending``.
 
-    The ending is fin, reset or open. A target that is ``gone`` afterwards
-    answers nothing more, as if its process had ended.
+    The ending is fin, reset or open.
     """
 
     head: str
     packets: tuple[bytes, ...]
     ending: str = 'open'
-    gone: bool = False
+    fate: Fate = Fate.RUNS
 
 
 def make_events(*numbers: int, end: str = '\n') -> bytes:
@@ -69,13 +85,15 @@
     ) -> None:
         self._deployment = deployment
         self._scripts = list(scripts)
-        self._gone: set[str] = set()
+        self._fates = {'e1': Fate.RUNS, 'e2': Fate.RUNS}
+        self._servers: dict[str, asyncio.Server] = {}
         self._stack = contextlib.AsyncExitStack()
         # The Last-Event-Id of each request that was run, in their order.
         self.resumed_after: list[str | None] = []
+        self.reports = 0
 
     async def __aenter__(self) -> ScriptedTargets:
-        for name in ('e1', 'e2'):
+        for name in self._fates:
             await self._start(name)
         return self
 
@@ -90,9 +108,14 @@
 
         server = await asyncio.start_server(serve, _LOOPBACK, 0)
         self._stack.callback(server.close)
+        self._servers[name] = server
         port = server.sockets[0].getsockname()[1]
         value = make_target_row(
-            'llm', f'{_LOOPBACK}:{port}', {MODEL: 1}, 'ready'
+            'llm',
+            f'{_LOOPBACK}:{port}',
+            {MODEL: 1},
+            'ready',
+            _STARTED_AT_MS,
         )
         self._deployment.store.put('servers', name, value)
 
@@ -108,7 +131,7 @@
             asyncio.CancelledError,
         ):
             is_open = True
-            while is_open and name not in self._gone:
+            while is_open and self._fates[name] is not Fate.MUTE:
                 is_open = await self._answer(name, reader, writer)
         writer.close()
 
@@ -123,10 +146,11 @@
         lines = text.strip().split('\r\n')
         fields = dict(line.split(': ', 1) for line in lines[1:])
         await reader.readexactly(int(fields.get('Content-Length', 0)))
-        if name in self._gone:
+        if self._fates[name] in (Fate.GONE, Fate.MUTE):
             return False
         if lines[0].startswith('GET /lentilrun/report '):
-            writer.write(_encode_report())
+            self.reports += 1
+            writer.write(_encode_report(self._fates[name]))
             return True
         self.resumed_after.append(fields.get('Last-Event-Id'))
         script = self._scripts.pop(0)
@@ -139,8 +163,9 @@
         for packet in script.packets:
             writer.write(packet)
             await asyncio.sleep(_PACKET_PAUSE_S)
-        if script.gone:
-            self._gone.add(name)
+        self._fates[name] = script.fate
+        if script.fate is Fate.GONE:
+            self._servers[name].close()
         if script.ending == 'reset':
             connection = writer.get_extra_info('socket')
             connection.setsockopt(
@@ -149,14 +174,23 @@
         return script.ending == 'open'
 
 
-def _encode_report() -> bytes:
-    return (
-        f'HTTP/1.1 200 OK\r\nContent-Length: {len(_REPORT)}\r\n\r\n{_REPORT}'
-    ).encode()
+def _encode_report(fate: Fate) -> bytes:
+    is_restarted = fate is Fate.RESTARTED
+    body = msgspec.json.encode(
+        {
+            'models': [{'name': MODEL, 'version': 1}],
+            'born': _RESTARTED_AT_MS if is_restarted else _STARTED_AT_MS,
+        }
+    )
+    return b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s' % (
+        len(body),
+        body,
+    )
 
 
 __all__ = [
     'CHUNKED',
+    'Fate',
     'make_chunk',
     'make_chunked',
     'make_events',
--- a/tests/gateway/test_stream_order.py
+++ b/tests/gateway/test_stream_order.py
@@ -10,6 +10,7 @@
 from deployments import Deployment
 import pytest
 from scriptedtargets import CHUNKED
+from scriptedtargets import Fate
 from scriptedtargets import make_chunk
 from scriptedtargets import make_chunked
 from scriptedtargets import make_events
@@ -41,10 +42,18 @@
     return Script(f'{head}Content-Length: {len(body)}\r\n', (body,))
 
 
+_LIMITED = f'{UNFRAMED}Server-Limit: 0.01\r\n'
+
+
+def _end(fate: Fate, head: str = UNFRAMED) -> Script:
+    """Return a stream of two events that ends with its connection."""
+    return Script(head, (make_events(1), make_events(2)), 'fin', fate)
+
+
+_KILLED = _end(Fate.GONE)
 _BROKEN_OFF = make_chunked(make_events(1), make_events(2), is_ended=False)
 _REST = make_chunked(make_events(3), make_events(4))
-_KILLED = Script(UNFRAMED, (make_events(1), make_events(2)), 'fin', gone=True)
-_KILLED_AT_ONCE = Script(UNFRAMED, (), 'fin', gone=True)
+_KILLED_AT_ONCE = Script(UNFRAMED, (), 'fin', Fate.GONE)
 _ALL = [1, 2, 3, 4]
 _ENDS = {
     'target without framing is killed': _Case(
@@ -81,6 +90,37 @@
         [None, '2'],
     ),
 }
+_UNFRAMED = {
+    'target runs': _Case(
+        _NOT_RESUMABLE, (_end(Fate.RUNS),), [1, 2], True, [None]
+    ),
+    'target takes connections, but answers nothing': _Case(
+        _NOT_RESUMABLE, (_end(Fate.MUTE),), [1, 2], False, [None]
+    ),
+    'target has started again': _Case(
+        _NOT_RESUMABLE, (_end(Fate.RESTARTED),), [1, 2], False, [None]
+    ),
+    'target that limits its requests runs': _Case(
+        _NOT_RESUMABLE, (_end(Fate.RUNS, _LIMITED),), [1, 2], True, [None]
+    ),
+    'target that limits its requests is killed': _Case(
+        _NOT_RESUMABLE, (_end(Fate.GONE, _LIMITED),), [1, 2], False, [None]
+    ),
+    'rest comes without framing': _Case(
+        _RESUMABLE,
+        (_BROKEN_OFF, Script(UNFRAMED, (make_events(3, 4),), 'fin')),
+        _ALL,
+        True,
+        [None, '2'],
+    ),
+    'no rest comes, without framing': _Case(
+        _RESUMABLE,
+        (_BROKEN_OFF, Script(UNFRAMED, (), 'fin')),
+        [1, 2],
+        True,
+        [None, '2'],
+    ),
+}
 _NUMBERS = {
     'event is missing': _Case(
         _NOT_RESUMABLE,
@@ -225,7 +265,9 @@
     'unframed, killed within an event': _Case(
         _RESUMABLE,
         (
-            Script(UNFRAMED, (make_events(1) + b'id: 2\nda',), 'fin', True),
+            Script(
+                UNFRAMED, (make_events(1) + b'id: 2\nda',), 'fin', Fate.GONE
+            ),
             make_chunked(make_events(2)),
         ),
         [1, 2],
@@ -250,6 +292,12 @@
     _check(case, asyncio.run(_ask(case)))
 
 
+@pytest.mark.parametrize('case', _UNFRAMED.values(), ids=_UNFRAMED)
+def test_end_without_framing(case: _Case) -> None:
+    """The end of a connection ends a stream if its target still runs."""
+    _check(case, asyncio.run(_ask(case)))
+
+
 @pytest.mark.parametrize('case', _NUMBERS.values(), ids=_NUMBERS)
 def test_events_are_in_sequence(case: _Case) -> None:
     """No event is missing or comes twice, in one read or over two runs."""
