Send the first events of a stream together with its head

What callers could have seen: a gap after the first event. What the caller has received was counted before the head was sent, and the events only after the caller had taken the head: if that wait ended by a cancellation, events counted as received that were never sent, and a further run would have gone on after them. It is mended as a part of the class: what counts as received is now handed to the connection in the same step, with the head.

--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -115,8 +115,14 @@
     Raises ``StreamClosedError`` if the caller has disconnected.
     """
 
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the head of a streamed response."""
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
+        """Send the head of a streamed response and its first data.
+
+        All of it counts as sent, even if the caller is slow to take it and
+        the wait for that is cancelled.
+        """
 
     async def write(self, data: bytes) -> None:
         """Send data of a streamed response."""
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -113,11 +113,14 @@
         """Relay complete events; collect a response that is not relayed.
 
         An event of more than ``_MAX_EVENT_BYTES``, or beyond the memory of
-        all responses, stops the exchange.
+        all responses, stops the exchange. What was received before a stop,
+        but is handled after it, is dropped.
         """
         self.on_data()
         if not self._is_relayed:
             return super().receive_chunk(chunk)
+        if self.is_stopped:
+            return None
         events = self._buffer.add(chunk)
         size = len(self._buffer)
         counted_bytes = max(0, size - _UNCOUNTED_EVENT_BYTES)
@@ -155,10 +158,11 @@
         self._run.record(selection)
         if not selection.events:
             return
-        if not has_started:
-            headers = dialect.make_response_headers(self.headers)
-            await self._writer.begin(self.status, headers)
-        await self._writer.write(selection.events)
+        if has_started:
+            await self._writer.write(selection.events)
+            return
+        headers = dialect.make_response_headers(self.headers)
+        await self._writer.begin(self.status, headers, selection.events)
 
     def is_truncated(self) -> bool:
         """Return whether a stream has broken off, though it looks complete.
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -89,9 +89,11 @@
         line = ResponseStartLine('HTTP/1.1', status, reason)
         return self._connection.write_headers(line, headers, body)
 
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the status and headers of a stream."""
-        await self._start_response(status, headers, None)
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
+        """Send the status, headers and first data of a stream."""
+        await self._start_response(status, headers, data)
 
     async def write(self, data: bytes) -> None:
         """Send a chunk of a stream."""
--- a/tests/gateway/modelledforwards.py
+++ b/tests/gateway/modelledforwards.py
@@ -28,10 +28,13 @@
     def __init__(self, handler: ResponseHandler) -> None:
         self._handler = handler
 
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
-        """Pass on the head of a streamed response."""
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
+        """Pass on the head of a streamed response and its first data."""
         headers['Transfer-Encoding'] = 'chunked'
         self._handler.receive_head(status, headers)
+        await self.write(data)
 
     async def write(self, data: bytes) -> None:
         """Pass on data of a streamed response."""
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -174,8 +174,10 @@
 class _Writer:
     """Receives the response to a call; implements ``ResponseWriter``."""
 
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
-        """Receive the head of a streamed response."""
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
+        """Receive the head of a streamed response and its first data."""
 
     async def write(self, data: bytes) -> None:
         """Receive data of a streamed response."""
--- a/tests/web/test_late_copies.py
+++ b/tests/web/test_late_copies.py
@@ -26,8 +26,10 @@
     def __init__(self) -> None:
         self.data = b''
 
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
-        self.data += b''
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
+        self.data += data
 
     async def write(self, data: bytes) -> None:
         self.data += data
--- a/tests/web/test_malformed_responses.py
+++ b/tests/web/test_malformed_responses.py
@@ -93,8 +93,11 @@
 
 
 class _Writer:
-    async def begin(self, status: int, headers: HTTPHeaders) -> None:
+    async def begin(
+        self, status: int, headers: HTTPHeaders, data: bytes
+    ) -> None:
         assert status == 200
+        assert data
 
     async def write(self, data: bytes) -> None:
         assert data
