Keep the cancellation of an exchange whose caller is slow to read

What callers and targets saw: while the router waited for a slow caller to take events, the deadline or the caller's leaving looked like a target that had broken off. The target counted as failed, and a call on a resumable route was run at another target for a caller that was gone.

Cause: tornado runs the handler of data in a context that logs whatever is raised there and raises an exception of its own instead, CancelledError too.

Ruled out: that the coroutine that relays swallows it; it catches the closed stream of the caller only.

The client compares the task's requests to be cancelled before and after the exchange, and raises CancelledError if there is another one. The two cases of test_cancellation_of_a_slow_write_is_kept failed before.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -293,6 +293,33 @@
             raise StreamClosedError(self.stream.error)
 
 
+class _KeptCancellation:
+    """Raises ``CancelledError`` if the task was cancelled meanwhile.
+
+    Tornado replaces what is raised while a handler waits with an exception of
+    its own, so that a cancellation would look like a closed connection.
+    """
+
+    def __enter__(self) -> None:
+        self._requests = self._count_requests()
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        if error is None or isinstance(error, asyncio.CancelledError):
+            return
+        if self._count_requests() > self._requests:
+            raise asyncio.CancelledError from error
+
+    @staticmethod
+    def _count_requests() -> int:
+        task = asyncio.current_task()
+        return task.cancelling() if task is not None else 0
+
+
 class _IdleConnection(NamedTuple):
     """An open connection, usable until ``expires_at`` in monotonic seconds."""
 
@@ -427,9 +454,10 @@
         is_complete = False
         try:
             async with asyncio.timeout(request.timeout):
-                idle_timeout = await self._send_and_receive(
-                    stream, address, request, handler, is_reused
-                )
+                with _KeptCancellation():
+                    idle_timeout = await self._send_and_receive(
+                        stream, address, request, handler, is_reused
+                    )
             is_complete = True
         except TimeoutError as error:
             message = f'{address} gave no answer in time'
--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -12,6 +12,7 @@
 from lentilrun.gateway import relay
 from lentilrun.gateway.relay import ResponseReceiver
 from lentilrun.web.client import Client
+from lentilrun.web.client import ExchangeTimeoutError
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
 import pytest
@@ -128,6 +129,32 @@
     asyncio.run(body())
 
 
+@pytest.mark.parametrize(
+    ('timeout', 'error'),
+    [(0.1, ExchangeTimeoutError), (3.0, asyncio.CancelledError)],
+)
+def test_cancellation_of_a_slow_write_is_kept(
+    timeout: float, error: type[BaseException]
+) -> None:
+    """An exchange that is cancelled is not taken for one that broke off."""
+
+    async def body() -> None:
+        writer = _Writer()
+        receiver = ResponseReceiver(
+            'r', writer, StreamProgress(0), lambda: None
+        )
+        writer.on_data = asyncio.Event().wait
+        task = asyncio.ensure_future(
+            _exchange((make_events(1),), receiver, timeout)
+        )
+        await asyncio.wait((task,), timeout=0.5)
+        task.cancel()
+        with pytest.raises(error):
+            await task
+
+    asyncio.run(body())
+
+
 @pytest.mark.parametrize('numbers', [(1,), (1, 2, 3)])
 def test_cancelled_write_counts_what_was_sent(numbers: tuple[int]) -> None:
     """What counts as received is what was handed to the connection."""
@@ -147,7 +174,8 @@
         task = asyncio.ensure_future(_exchange((events,), receiver))
         await is_waiting.wait()
         task.cancel()
-        await asyncio.wait((task,))
+        with pytest.raises(asyncio.CancelledError):
+            await task
         assert writer.sent == make_events(
             *range(1, progress.last_event_id + 1)
         )
