--- a/tests/gateway/test_stopped_streams.py
+++ b/tests/gateway/test_stopped_streams.py
@@ -70,19 +70,26 @@
     async def serve(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        await reader.readuntil(b'\r\n\r\n')
-        writer.write(_HEAD)
-        for part in (*parts, b''):
-            writer.write(make_chunk(part))
-            await asyncio.sleep(_PACKET_PAUSE_S)
-        writer.close()
-
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(_HEAD)
+            for part in (*parts, b''):
+                writer.write(make_chunk(part))
+                await asyncio.sleep(_PACKET_PAUSE_S)
+        finally:
+            writer.close()
+            is_closed.set()
+
+    is_closed = asyncio.Event()
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     address = Address(*server.sockets[0].getsockname()[:2])
     async with server:
         with Client() as client:
             request = Request('POST', '/x', {}, b'x', timeout)
-            await client.exchange(address, request, receiver)
+            try:
+                await client.exchange(address, request, receiver)
+            finally:
+                await is_closed.wait()
 
 
 @pytest.mark.parametrize('stop_after', [1, 2])
