Let a test's engine answer the request for its report

test_slow_stream_is_whole failed since the end of a connection is believed only if the target still runs: its target, an engine by its row, closed the connection at a request for its report, which engines answer by the protocol. It answers now; what the test checks is unchanged.

--- a/tests/gateway/test_slow_streams.py
+++ b/tests/gateway/test_slow_streams.py
@@ -23,6 +23,10 @@
     'Content-Type: {type}\r\n{length}\r\n'
 )
 _STREAM = 'text/event-stream'
+_REPORT = (
+    'HTTP/1.1 200 OK\r\n\r\n'
+    f'{{"models": [{{"name": "{MODEL}", "version": 1}}]}}'
+).encode()
 _Body = Callable[[asyncio.StreamWriter], Awaitable[None]]
 _Check = Callable[[Deployment, Node], Awaitable[None]]
 # What a process of 128 MB may use for all responses, and what the stand-ins,
@@ -48,6 +52,9 @@
             asyncio.CancelledError,
         ):
             request = (await reader.readuntil(b'\r\n\r\n')).decode()
+            if request.startswith('GET /lentilrun/report '):
+                writer.write(_REPORT)
+                return
             name = request.split('X-Request-Id: ')[1].split('\r\n')[0]
             head = _HEAD.format(id=name, type=self._kind, length=self._length)
             self.open_requests += 1
