Give the timers of attempts one class

Withdrawals, moves of streams and the callers' patience each held the same lines for a timer that is set again and cancelled. No change of behaviour.

--- a/src/lentilrun/gateway/exchange.py
+++ b/src/lentilrun/gateway/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from ..web.client import NotSentError
 from ..web.sockets import DEFAULT_ACK_TIMEOUT_S
 from .attemptoutcome import AttemptOutcome
+from .timers import Timer
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -60,16 +60,13 @@
         self._clock = clock
         self._progress = progress
         self._receiver = receiver
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(self._stop)
         self.is_over = False
 
     def __enter__(self) -> CallerPatience:
         call = self._call
         if call.route.kind is RouteKind.STREAMING and not call.is_continued:
-            remaining = call.patience_end() - self._clock.now()
-            self._timer = asyncio.get_running_loop().call_later(
-                max(0.0, remaining), self._stop
-            )
+            self._timer.start(call.patience_end() - self._clock.now())
         return self
 
     def _stop(self) -> None:
@@ -83,8 +80,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
 
 
 class ExchangeResult(NamedTuple):
--- a/src/lentilrun/gateway/streammoves.py
+++ b/src/lentilrun/gateway/streammoves.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from typing import TYPE_CHECKING
 
 from ..decisions.streammoves import compute_move_delay
+from .timers import Timer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -35,7 +35,7 @@
         self._clock = clock
         self._handler = handler
         self._may_move = may_move
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(self._move)
         self.has_stopped = False
 
     def __enter__(self) -> StreamMove:
@@ -49,15 +49,10 @@
         trace: TracebackType | None,
     ) -> None:
         self._state.on_cordon.remove(self._schedule)
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
 
     def _schedule(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        delay = compute_move_delay(random.random())
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._move)
+        self._timer.start(compute_move_delay(random.random()))
 
     def _move(self) -> None:
         if not self._state.is_cordoned(self._clock.now()):
--- a/src/lentilrun/gateway/withdrawals.py
+++ b/src/lentilrun/gateway/withdrawals.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from ..decisions.weightsage import compute_withdrawal_delay
+from .timers import Timer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,7 +41,7 @@
         self._stale_limit = stale_limit
         self._has_begun = has_begun
         self._stop = stop
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(self._withdraw)
         self.has_stopped = False
 
     def __enter__(self) -> Withdrawal:
@@ -58,22 +58,17 @@
     ) -> None:
         if self._weights_version is not None:
             self._view.on_weights.remove(self._schedule)
-        self._cancel_timer()
-
-    def _cancel_timer(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-        self._timer = None
+        self._timer.cancel()
 
     def _schedule(self) -> None:
-        self._cancel_timer()
+        self._timer.cancel()
         version = self._weights_version
         if version is None or not self._view.is_replaced(self._model, version):
             return
         stale_for = self._view.stale_for(self._model, version)
-        delay = compute_withdrawal_delay(stale_for, self._stale_limit)
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(delay, self._withdraw)
+        self._timer.start(
+            compute_withdrawal_delay(stale_for, self._stale_limit)
+        )
 
     def _withdraw(self) -> None:
         if self._has_begun():
