--- a/tests/gateway/test_slow_streams.py
+++ b/tests/gateway/test_slow_streams.py
@@ -23,9 +23,10 @@
     'Content-Type: {type}\r\n{length}\r\n'
 )
 _STREAM = 'text/event-stream'
+_REPORT_BODY = f'{{"models": [{{"name": "{MODEL}", "version": 1}}]}}'
 _REPORT = (
-    'HTTP/1.1 200 OK\r\n\r\n'
-    f'{{"models": [{{"name": "{MODEL}", "version": 1}}]}}'
+    f'HTTP/1.1 200 OK\r\nContent-Length: {len(_REPORT_BODY)}\r\n\r\n'
+    f'{_REPORT_BODY}'
 ).encode()
 _Body = Callable[[asyncio.StreamWriter], Awaitable[None]]
 _Check = Callable[[Deployment, Node], Awaitable[None]]
@@ -54,6 +55,8 @@
             request = (await reader.readuntil(b'\r\n\r\n')).decode()
             if request.startswith('GET /lentilrun/report '):
                 writer.write(_REPORT)
+                await writer.drain()
+                writer.close()
                 return
             name = request.split('X-Request-Id: ')[1].split('\r\n')[0]
             head = _HEAD.format(id=name, type=self._kind, length=self._length)
