Break a stream off before its target's time is over

What callers could see: a stream that ends as complete before its last event. A target stops its work at the deadline that it was sent. If it ends its stream properly then, nothing tells that events are missing.

Cause: the target got the time left in whole milliseconds, rounded down, and the router's own timer runs for the exact time. Over a short path the target's end arrives first; over one of 1.4 ms each way it doesn't.

Not known: whether the users' targets end a stream so, or break it off.

Test: 100 streams at their deadline for each kind of route, on loopback.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -52,6 +52,9 @@
 # A target has begun to answer without a crash once a stream lasts this long
 # after its first event.
 _CRASH_DELAY_S = 0.1
+# A target may end its stream when its time is over, as if it were complete. It
+# gets this much more time, so that the router breaks the stream off before.
+_STREAM_DEADLINE_MARGIN_S = 0.1
 
 
 class UnknownEndError(LentilrunError):
@@ -163,6 +166,12 @@
     def _time_left(self) -> float:
         return self._call.deadline - self._context.clock.now()
 
+    def _time_of_target(self) -> float:
+        """Return for how long the target is to work, in seconds."""
+        if self._call.route.kind is RouteKind.STREAMING:
+            return self._time_left() + _STREAM_DEADLINE_MARGIN_S
+        return self._time_left()
+
     def _make_withdrawal(self) -> Withdrawal:
         prompt = self._call.prompt
         return Withdrawal(
@@ -250,7 +259,7 @@
         workspace = call.workspace
         forwarded = ForwardedHeaders(
             workspace.name if workspace is not None else '',
-            self._time_left(),
+            self._time_of_target(),
             assignment.state.target.incarnation,
             call.urgency(),
             assignment.weights_version,
