Reset broken streams of callers that speak HTTP/1.0

What callers saw: a stream that broke off ended as complete.

Cause: there are no chunks in HTTP/1.0, and the router closed the connection in the usual way.

Callers of HTTP/1.1 are served as before. The broken case of test_broken_stream_is_reset failed before. Not mended: the kernel ends the connections of a killed or stopped router in the usual way, which an HTTP/1.0 caller can't tell from an end.

--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -18,6 +18,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..platform import dialect
+from ..web.sockets import abort
 from .call import IncomingRequest
 from .call import Reason
 from .call import Refusal
@@ -40,6 +41,7 @@
 # disconnected.
 _DELIVERY_GRACE_S = 1.0
 _NO_BODY = frozenset((204, 304))
+_HTTP_1_0 = 'HTTP/1.0'
 
 
 class CallHandler:
@@ -72,11 +74,16 @@
         connection: HTTP1Connection,
         is_leaving: Callable[[], bool],
         is_head: bool = False,
+        is_chunked: bool = True,
     ) -> None:
-        """Send no body if the request ``is_head``."""
+        """Send no body if the request ``is_head``.
+
+        A stream ``is_chunked`` unless the caller speaks HTTP/1.0.
+        """
         self._connection = connection
         self._is_leaving = is_leaving
         self._is_head = is_head
+        self._is_chunked = is_chunked
         self.has_begun = False
 
     def _start_response(
@@ -123,7 +130,13 @@
         await written
 
     def abort(self) -> None:
-        """Close the connection, so that the response is seen as incomplete."""
+        """Close the connection, so that the response is seen as incomplete.
+
+        HTTP/1.0 has no chunks: the end of the connection would look like
+        that of the response, so that it is reset.
+        """
+        if not self._is_chunked:
+            abort(self._connection.stream)
         self._connection.close()
 
 
@@ -176,6 +189,7 @@
             self._connection,
             lambda: self._port.is_leaving,
             self._line.method == 'HEAD',
+            self._line.version != _HTTP_1_0,
         )
         coroutine = self._port.respond(incoming, writer, self)
         self._task = asyncio.ensure_future(coroutine)
