Send no request over the connection of its call's last one

What targets saw: a stream that isn't resumable ran twice. A target refused the first request of a call as not run, and was asked once more when no other would take it. The request went over the same kept connection, on which a late copy of the refusal arrived. Its ID is that of the call, so it counted as the response, and the call was sent a third time although the second ran.

Ruled out: events of two runs at the caller; those behind the copy were never read.

A kept connection now knows the identity of its last request, and isn't used for one with the same. Another kept connection is, or a new one.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -136,6 +136,7 @@
             self._call.incoming.body,
             max(MIN_ATTEMPT_TIME_S, self._time_left()),
             choose_ack_timeout(self._call),
+            self._call.request_id,
         )
         move = StreamMove(
             self._assignment.state,
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -76,6 +76,9 @@
 
     ``timeout`` covers the whole exchange; within ``ack_timeout`` the server
     must acknowledge what it is sent, or the connection is closed.
+    A request with an ``identity`` isn't sent over the connection whose last
+    request had the same one: a late copy of the response to that would be
+    taken for the response to this.
     """
 
     method: str
@@ -84,6 +87,7 @@
     body: bytes
     timeout: float
     ack_timeout: float = DEFAULT_ACK_TIMEOUT_S
+    identity: str = ''
 
 
 class Response(NamedTuple):
@@ -321,10 +325,18 @@
 
 
 class _IdleConnection(NamedTuple):
-    """An open connection, usable until ``expires_at`` in monotonic seconds."""
+    """An open connection, usable until ``expires_at`` in monotonic seconds.
+
+    ``identity`` is that of its last request.
+    """
 
     stream: IOStream
     expires_at: float
+    identity: str
+
+    def has_carried(self, identity: str) -> bool:
+        """Return whether the last request had this identity."""
+        return bool(identity) and self.identity == identity
 
 
 class Client:
@@ -369,10 +381,12 @@
         for address in list(self._idle):
             self.close_idle(address)
 
-    def _pop_idle(self, address: Address) -> IOStream | None:
+    def _pop_idle(self, address: Address, identity: str) -> IOStream | None:
         idle = self._idle.get(address, [])
-        while idle:
-            stream, expires_at = idle.pop()
+        for index in reversed(range(len(idle))):
+            if idle[index].has_carried(identity):
+                continue
+            stream, expires_at, _ = idle.pop(index)
             stream.set_close_callback(None)
             if stream.closed():
                 continue
@@ -385,7 +399,11 @@
         return None
 
     def _add_idle(
-        self, address: Address, stream: IOStream, idle_timeout: float
+        self,
+        address: Address,
+        stream: IOStream,
+        idle_timeout: float,
+        identity: str = '',
     ) -> None:
         idle = self._idle.setdefault(address, [])
         if (
@@ -398,7 +416,7 @@
         # closes the connection.
         stream.set_close_callback(lambda: None)
         expires_at = time.monotonic() + idle_timeout - _IDLE_TIMEOUT_MARGIN_S
-        idle.append(_IdleConnection(stream, expires_at))
+        idle.append(_IdleConnection(stream, expires_at, identity))
 
     async def _connect(self, address: Address, timeout: float) -> IOStream:
         connect_timeout = min(self._connect_timeout, timeout)
@@ -440,7 +458,7 @@
         # HEAD uses a connection of its own: beside its response, which has a
         # length but no body, the end of a late copy can't be found.
         if reuse and request.method != 'HEAD':
-            stream = self._pop_idle(address)
+            stream = self._pop_idle(address, request.identity)
         is_reused = stream is not None
         if stream is None:
             stream = await self._connect(address, request.timeout)
@@ -475,7 +493,7 @@
             elif not idle_timeout:
                 stream.close()
         if idle_timeout:
-            self._add_idle(address, stream, idle_timeout)
+            self._add_idle(address, stream, idle_timeout, request.identity)
 
     async def _send_and_receive(
         self,
