Let a stream go on after a break that only comments came before

What callers saw: a stream on a resumable route that was broken off, though its target had sent nothing but a comment. It counted as a stream without numbers, which nothing can continue. Only events with data count as such now.

The case 'break after a comment' of test_runs_are_not_joined failed before.

--- a/src/lentilrun/decisions/streamorder.py
+++ b/src/lentilrun/decisions/streamorder.py
@@ -111,6 +111,7 @@
         self.last_event_id = last_event
         self.has_started = False
         self._has_ids = False
+        self._has_data = False
         self._is_consecutive: bool | None = True if last_event else None
 
     def is_empty(self) -> bool:
@@ -122,7 +123,7 @@
 
         Nothing tells where to go on in a stream without numbers.
         """
-        return self._has_ids or not self.has_started
+        return self._has_ids or not self._has_data
 
     def make_position(self) -> Position:
         """Return where a further run begins."""
@@ -136,7 +137,8 @@
             return
         self.has_started = True
         position = selection.position
-        self._has_ids |= position.run_last_id is not None
+        self._has_ids = self._has_ids or position.run_last_id is not None
+        self._has_data = self._has_data or has_data(selection.events)
         self._is_consecutive = position.is_consecutive
         self.last_event_id = position.last_id
 
