Deliver no body whose target is gone, and no end after its deadline

What callers could see: a success with a part of a body. A body without a length or chunks ends with its connection, as does that of a target that is killed while it writes. Such a success is delivered now unless the target refuses a connection; one that it takes is kept for the next request, so that no connection is made that wasn't needed anyway.

Also, a VM whose loop is late may see the end that a target makes at its deadline before its own timer; an end after the target's time is no end now.

Streams wait up to 1 s for a report that a busy target sends late. A target that resets the connection for its report may have ended, and isn't believed.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -99,6 +99,7 @@
         self._may_stop = may_stop
         # By the clock, in seconds.
         self.started_at = context.clock.now()
+        self._target_deadline = self._find_target_deadline()
         self.first_event_at: float | None = None
         self._has_answered = False
         self._error: LentilrunError | None = None
@@ -167,11 +168,11 @@
     def _time_left(self) -> float:
         return self._call.deadline - self._context.clock.now()
 
-    def _time_of_target(self) -> float:
-        """Return for how long the target is to work, in seconds."""
+    def _find_target_deadline(self) -> float:
+        """Return until when the target is to work, by the clock."""
         if self._call.route.kind is RouteKind.STREAMING:
-            return self._time_left() + _STREAM_DEADLINE_MARGIN_S
-        return self._time_left()
+            return self._call.deadline + _STREAM_DEADLINE_MARGIN_S
+        return self._call.deadline
 
     def _make_withdrawal(self) -> Withdrawal:
         prompt = self._call.prompt
@@ -244,23 +245,40 @@
 
     async def _check_end(self) -> AttemptOutcome:
         """Return how a response that seems whole has ended."""
-        if not self._receiver.has_unknown_end():
-            return AttemptOutcome.DELIVERED
-        is_end = await self._context.stream_ends.confirm(
-            self._call, self._assignment.state
-        )
-        if is_end:
+        if self._is_past_deadline():
+            return AttemptOutcome.TIMED_OUT
+        if await self._is_end_known():
             return AttemptOutcome.DELIVERED
         self._error = UnknownEndError('the target does not run any more')
         return AttemptOutcome.BROKEN
 
+    def _is_past_deadline(self) -> bool:
+        """Return whether the target may have ended a stream at its deadline.
+
+        This VM may be late to end the exchange before.
+        """
+        if not self._receiver.is_stream():
+            return False
+        return self._context.clock.now() >= self._target_deadline
+
+    async def _is_end_known(self) -> bool:
+        receiver = self._receiver
+        if not receiver.has_unknown_end():
+            return True
+        ends = self._context.response_ends
+        if receiver.is_stream():
+            return await ends.confirm_stream(
+                self._call, self._assignment.state
+            )
+        return await ends.confirm_body(self._assignment.state)
+
     def _make_headers(self) -> HTTPHeaders:
         assignment = self._assignment
         call = self._call
         workspace = call.workspace
         forwarded = ForwardedHeaders(
             workspace.name if workspace is not None else '',
-            self._time_of_target(),
+            self._target_deadline - self._context.clock.now(),
             assignment.state.target.incarnation,
             call.urgency(),
             assignment.weights_version,
--- a/src/lentilrun/gateway/context.py
+++ b/src/lentilrun/gateway/context.py
@@ -16,9 +16,9 @@
     from .peers import Peers
     from .ratelimits import RateLimits
     from .reachability import Reachability
+    from .responseends import ResponseEnds
     from .rollouts import Rollouts
     from .storedsegments import StoredSegments
-    from .streamends import StreamEnds
     from .targets import Targets
     from .versionreader import VersionReader
     from .view import View
@@ -41,7 +41,7 @@
     rollouts: Rollouts
     stored_segments: StoredSegments
     version_reader: VersionReader
-    stream_ends: StreamEnds
+    response_ends: ResponseEnds
     metrics: Metrics
     log: Log
 
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -185,7 +185,7 @@
                 reuse,
             )
         outcome = result.outcome
-        if receiver.has_unknown_end():
+        if receiver.is_stream() and receiver.has_unknown_end():
             # Other VMs send streams in chunks.
             outcome = AttemptOutcome.BROKEN
         refusal = None
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -37,6 +37,7 @@
 from .ratelimits import FleetRoundRobin
 from .ratelimits import RateLimits
 from .reachability import Reachability
+from .responseends import ResponseEnds
 from .rolloutdriver import RolloutDriver
 from .rollouts import Rollouts
 from .rowrelay import RowRelay
@@ -45,7 +46,6 @@
 from .server import MetricsPort
 from .server import ReadinessPort
 from .storedsegments import StoredSegments
-from .streamends import StreamEnds
 from .supervision import Runnable
 from .supervision import supervise
 from .targets import Targets
@@ -283,7 +283,7 @@
                 self.rollouts,
                 self.stored_segments,
                 self.version_reader,
-                StreamEnds(self.clock, self.target_client, self.log),
+                ResponseEnds(self.clock, self.target_client, self.log),
                 self.metrics,
                 self.log,
             )
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -26,6 +26,7 @@
     from .call import ResponseWriter
 
 _OK = 200
+_NO_CONTENT = 204
 _SUCCESS_STATUS_END = 300
 _MAX_EVENT_BYTES = 4 * 1024 * 1024
 # Of an event that is not complete yet, this much does not count in the memory
@@ -174,11 +175,20 @@
         """
         if self._buffer.is_within_event():
             return True
-        return self.has_unknown_end() and self._progress.is_empty()
+        if not self._is_relayed or not self.has_unknown_end():
+            return False
+        return self._progress.is_empty()
 
     def has_unknown_end(self) -> bool:
-        """Return whether a stream ended with its connection only."""
-        return self._is_relayed and self._expects_body and not self._is_framed
+        """Return whether a success ended with its connection only."""
+        if not self._expects_body or self.status == _NO_CONTENT:
+            return False
+        is_success = _OK <= self.status < _SUCCESS_STATUS_END
+        return is_success and not self._is_framed
+
+    def is_stream(self) -> bool:
+        """Return whether the response is a stream that is relayed."""
+        return self._is_relayed
 
     def is_usable(self) -> bool:
         """Return whether the response may be passed to the caller as it is."""
--- a/src/lentilrun/gateway/streamends.py
+++ b/src/lentilrun/gateway/responseends.py
@@ -1,8 +1,8 @@
-"""Whether the end of a connection was the end of a stream.
+"""Whether the end of a connection was the end of a response.
 
 A response without a length or chunks ends with its connection. The end of a
 process that was killed looks the same to its peer, and may come between two
-events. A target that still runs, in the same start, has ended the stream
+events. A target that still runs, in the same start, has ended the response
 itself.
 """
 
@@ -21,15 +21,27 @@
     from .targetstate import TargetState
 
 
-class StreamEnds:
-    """Asks targets whether they still run after a stream has ended."""
+# A busy target sends its report late.
+_REPORT_TIMEOUT_S = 1.0
+
+
+class ResponseEnds:
+    """Asks targets whether they still run after a response has ended."""
 
     def __init__(self, clock: Clock, client: Client, log: Log) -> None:
         self._clock = clock
         self._client = client
         self._log = log
 
-    async def confirm(self, call: Call, state: TargetState) -> bool:
+    async def confirm_body(self, state: TargetState) -> bool:
+        """Return whether a body is not known to be cut off.
+
+        A target that is gone refuses connections; any other connection is
+        kept for the next request.
+        """
+        return not await self._client.is_refused(state.target.address)
+
+    async def confirm_stream(self, call: Call, state: TargetState) -> bool:
         """Return whether a target runs that ended a call's stream."""
         asked_at = self._clock.now()
         if self._may_read_report(state):
@@ -57,7 +69,9 @@
         """Return whether the same start of the target sends its report."""
         state.rate_limit.record_sent()
         try:
-            report = await engines.read_report(self._client, state.target)
+            report = await engines.read_report(
+                self._client, state.target, _REPORT_TIMEOUT_S
+            )
         except PlatformError:
             return False
         if not report.started_at_ms or not state.target.started_at_ms:
@@ -65,4 +79,4 @@
         return report.started_at_ms == state.target.started_at_ms
 
 
-__all__ = ['StreamEnds']
+__all__ = ['ResponseEnds']
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -73,12 +73,15 @@
 _report_decoder = msgspec.json.Decoder(_WireReport)
 
 
-async def read_report(client: Client, target: Target) -> EngineReport:
-    """Read the state of an engine; raises ``PlatformError``."""
+async def read_report(
+    client: Client, target: Target, timeout: float = _REPORT_TIMEOUT_S
+) -> EngineReport:
+    """Read the state of an engine within ``timeout`` seconds.
+
+    Raises ``PlatformError``.
+    """
     headers = {EXPECTED_INCARNATION: target.incarnation}
-    request = Request(
-        'GET', '/lentilrun/report', headers, b'', _REPORT_TIMEOUT_S
-    )
+    request = Request('GET', '/lentilrun/report', headers, b'', timeout)
     try:
         response = await client.fetch(target.address, request)
         if response.status != _OK:
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -207,6 +207,13 @@
     return 'close' not in options
 
 
+def _is_refusal(error: BaseException | None) -> bool:
+    """Return whether a connection failed as nothing takes any."""
+    if isinstance(error, StreamClosedError):
+        error = error.real_error
+    return isinstance(error, ConnectionRefusedError)
+
+
 def _read_idle_timeout(headers: HTTPHeaders) -> float:
     """Return for how long the server keeps idle connections, in seconds."""
     match = _IDLE_TIMEOUT_PATTERN.search(headers.get('Keep-Alive', ''))
@@ -441,6 +448,15 @@
         self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
         return True
 
+    async def is_refused(self, address: Address) -> bool:
+        """Return whether a server refuses connections; keep one if not."""
+        try:
+            stream = await self._connect(address, self._connect_timeout)
+        except NotSentError as error:
+            return _is_refusal(error.__cause__)
+        self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
+        return False
+
     async def exchange(
         self,
         address: Address,
