State with relayed rows the newest row at the time they are applied

Callers could see a VM keep an old configuration, an old target or old weights until the same row was written again: nothing told the VM that it lacked a row.

A reader of the store noted the version of its newest row before it called the feed. Another reader may relay rows to it while the call waits. The response then holds rows of which it relays only the new ones, but it stated the version from before the call. A VM that the first datagram did not reach took the rest for complete and moved its position past the missing row.

Ruled out: rows that come late or twice (each is compared with the last one of its key), lost datagrams alone (the next one states a later version, and the rows are requested).

The version is now noted when the rows are applied.

tests/gateway/test_late_rows.py plays two readers and a third VM with late, lost, repeated and reordered responses and datagrams on modelled time.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -123,8 +123,8 @@
         self.call_delay: Callable[[], float] = lambda: 0.0
         # Requests the rows of a table after a version from other VMs.
         self.request_rows: Callable[[str, int], None] = lambda *_: None
-        # Called with the table, the version of the newest row before, new
-        # rows, and whether they were read from the store.
+        # Called with the table, the version of the newest row before these,
+        # new rows, and whether they were read from the store.
         self.on_rows: list[Callable[[str, int, Rows, bool], None]] = []
         # Called each time that all rows of the table were read.
         self.on_full_read: list[Callable[[], None]] = []
@@ -207,10 +207,9 @@
 
     async def _follow_store(self, wait: float) -> None:
         self._called_at = self._clock.now()
-        previous_version = self.newest_row_version
         changes = await self._store.follow(self.table, self._position, wait)
         self._record_response(_BATCH_PAUSE_S + wait + _MAX_FEED_LAG_S)
-        self._apply_changes(previous_version, changes, is_read=True)
+        self._apply_changes(changes, is_read=True)
         if changes.rows:
             await asyncio.sleep(_BATCH_PAUSE_S)
 
@@ -253,12 +252,14 @@
             return
         self._record_relay()
         self.unread_for = unread_for
-        self._apply_changes(self.newest_row_version, changes, is_read=False)
+        self._apply_changes(changes, is_read=False)
 
-    def _apply_changes(
-        self, previous_version: int, changes: Rows, is_read: bool
-    ) -> None:
-        """Apply rows, and pass on those that are new."""
+    def _apply_changes(self, changes: Rows, is_read: bool) -> None:
+        """Apply rows, and pass on those that are new.
+
+        Other VMs may have relayed some of them since the store was called.
+        """
+        previous_version = self.newest_row_version
         self._record_era(changes.store_version)
         new_rows = tuple(r for r in changes.rows if self._apply_row(r))
         self._position = max(self._position, changes.store_version)
