Follow a table from the version of the first page of a read

With more than 500 rows in a table, or 1 MB, a VM could miss a change for good that was made while it read: a target that leaves, or is gone, got requests on.

The store returns pages of different times, and the read had the version of the last one. What changed on an earlier page meanwhile was never asked for, as the feed began after it. A key that appeared on an earlier page between the two counted as deleted, with a version above its own.

A read now has the version of its first page, and rows of later pages may be newer than that. A VM that gets rows from others asks them for what lies between, also if nobody reports a newer row than it has.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -218,7 +218,7 @@
         since_call = self._clock.now() - self._called_at
         if self._lost_since is not None and since_call > _PROBE_INTERVAL_S:
             await self._follow_store(_SHORT_FEED_WAIT_S)
-        elif self._reported_row_version <= self._position:
+        elif self.newest_known_row_version() <= self._position:
             self._row_requests = 0
             await self._wait_for_report()
         elif self._row_requests < _MAX_ROW_REQUESTS:
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -255,9 +255,11 @@
         """Return all rows of a table that have an empty ``part``.
 
         Rows with an unreadable key are left out, other malformed ones have
-        an empty value. Raises ``PlatformError``.
+        an empty value. The pages of a long table are of different times: the
+        version is that of the first one, so that no change after it is taken
+        for read. Raises ``PlatformError``.
         """
-        era: int | None = None
+        first_version: int | None = None
         rows: list[Row] = []
         first_key = ''
         while True:
@@ -270,12 +272,13 @@
                 query['from'] = first_key
             page, has_more = await self._read_page(query)
             self._store_clock_offset_s = page.store_time - self._clock.now()
-            if era not in (None, find_era(page.store_version)):
+            if first_version is None:
+                first_version = page.store_version
+            if find_era(page.store_version) != find_era(first_version):
                 raise PlatformError('the store was restored during a read')
-            era = find_era(page.store_version)
             rows += page.rows
             if not has_more:
-                return Rows(tuple(rows), page.store_version, page.store_time)
+                return Rows(tuple(rows), first_version, page.store_time)
             # The smallest key that sorts after the last one.
             first_key = page.rows[-1].key + '\0'
 
--- a/tests/gateway/test_late_rows.py
+++ b/tests/gateway/test_late_rows.py
@@ -81,19 +81,20 @@
         self._calls += 1
         return self._delays[self._calls % len(self._delays)]
 
-    async def _respond(self, rows: list[Row], delay: float) -> Rows:
-        now = asyncio.get_running_loop().time()
-        response = Rows(tuple(rows), len(self.changes), now)
-        await asyncio.sleep(delay)
-        return response
+    def _list_page(self, first: str, end: str) -> list[Row]:
+        newest = {r.key: r for r in self.changes if first <= r.key < end}
+        return [r for r in newest.values() if not r.is_deleted]
 
     async def read(self, table: str) -> Rows:
-        """Return all rows."""
+        """Return all rows, in two pages; the second takes a delay too."""
+        version = len(self.changes)
+        rows = self._list_page('a', 'b')
         delay = self._next_delay()
         await asyncio.sleep(delay.request)
-        newest = {r.key: r for r in self.changes}
-        rows = [r for r in newest.values() if not r.is_deleted]
-        return await self._respond(rows, delay.response)
+        rows += self._list_page('b', 'z')
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(delay.response)
+        return Rows(tuple(rows), version, now)
 
     async def follow(self, table: str, after: int, wait: float) -> Rows:
         """Return the newest change of each row after a version."""
@@ -105,7 +106,9 @@
         await asyncio.sleep(delay.request)
         newest = {r.key: r for r in self.changes[after:]}
         rows = sorted(newest.values(), key=lambda r: r.version)
-        return await self._respond(rows, delay.response)
+        response = Rows(tuple(rows), len(self.changes), loop.time())
+        await asyncio.sleep(delay.response)
+        return response
 
 
 class _Vm:
@@ -194,7 +197,7 @@
 _WRITES = st.lists(
     st.builds(
         _Write,
-        st.sampled_from([1.0 + 0.1 * n for n in range(20)]),
+        st.sampled_from([0.1 * n for n in range(30)]),
         st.sampled_from('abc'),
         st.booleans(),
     ),
@@ -218,9 +221,16 @@
     [_Delay(0.0, 0.0), _Delay(0.15, 0.0)],
     [[0.0], None, [0.0], [0.0]],
 )
+# The third VM's first read has the second write, and not the first one.
+_READ_IN_PAGES = _Fleet(
+    [_Write(0.1, 'a'), _Write(0.2, 'b')],
+    [_Delay(0.5, 0.0), _Delay(0.0, 0.0)],
+    [[0.0]],
+)
 
 
 @given(_FLEETS)
+@example(_READ_IN_PAGES)
 @example(_PART_OF_A_FEED_IS_KNOWN)
 @settings(deadline=None, max_examples=150)
 def test_no_row_is_left_out(log_file: int, fleet: _Fleet) -> None:
@@ -260,3 +270,25 @@
             task.cancel()
 
     timeloop.run(main)
+
+
+def test_rows_between_pages_are_requested(log_file: int) -> None:
+    """A VM asks for what was written while it read, before any report."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        store = _Store([_Delay(0.5, 0.0)])
+        vm = _Vm(store, loop, Log(loop, 'vm1', log_file))
+        requests: list[int] = []
+        vm.follower.is_relayed = lambda: True
+        vm.follower.request_rows = lambda _, after: requests.append(after)
+        task = asyncio.ensure_future(vm.follower.run())
+        await asyncio.sleep(0.2)
+        store.apply(_Write(0.2, 'a'))
+        store.apply(_Write(0.2, 'b'))
+        await asyncio.sleep(0.5)
+        assert vm.rows == {'b': b'2'}
+        assert requests
+        assert requests[0] == 0
+        task.cancel()
+
+    timeloop.run(main)
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -135,6 +135,23 @@
         _read(_FakeClient(respond))
 
 
+@pytest.mark.parametrize('row_count', [1, _PAGE, _PAGE + 1, 4 * _PAGE])
+def test_rows_written_between_pages_are_not_skipped(row_count: int) -> None:
+    """The feed is asked for all that changed since the first page."""
+    rows = [_make_row(f'key-{n:02}', 1) for n in range(row_count)]
+    versions = itertools.count(10)
+    serve_page = _serve_pages(rows)
+
+    def respond(name: str, query: dict[str, str]) -> bytes:
+        page = msgspec.json.decode(serve_page(name, query))
+        page['row-version'] = next(versions)
+        return msgspec.json.encode(page)
+
+    read = _read(_FakeClient(respond))
+    assert len(read.rows) == row_count
+    assert read.store_version == 10
+
+
 @pytest.mark.parametrize('has_more', [False, True])
 def test_feed_is_continued_after_its_last_row(has_more: bool) -> None:
     """Rows that did not fit into a response are not skipped."""
