Keep the narrowest bounds of the store's clock

At targets that state a rate limit, VMs took a turn twice, and times of roll-outs jumped, whenever a read of the store had a slow response.

A VM took the last response for its estimate of the store's clock, however long that response was on its way. After one that took 0.7 s, the clock by which all VMs take their turns went back by 0.7 s.

The bounds are now those of all responses; a slow one leaves them as they are. Bounds that a response contradicts are moved as far as it requires, so a clock that drifts or is set anew is followed.

--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -24,6 +24,8 @@
 from .rowversions import MAX_ERA
 from .rowversions import MAX_NUMBER
 from .rowversions import split_version
+from .storeclock import StoreClock
+from .storeclock import TimedResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -183,7 +185,7 @@
         self._client = client
         self._address = address
         self._clock = clock
-        self._store_clock_offset_s = 0.0
+        self._store_clock = StoreClock()
         self.call_count = 0
         # The newest era that a response stated, if there was any response,
         # and that another VM reported.
@@ -200,7 +202,11 @@
 
     def estimate_clock(self) -> float:
         """Return a lower bound of the store's clock, in seconds."""
-        return self._clock.now() + self._store_clock_offset_s
+        return self._store_clock.earliest(self._clock.now())
+
+    def latest_clock(self) -> float:
+        """Return an upper bound of the store's clock, in seconds."""
+        return self._store_clock.latest(self._clock.now())
 
     async def _send(
         self, method: str, path: str, body: bytes, timeout: float
@@ -270,8 +276,11 @@
             }
             if first_key:
                 query['from'] = first_key
+            sent_at = self._clock.now()
             page, has_more = await self._read_page(query)
-            self._store_clock_offset_s = page.store_time - self._clock.now()
+            self._store_clock.record(
+                TimedResponse(page.store_time, sent_at, self._clock.now())
+            )
             if first_version is None:
                 first_version = page.store_version
             if find_era(page.store_version) != find_era(first_version):
