Let a renewed lease last as long in its row as for its holder

Two VMs could send orders to engines closer to each other than the gap that engines judge by, up to 1.2 s in the test, after the store had answered slowly.

A renewal wrote the end of the lease from the lower bound of the store's clock, and the holder counted it from its own: with a response that took 0.7 s to the read before, the row said that the lease ended 0.65 s sooner than its holder believed, and the end went back against the row before. A release did the same.

Both now use the upper bound. A lease that another VM waits for lasts longer by the time of the fastest read, at most.

--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -100,8 +100,8 @@
             return 0.0
         sent_at = self._clock.now()
         if self.is_held():
-            # The store's clock shows at least this time.
-            await self._write(self._row, self._store.estimate_clock(), sent_at)
+            # The store's clock shows at most this time.
+            await self._write(self._row, self._store.latest_clock(), sent_at)
             return 0.0
         table_rows = await self._store.read(FLEET_TABLE)
         self._record_lease(table_rows)
@@ -140,7 +140,7 @@
         if not self.is_held():
             return
         self._held_until = float('-inf')
-        lease = self._row._replace(until=self._store.estimate_clock())
+        lease = self._row._replace(until=self._store.latest_clock())
         value = msgspec.json.encode(lease)
         write = Write(FLEET_TABLE, self._key, value, self._row_version)
         await self._store.write([write])
