Ignore late messages of a VM's process that has ended

Around a restart, what a VM admitted was not counted by the others, so a workspace got more than its quota, and a VM that had left counted as a member that is silent, for which a part of each quota is kept for a minute.

A datagram of the process before may arrive after one of the new process, as two processes, sockets and reading VMs keep no order. It then counted as another restart: the sums of the sender were dropped twice. A message that announced the end removed the new process; an ordinary one after that announcement added the old one again.

Ruled out: messages of one process that arrive twice or in another order; their sums come out right with the newest.

A process that left or was replaced is remembered, and ignored.

--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -18,6 +18,8 @@
 from ..decisions.topology import pick_hubs
 from ..decisions.topology import pick_readers
 from ..decisions.topology import pick_recipients
+from .endedprocesses import EndedProcesses
+from .endedprocesses import VmProcess
 from .events import wait_for_event
 from .messages import BadMessageError
 from .messages import decode
@@ -114,6 +116,7 @@
         self._hubs_picked_for: frozenset[str] = frozenset()
         self.incarnation = secrets.randbits(48)
         self.by_name: dict[str, Peer] = {}
+        self._ended = EndedProcesses()
         self.make_messages: GossipSource | None = None
         self.has_lost_store: Callable[[], bool] = lambda: False
         self.on_message: list[Callable[[GossipMessage], None]] = []
@@ -468,7 +471,11 @@
     def _receive_message(self, message: GossipMessage) -> None:
         if message.node == self.own_member.name:
             return
+        process = VmProcess(message.node, message.incarnation)
+        if process in self._ended:
+            return
         if message.is_leaving:
+            self._ended.add(process)
             if message.node in self.by_name:
                 self._remove(message.node, 'leaving')
             return
@@ -477,18 +484,7 @@
             callback(message)
 
     def _record_received(self, message: GossipMessage) -> None:
-        member = Member(message.node, message.data_centre, message.power)
-        self.add(member, Address(message.host, message.port))
-        peer = self.by_name[message.node]
-        if peer.incarnation != message.incarnation:
-            self._log.write(
-                'peer_known',
-                peer=message.node,
-                incarnation=message.incarnation,
-            )
-            peer.incarnation = message.incarnation
-            for callback in self.on_restart:
-                callback(message.node)
+        peer = self._find_sender(message)
         peer.last_received = self._clock.now()
         peer.suspect_until = float('-inf')
         peer.unresponsive = message.unresponsive
@@ -496,6 +492,23 @@
         peer.has_lost_rows = message.has_lost_rows
         peer.is_cut_off = message.is_cut_off
 
+    def _find_sender(self, message: GossipMessage) -> Peer:
+        """Return the sender, after a restart as that of a new process."""
+        member = Member(message.node, message.data_centre, message.power)
+        self.add(member, Address(message.host, message.port))
+        peer = self.by_name[message.node]
+        if peer.incarnation == message.incarnation:
+            return peer
+        self._log.write(
+            'peer_known', peer=message.node, incarnation=message.incarnation
+        )
+        if peer.incarnation:
+            self._ended.add(VmProcess(message.node, peer.incarnation))
+        peer.incarnation = message.incarnation
+        for callback in self.on_restart:
+            callback(message.node)
+        return peer
+
 
 __all__ = [
     'GossipSource',
--- /dev/null
+++ b/tests/gateway/test_late_messages.py
@@ -0,0 +1,211 @@
+"""Messages of VMs that arrive late, twice or out of order."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from deployments import BOUNDS
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from lentilrun.config.ini import Address
+from lentilrun.coordination.clock import ManualClock
+from lentilrun.gateway.messages import encode
+from lentilrun.gateway.messages import GossipMessage
+from lentilrun.gateway.messages import Scope
+from lentilrun.gateway import node as node_module
+from lentilrun.gateway.node import Node
+from lentilrun.platform.node import NodeSettings
+from lentilrun.platform.rows import Row
+from lentilrun.standins.configuration import make_configuration
+import msgspec
+import pytest
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+_ADDRESS = Address('127.0.0.1', 1)
+_WORKSPACE = 'workspace'
+# By the clock of the VM that gets messages.
+_STARTED_AT = 5000.0
+
+
+class _Sent(NamedTuple):
+    """A message of one process of a VM, which admitted ``tokens``."""
+
+    incarnation: int
+    tokens: float = 0.0
+    is_leaving: bool = False
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return encode(
+            GossipMessage(
+                'vm2',
+                Scope.VM,
+                'a',
+                1.0,
+                '127.0.0.1',
+                9,
+                self.incarnation,
+                self.is_leaving,
+                0,
+                False,
+                [],
+                [],
+                [],
+                [],
+                {_WORKSPACE: self.tokens},
+                {},
+                {},
+                [],
+                [],
+            )
+        )
+
+
+class _Receiver:
+    """A VM that gets datagrams."""
+
+    def __init__(self, log_file: int) -> None:
+        node_settings = NodeSettings(
+            'vm1',
+            '127.0.0.1',
+            'a',
+            1.0,
+            _ADDRESS,
+            _ADDRESS,
+            1,
+            _ADDRESS,
+            BOUNDS,
+        )
+        self._clock = ManualClock(_STARTED_AT)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(node_module, 'SystemClock', lambda: self._clock)
+            self.node = Node(node_settings, log_file)
+        value = msgspec.json.encode(make_configuration(1))
+        self.node.view.apply_operator_row(Row('config', value, 1))
+        self._before = self._count_used()
+
+    def _count_used(self) -> float:
+        configuration = self.node.view.configuration
+        assert configuration is not None
+        workspace = configuration.workspaces[_WORKSPACE]
+        return self.node.quotas.used_tokens(workspace)
+
+    def advance_to(self, time: float) -> None:
+        """Let time pass; it counts from the start of this VM."""
+        self._clock.advance(_STARTED_AT + time - self._clock.now())
+
+    def count_received(self) -> float:
+        """Return the tokens that were counted by messages."""
+        return self._count_used() - self._before
+
+    def receive(self, message: _Sent) -> None:
+        """Receive a datagram."""
+        self.node.peers._receive_datagram(message.encode())
+
+    def get_incarnation(self) -> int | None:
+        """Return the process of the other VM that counts, if any does."""
+        peer = self.node.peers.by_name.get('vm2')
+        return None if peer is None else peer.incarnation
+
+
+@pytest.fixture(scope='module')
+def log_file() -> Iterator[int]:
+    """Open a file descriptor that takes the log."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    yield descriptor
+    os.close(descriptor)
+
+
+def _run(log_file: int, check: Callable[[_Receiver], None]) -> None:
+    async def body() -> None:
+        check(_Receiver(log_file))
+
+    asyncio.run(body())
+
+
+class _Case(NamedTuple):
+    """Messages, and which process counts after them, with how much use."""
+
+    messages: list[_Sent]
+    incarnation: int | None
+    received: float = 0.0
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        _Case([_Sent(1), _Sent(1, 50.0)], 1, 50.0),
+        _Case([_Sent(1), _Sent(1, 50.0), _Sent(1, 50.0)], 1, 50.0),
+        _Case([_Sent(1, 90.0), _Sent(2), _Sent(2, 50.0)], 2, 50.0),
+        # A process that was replaced has ended.
+        _Case([_Sent(1, 90.0), _Sent(2), _Sent(1, 99.0)], 2),
+        _Case(
+            [_Sent(1, 90.0), _Sent(2), _Sent(1, 99.0), _Sent(2, 50.0)],
+            2,
+            50.0,
+        ),
+        _Case([_Sent(1), _Sent(2), _Sent(1, is_leaving=True)], 2),
+        _Case(
+            [_Sent(1), _Sent(2), _Sent(3), _Sent(1), _Sent(2), _Sent(3, 5.0)],
+            3,
+            5.0,
+        ),
+        # A process that left does not come back, and its VM may.
+        _Case([_Sent(1), _Sent(1, is_leaving=True), _Sent(1)], None),
+        _Case([_Sent(1, is_leaving=True), _Sent(1)], None),
+        _Case([_Sent(1), _Sent(1, is_leaving=True), _Sent(2)], 2),
+        _Case(
+            [
+                _Sent(1),
+                _Sent(1, is_leaving=True),
+                _Sent(2),
+                _Sent(1, is_leaving=True),
+                _Sent(2, 5.0),
+            ],
+            2,
+            5.0,
+        ),
+    ],
+)
+def test_processes_that_ended(log_file: int, case: _Case) -> None:
+    """Their late messages neither count nor bring them back."""
+
+    def check(receiver: _Receiver) -> None:
+        for message in case.messages:
+            receiver.receive(message)
+        assert receiver.get_incarnation() == case.incarnation
+        assert receiver.count_received() == case.received
+
+    _run(log_file, check)
+
+
+@given(
+    st.lists(st.integers(0, 4), max_size=6),
+    st.lists(st.integers(0, 9), max_size=12),
+)
+@settings(deadline=None)
+def test_use_around_a_restart(
+    log_file: int, early: list[int], late: list[int]
+) -> None:
+    """Use counts once, whatever comes late or twice around a restart."""
+    before = [_Sent(1, 10.0 * n) for n in range(5)]
+    after = [_Sent(2, 10.0 * n) for n in range(5)]
+
+    def check(receiver: _Receiver) -> None:
+        for index in (0, *early, 4):
+            receiver.receive(before[index])
+        receiver.receive(after[0])
+        for index in late:
+            receiver.receive([*before, *after][index])
+        receiver.receive(after[4])
+        assert receiver.count_received() == 80.0
+        assert receiver.get_incarnation() == 2
+
+    _run(log_file, check)
