Drop overtaken messages, and age the limits in messages that waited

One VM that stood still for some seconds, or one late datagram, could end the rate limit of a target for all VMs, or begin one that had ended: the target got more requests than it takes until it stated its limit again.

A message says how old a limit is as it is sent. A VM that reads datagrams that waited took all of them for as new as if they had just been sent, so an older statement won against a newer one, got a later time than that had anywhere, and was reported on to the others. Messages of one process that overtake each other were applied in the order of their arrival.

A message now says when it was sent, by its sender's clock. A VM ignores one that is older than the last one of the same process, and takes what a message was on its way longer than the fastest of the last 5 to 10 s for its delay, which is added to the ages of limits. The time travels among the versions of rows under a name that no table has: a build that doesn't know it decodes the message and ignores it, and messages without it are applied as before.

Ruled out as causes of harm: late ages of announcements (the earliest report counts) and late reports of weights loads (the next message replaces them).

--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -5,9 +5,11 @@
 import collections
 from typing import TYPE_CHECKING
 
+from .messages import encode_sent_at
 from .messages import GossipMessage
 from .messages import LoadReport
 from .messages import Scope
+from .messages import SENT_AT
 from .messages import WeightsLoadReport
 from .messages import WeightsVersionReport
 from .recent import Origin
@@ -135,7 +137,10 @@
             self._crashes.recent.export(max_origin),
             admitted_tokens,
             self._quotas.export(),
-            self._row_relay.newest_row_versions(),
+            {
+                **self._row_relay.newest_row_versions(),
+                SENT_AT: encode_sent_at(self._clock.now()),
+            },
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
             self._view.export_announcements(),
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -19,6 +19,11 @@
 from ..errors import LentilrunError
 
 
+# The name under which a message's versions of rows hold when it was sent. No
+# table has it, so a VM that doesn't know it ignores it.
+SENT_AT = ''
+_US_PER_S = 1e6
+
 # Sums of counts must fit into the 64 bits of an encoded integer.
 _MAX_COUNT = 1 << 53
 Count = Annotated[int, msgspec.Meta(ge=-_MAX_COUNT, le=_MAX_COUNT)]
@@ -163,10 +168,11 @@
     admitted in each second, newest first. ``unresponsive`` is the number
     of VMs that count as unresponsive for the sender. ``row_versions`` are
     the versions of the newest rows that it knows of, by table of the
-    store; it ``has_lost_store`` while the store does not answer it, and
-    ``has_lost_rows`` while it gets no rows from other VMs either. It
-    ``is_cut_off`` while it reaches no target. ``cleared_crashes`` came
-    before a response to the same suspect.
+    store, and under ``SENT_AT`` when the message was sent by the sender's
+    clock, in microseconds; it ``has_lost_store`` while the store does not
+    answer it, and ``has_lost_rows`` while it gets no rows from other VMs
+    either. It ``is_cut_off`` while it reaches no target.
+    ``cleared_crashes`` came before a response to the same suspect.
     """
 
     node: str
@@ -197,6 +203,19 @@
     is_cut_off: bool = False
     leaving_targets: list[LeavingReport] = []  # noqa: RUF012
 
+    def find_sent_at(self) -> float | None:
+        """Return when it was sent, in seconds by its sender's clock.
+
+        Return nothing if it doesn't say so.
+        """
+        sent_at = self.row_versions.get(SENT_AT)
+        return None if sent_at is None else sent_at / _US_PER_S
+
+
+def encode_sent_at(now: float) -> int:
+    """Return a time by this VM's clock as a message has it."""
+    return round(now * _US_PER_S)
+
 
 class RelayedRow(NamedTuple):
     """A row of the store as a hub read it."""
@@ -301,6 +320,7 @@
     'BadMessageError',
     'decode',
     'encode',
+    'encode_sent_at',
     'GossipMessage',
     'LeavingReport',
     'LoadReport',
@@ -313,6 +333,7 @@
     'RolloutReport',
     'RowRequest',
     'Scope',
+    'SENT_AT',
     'StoredSegmentReport',
     'WeightsLoadReport',
     'WeightsVersionReport',
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -21,6 +21,8 @@
 from .endedprocesses import EndedProcesses
 from .endedprocesses import VmProcess
 from .events import wait_for_event
+from .messagedelays import add_delay
+from .messagedelays import MessageDelays
 from .messages import BadMessageError
 from .messages import decode
 from .messages import encode
@@ -77,6 +79,7 @@
         self.has_lost_store = False
         self.has_lost_rows = False
         self.is_cut_off = False
+        self.delays = MessageDelays()
 
 
 class GossipSource(Protocol):
@@ -479,18 +482,34 @@
             if message.node in self.by_name:
                 self._remove(message.node, 'leaving')
             return
-        self._record_received(message)
+        delay = self._record_received(message)
+        if delay is None:
+            return
+        if delay > 0.0:
+            message = add_delay(message, delay)
         for callback in self.on_message:
             callback(message)
 
-    def _record_received(self, message: GossipMessage) -> None:
+    def _record_received(self, message: GossipMessage) -> float | None:
+        """Record the sender's state; return the delay of its message, in s.
+
+        Return nothing if a newer one of its process has arrived before.
+        """
         peer = self._find_sender(message)
-        peer.last_received = self._clock.now()
+        now = self._clock.now()
+        sent_at = message.find_sent_at()
+        delay: float | None = 0.0
+        if sent_at is not None:
+            delay = peer.delays.record(sent_at, now)
+        if delay is None:
+            return None
+        peer.last_received = now
         peer.suspect_until = float('-inf')
         peer.unresponsive = message.unresponsive
         peer.has_lost_store = message.has_lost_store
         peer.has_lost_rows = message.has_lost_rows
         peer.is_cut_off = message.is_cut_off
+        return delay
 
     def _find_sender(self, message: GossipMessage) -> Peer:
         """Return the sender, after a restart as that of a new process."""
@@ -505,6 +524,7 @@
         if peer.incarnation:
             self._ended.add(VmProcess(message.node, peer.incarnation))
         peer.incarnation = message.incarnation
+        peer.delays = MessageDelays()
         for callback in self.on_restart:
             callback(message.node)
         return peer
--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -13,14 +13,19 @@
 from hypothesis import strategies as st
 from lentilrun.config.ini import Address
 from lentilrun.coordination.clock import ManualClock
+from lentilrun.gateway.messagedelays import MessageDelays
 from lentilrun.gateway.messages import encode
 from lentilrun.gateway.messages import GossipMessage
+from lentilrun.gateway.messages import RateLimitReport
+from lentilrun.gateway.messages import RolloutReport
 from lentilrun.gateway.messages import Scope
+from lentilrun.gateway.messages import SENT_AT
 from lentilrun.gateway import node as node_module
 from lentilrun.gateway.node import Node
 from lentilrun.platform.node import NodeSettings
 from lentilrun.platform.rows import Row
 from lentilrun.standins.configuration import make_configuration
+from lentilrun.standins.configuration import make_target_row
 import msgspec
 import pytest
 
@@ -35,11 +40,22 @@
 
 
 class _Sent(NamedTuple):
-    """A message of one process of a VM, which admitted ``tokens``."""
+    """A message of one process of a VM, which admitted ``tokens``.
+
+    It was ``sent_at`` a time by its sender's clock, in seconds.
+    """
 
     incarnation: int
     tokens: float = 0.0
     is_leaving: bool = False
+    sent_at: float | None = None
+    limits: tuple[RateLimitReport, ...] = ()
+    rollouts: tuple[RolloutReport, ...] = ()
+
+    def _list_versions(self) -> dict[str, int]:
+        if self.sent_at is None:
+            return {}
+        return {SENT_AT: round(self.sent_at * 1e6)}
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -61,9 +77,11 @@
                 [],
                 {_WORKSPACE: self.tokens},
                 {},
-                {},
+                self._list_versions(),
                 [],
                 [],
+                rate_limits=list(self.limits),
+                rollouts=list(self.rollouts),
             )
         )
 
@@ -105,6 +123,11 @@
         """Return the tokens that were counted by messages."""
         return self._count_used() - self._before
 
+    def add_target(self, incarnation: str) -> None:
+        """Let a target register."""
+        value = make_target_row('app', '127.0.0.1:9000', {}, 'ready')
+        self.node.view.apply_target_row(Row(incarnation, value, 2))
+
     def receive(self, message: _Sent) -> None:
         """Receive a datagram."""
         self.node.peers._receive_datagram(message.encode())
@@ -209,3 +232,93 @@
         assert receiver.get_incarnation() == 2
 
     _run(log_file, check)
+
+
+class _Stated(NamedTuple):
+    """A message that was sent at a time, with a limit of some age."""
+
+    sent_at: float
+    limit: float | None
+    age: float = 0.1
+
+
+@pytest.mark.parametrize(
+    ('stated', 'expected'),
+    [
+        # Read in order, after this VM stood still.
+        ([_Stated(100.0, None), _Stated(102.0, 3.0)], 3.0),
+        ([_Stated(100.0, 3.0), _Stated(102.0, None)], None),
+        # Another one was faster on its way.
+        ([_Stated(104.0, None), _Stated(102.0, 3.0, 0.0)], None),
+        ([_Stated(104.0, 3.0), _Stated(102.0, None, 0.0)], 3.0),
+        # The newer message reports what was stated before.
+        ([_Stated(102.0, None), _Stated(104.0, 3.0, 2.5)], None),
+        ([_Stated(102.0, 3.0), _Stated(104.0, None, 2.5)], 3.0),
+    ],
+)
+def test_limits_of_late_messages(
+    log_file: int, stated: list[_Stated], expected: float | None
+) -> None:
+    """What a target stated last counts, when all messages arrive at once."""
+
+    def check(receiver: _Receiver) -> None:
+        receiver.add_target('a1')
+        receiver.advance_to(99.0)
+        receiver.receive(_Sent(1, sent_at=99.0))
+        receiver.advance_to(105.0)
+        for sent_at, limit, age in stated:
+            report = RateLimitReport('a1', limit, age)
+            receiver.receive(_Sent(1, sent_at=sent_at, limits=(report,)))
+        state = receiver.node.targets.states['a1']
+        assert state.rate_limit.limit == expected
+
+    _run(log_file, check)
+
+
+@given(st.permutations(range(6)))
+@settings(deadline=None)
+def test_newest_message_counts(log_file: int, order: list[int]) -> None:
+    """Messages in any order leave what the newest of them says."""
+
+    def check(receiver: _Receiver) -> None:
+        receiver.add_target('a1')
+        receiver.advance_to(100.0)
+        receiver.receive(_Sent(1, sent_at=100.0))
+        receiver.advance_to(110.0)
+        for number in order:
+            limit = RateLimitReport('a1', 1.0 + number, 0.1)
+            receiver.receive(
+                _Sent(1, 10.0 * number, False, 101.0 + number, (limit,))
+            )
+        assert receiver.count_received() == 50.0
+        state = receiver.node.targets.states['a1']
+        assert state.rate_limit.limit == 6.0
+
+    _run(log_file, check)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0.01, 2.0), st.floats(0.0, 8.0)),
+        min_size=1,
+        max_size=40,
+    ),
+    st.floats(-1e6, 1e6),
+)
+def test_delays(sent: list[tuple[float, float]], lead: float) -> None:
+    """A delay is never more than a message really took."""
+    delays = MessageDelays()
+    sent_at = 100.0
+    arrivals = []
+    for pause, way in sent:
+        sent_at += pause
+        arrivals.append((sent_at + way, sent_at))
+    newest = 0.0
+    for arrived_at, sent_at in sorted(arrivals):
+        delay = delays.record(sent_at + lead, arrived_at)
+        if sent_at < newest:
+            assert delay is None
+            continue
+        newest = sent_at
+        assert delay is not None
+        assert -1e-3 <= delay <= arrived_at - sent_at + 1e-3
