Keep the furthest stage that is reported of an order not yet read

A VM that learned of a completed roll-out from others before it had read the order went back to the verdict that came after it: it sent nothing to the only version that was left until it read the order's row.

Of several early reports the last one counted, and any but a completion retired the version for good. A VM that has not learned of the completion may still report its ban.

The report of the furthest stage counts, and a completion ends the ban.

--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -477,13 +477,20 @@
         self.set_stage(rollout, stage, report.reason)
 
     def _keep_early(self, report: RolloutReport) -> None:
-        """Keep a report on an order that this VM has not read yet."""
+        """Keep a report on an order that this VM has not read yet.
+
+        Of several, that of the furthest stage counts.
+        """
         stage = Stage(report.stage)
-        if stage.is_running():
+        key = (report.service, report.order)
+        known = self._early_reports.get(key)
+        if stage.is_running() or (known is not None and known.stage >= stage):
             return
-        self._early_reports[report.service, report.order] = report
-        if stage is not Stage.COMPLETED:
-            retired = self.retired.setdefault(report.service, set())
+        self._early_reports[key] = report
+        retired = self.retired.setdefault(report.service, set())
+        if stage is Stage.COMPLETED:
+            retired.discard(report.version)
+        else:
             retired.add(report.version)
 
 
--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -22,6 +22,7 @@
 from lentilrun.gateway.messages import SENT_AT
 from lentilrun.gateway import node as node_module
 from lentilrun.gateway.node import Node
+from lentilrun.gateway.rolloutstate import Stage
 from lentilrun.platform.node import NodeSettings
 from lentilrun.platform.rows import Row
 from lentilrun.standins.configuration import make_configuration
@@ -322,3 +323,35 @@
         newest = sent_at
         assert delay is not None
         assert -1e-3 <= delay <= arrived_at - sent_at + 1e-3
+
+
+@pytest.mark.parametrize(
+    ('stages', 'expected', 'is_retired'),
+    [
+        ([Stage.BANNED], Stage.BANNED, True),
+        ([Stage.ROLLED_BACK], Stage.ROLLED_BACK, True),
+        ([Stage.ROLLED_BACK, Stage.BANNED], Stage.ROLLED_BACK, True),
+        ([Stage.COMPLETED], Stage.COMPLETED, False),
+        ([Stage.COMPLETED, Stage.BANNED], Stage.COMPLETED, False),
+        ([Stage.BANNED, Stage.COMPLETED], Stage.COMPLETED, False),
+        ([Stage.COMPLETED, Stage.RAMP], Stage.COMPLETED, False),
+    ],
+)
+def test_stages_before_the_order_is_read(
+    log_file: int, stages: list[Stage], expected: Stage, is_retired: bool
+) -> None:
+    """Of what other VMs report of an order, the furthest stage counts."""
+
+    def check(receiver: _Receiver) -> None:
+        node = receiver.node
+        for number, stage in enumerate(stages):
+            report = RolloutReport('app', 9, 'v2', int(stage), 1, number, 'r')
+            receiver.receive(_Sent(1, rollouts=(report,)))
+        assert ('v2' in node.rollouts.retired.get('app', ())) is is_retired
+        order = {'service': 'app', 'to': 'v2', 'duration-s': 30.0}
+        value = msgspec.json.encode(order)
+        node.view.apply_operator_row(Row('rollout/app', value, 9))
+        assert node.rollouts.by_service['app'].stage is expected
+        assert ('v2' in node.rollouts.retired.get('app', ())) is is_retired
+
+    _run(log_file, check)
