Judge each event of the entrance's streams by its number and place

Callers of the product's own entrance could miss pieces of a stream that was resumed, get an end that was none, or get a piece twice:

- Of a read with a gap, the events before the gap counted as received, and were dropped: the stream was then resumed after them.
- After a stop, for a gap or as a stalled attempt is given up, events that had been received already were still relayed.
- An event without a number counted as the next number where a run repeated events, so the next numbered one was left out; at the start of a later run it was joined, though the caller may have had it.
- A number with two blanks before it or one behind it was no number, and a stream that is numbered from 0 lost its first event.
- Text of a model that contains "data: [DONE]" ended the stream: it counted as complete when it broke off later.

The numbers were checked for a read as a whole, with a separate path for repeated ones, and the end by a search in all bytes.

EventOrder judges each event: new, repeated or after a gap. The events before a gap are relayed, then the run is stopped, and what follows is ignored. Events without a number are relayed where their place is known.

tests/entry/test_tokens.py: test_events_are_in_order_and_once expected nothing at all of a read with a gap, which is the first fault above. It now expects the events before the gap, the gap, and the number of the last event.

--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import NamedTuple
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -14,15 +13,15 @@
 from ..targets.requests import is_response_to
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
-from ..web.eventstream import split_events
+from .eventorder import EventOrder
+from .eventorder import is_last
+from .eventorder import NewEvents
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
     from tornado.httputil import HTTPHeaders
 
-_EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
-_DONE = b'data: [DONE]'
 _USAGE = b'"usage"'
 _EVENT_STREAM = 'text/event-stream'
 _OK = 200
@@ -75,60 +74,43 @@
 class StreamState:
     """The progress of one stream over all its connections.
 
-    ``last_event_id`` is the number of the last relayed event;
     ``event_count`` also counts events without a number.
     """
 
-    def __init__(self, attempt_id: str) -> None:
+    def __init__(self, attempt_id: str, last_event_id: int = 0) -> None:
+        """Go on after ``last_event_id``, which the caller has."""
         self.attempt_id = attempt_id
-        self.last_event_id = 0
+        self._order = EventOrder(last_event_id)
         self.event_count = 0
-        self.has_event_ids = False
         self.is_done = False
         self.usage: _UsageBody | None = None
 
-    def filter(self, data: bytes) -> bytes | None:
-        """Return the new events of ``data``, or nothing on a gap.
-
-        Events that were relayed before are left out. If no event has a
-        number, all are returned unchanged.
-        """
-        numbers = [int(n) for n in _EVENT_ID.findall(data)]
-        if numbers:
-            self.has_event_ids = True
-            first = self.last_event_id + 1
-            if numbers != list(range(first, first + len(numbers))):
-                new_events = self._filter_each_event(data)
-                if new_events is None:
-                    return None
-                data = new_events
-            else:
-                self.last_event_id = numbers[-1]
-        self._record_events(data)
-        return data
-
-    def _filter_each_event(self, data: bytes) -> bytes | None:
-        new_events = []
-        for event in split_events(data):
-            id_match = _EVENT_ID.search(event)
-            number = int(id_match[1]) if id_match else self.last_event_id + 1
-            if number <= self.last_event_id:
-                continue
-            if number > self.last_event_id + 1:
-                return None
-            self.last_event_id = number
-            new_events.append(event)
-        return b''.join(new_events)
-
-    def _record_events(self, data: bytes) -> None:
-        events = split_events(data)
-        self.event_count += len(events)
-        if _USAGE in data:
-            for event in events:
-                if _USAGE in event:
-                    usage = parse_usage(_find_data(event))
-                    self.usage = usage or self.usage
-        if _DONE in data:
+    @property
+    def last_event_id(self) -> int:
+        """Return the number of the last relayed event."""
+        return self._order.last_number
+
+    @property
+    def has_event_ids(self) -> bool:
+        """Return whether events have numbers, by which it can be resumed."""
+        return self._order.has_numbers
+
+    def begin_run(self) -> None:
+        """Begin with the events of another response."""
+        self._order.begin_run()
+
+    def take(self, data: bytes) -> NewEvents:
+        """Return the new events of ``data``, up to a gap."""
+        new = self._order.take(data)
+        for event in new.events:
+            self._record(event)
+        return new
+
+    def _record(self, event: bytes) -> None:
+        self.event_count += 1
+        if _USAGE in event:
+            self.usage = parse_usage(_find_data(event)) or self.usage
+        if is_last(event):
             self.is_done = True
 
 
@@ -164,11 +146,16 @@
         self.is_stream = status == _OK and content_type.startswith(
             _EVENT_STREAM
         )
+        if self.is_stream:
+            self.stream.begin_run()
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
-        """Relay the complete events of a stream; collect other bodies."""
-        if self.misdelivered:
+        """Relay the complete events of a stream; collect other bodies.
+
+        What was received before the exchange was stopped may still come.
+        """
+        if self.is_stopped:
             return None
         if not self.is_stream:
             return super().receive_chunk(chunk)
@@ -176,12 +163,13 @@
         if len(self._buffer) > _MAX_EVENT_BYTES:
             self.stop()
             return None
-        new_events = self.stream.filter(events)
-        if new_events is None:
-            self.has_gap = True
+        new = self.stream.take(events)
+        self.has_gap = new.has_gap
+        if new.events:
+            return self._relay(b''.join(new.events))
+        if new.has_gap:
             self.stop()
-            return None
-        return self._relay(new_events) if new_events else None
+        return None
 
     async def _relay(self, data: bytes) -> None:
         if not self.relay_started:
@@ -191,6 +179,7 @@
             await self.writer.write(data)
         except StreamClosedError:
             self.caller_disconnected = True
+        if self.caller_disconnected or self.has_gap:
             self.stop()
 
 
--- a/src/lentilrun/entry/resumption.py
+++ b/src/lentilrun/entry/resumption.py
@@ -78,8 +78,9 @@
             raise self._make_unknown_error()
         key_digest = self._authorize(token, incoming)
         call = self._make_call(token, key_digest)
-        stream = StreamState(token.attempt_id)
-        stream.last_event_id = parse_number(last_event_id) or 0
+        stream = StreamState(
+            token.attempt_id, parse_number(last_event_id) or 0
+        )
         self._metrics.add(Count.RESUMES, 'caller')
         with self._in_flight.track(call):
             await self._relay(token, call, stream, writer)
--- a/tests/entry/test_tokens.py
+++ b/tests/entry/test_tokens.py
@@ -81,22 +81,22 @@
 
 
 @pytest.mark.parametrize(
-    ('sent', 'relayed'),
+    ('sent', 'relayed', 'has_gap'),
     [
-        ([1, 2, 3], [1, 2, 3]),
-        ([1, 2, 2, 3], [1, 2, 3]),
-        ([1, 2, 1, 2, 3], [1, 2, 3]),
-        ([1, 3], None),
-        ([2], None),
+        ([1, 2, 3], [1, 2, 3], False),
+        ([1, 2, 2, 3], [1, 2, 3], False),
+        ([1, 2, 1, 2, 3], [1, 2, 3], False),
+        ([1, 3], [1], True),
+        ([2], [], True),
     ],
 )
 def test_events_are_in_order_and_once(
-    sent: list[int], relayed: list[int] | None
+    sent: list[int], relayed: list[int], has_gap: bool
 ) -> None:
     """Repeated events are dropped; a gap stops the relay."""
     state = StreamState('a')
-    relayed_data = state.filter(b''.join(_make_event(n) for n in sent))
-    expected_data = None
-    if relayed is not None:
-        expected_data = b''.join(_make_event(n) for n in relayed)
-    assert relayed_data == expected_data
+    state.begin_run()
+    new = state.take(b''.join(_make_event(n) for n in sent))
+    assert new.events == [_make_event(n) for n in relayed]
+    assert new.has_gap is has_gap
+    assert state.last_event_id == len(relayed)
