Take the rest of a stream only from the process that began it

A caller that resumed a stream could get the rest from another process of the target, joined to what it had, if that process knew an attempt of that name.

The token of a stream names the process, and responses state it, but neither was compared with the other.

A response with events that states another process than the stream's is now treated as one to another attempt: nothing of it is relayed, and the stream ends in an error. One that states none is relayed as before.

--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -10,6 +10,7 @@
 import msgspec
 from tornado.iostream import StreamClosedError
 
+from ..targets.requests import INCARNATION_HEADER
 from ..targets.requests import is_response_to
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
@@ -74,12 +75,16 @@
 class StreamState:
     """The progress of one stream over all its connections.
 
-    ``event_count`` also counts events without a number.
+    ``event_count`` also counts events without a number. ``incarnation`` is
+    that of the target's process that makes the stream, if it is known.
     """
 
-    def __init__(self, attempt_id: str, last_event_id: int = 0) -> None:
+    def __init__(
+        self, attempt_id: str, last_event_id: int = 0, incarnation: str = ''
+    ) -> None:
         """Go on after ``last_event_id``, which the caller has."""
         self.attempt_id = attempt_id
+        self.incarnation = incarnation
         self._order = EventOrder(last_event_id)
         self.event_count = 0
         self.is_done = False
@@ -95,9 +100,17 @@
         """Return whether events have numbers, by which it can be resumed."""
         return self._order.has_numbers
 
-    def begin_run(self) -> None:
-        """Begin with the events of another response."""
+    def begin_run(self, incarnation: str) -> bool:
+        """Begin with the events of another response.
+
+        Return whether it comes from the process that makes the stream; its
+        ``incarnation`` is empty if the response doesn't state it.
+        """
+        if self.incarnation and incarnation not in ('', self.incarnation):
+            return False
+        self.incarnation = self.incarnation or incarnation
         self._order.begin_run()
+        return True
 
     def take(self, data: bytes) -> NewEvents:
         """Return the new events of ``data``, up to a gap."""
@@ -117,9 +130,9 @@
 class ResponseReceiver(ResponseHandler):
     """Receives the response to one attempt; relays it if it is a stream.
 
-    ``misdelivered`` is set if the response belongs to another attempt;
-    nothing of it is relayed then. ``has_gap`` is set if events are
-    missing.
+    ``misdelivered`` is set if the response belongs to another attempt or
+    comes from another process of the target; nothing of it is relayed then.
+    ``has_gap`` is set if events are missing.
     """
 
     def __init__(self, stream: StreamState, writer: ResponseWriter) -> None:
@@ -138,16 +151,16 @@
     ) -> Awaitable[None] | None:
         """Check that the response is to this attempt; detect streams."""
         super().receive_head(status, headers)
-        if not is_response_to(headers, self.stream.attempt_id):
+        content_type = headers.get('Content-Type', '')
+        is_stream = status == _OK and content_type.startswith(_EVENT_STREAM)
+        is_own = is_response_to(headers, self.stream.attempt_id)
+        if is_own and is_stream:
+            is_own = self.stream.begin_run(headers.get(INCARNATION_HEADER, ''))
+        if not is_own:
             self.misdelivered = True
             self.stop()
             return None
-        content_type = headers.get('Content-Type', '')
-        self.is_stream = status == _OK and content_type.startswith(
-            _EVENT_STREAM
-        )
-        if self.is_stream:
-            self.stream.begin_run()
+        self.is_stream = is_stream
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
--- a/src/lentilrun/entry/resumption.py
+++ b/src/lentilrun/entry/resumption.py
@@ -79,7 +79,9 @@
         key_digest = self._authorize(token, incoming)
         call = self._make_call(token, key_digest)
         stream = StreamState(
-            token.attempt_id, parse_number(last_event_id) or 0
+            token.attempt_id,
+            parse_number(last_event_id) or 0,
+            token.incarnation,
         )
         self._metrics.add(Count.RESUMES, 'caller')
         with self._in_flight.track(call):
--- a/tests/entry/test_attempt_streams.py
+++ b/tests/entry/test_attempt_streams.py
@@ -232,6 +232,15 @@
         Code.STREAM_BROKEN,
         6,
     ),
+    'rest of another process': _Case(
+        [
+            _frame(_number(1, 2), _STREAM + b'X-Incarnation: i1\r\n', 99),
+            *[_frame(_end(3), _STREAM + b'X-Incarnation: i2\r\n')] * 5,
+        ],
+        _number(1, 2),
+        Code.STREAM_BROKEN,
+        6,
+    ),
     'no numbers': _Case(
         [_frame(b'data: piece\n\n', size=99), _WHOLE],
         b'data: piece\n\n',
--- a/tests/entry/test_event_order.py
+++ b/tests/entry/test_event_order.py
@@ -179,6 +179,39 @@
     _check(_Case([['id: 1\n' + data]], 'id: 1\n' + data))
 
 
+@pytest.mark.parametrize(
+    ('first', 'later', 'is_joined'),
+    [
+        ('i1', 'i1', True),
+        ('i1', None, True),
+        (None, 'i1', True),
+        ('i1', 'i2', False),
+    ],
+)
+def test_run_of_another_process(
+    first: str | None, later: str | None, is_joined: bool
+) -> None:
+    """A target that started anew can't go on with a stream."""
+
+    async def body() -> None:
+        stream = StreamState('mine')
+        caller = _Caller()
+        for incarnation, data in ((first, _number(1)), (later, _number(2))):
+            receiver = ResponseReceiver(stream, caller)
+            headers = HTTPHeaders(_HEADERS)
+            if incarnation is not None:
+                headers['X-Incarnation'] = incarnation
+            receiver.receive_head(200, headers)
+            handling = receiver.receive_chunk(data.encode())
+            if handling is not None:
+                await handling
+        assert receiver.misdelivered is not is_joined
+        expected = _numbers(1, 2) if is_joined else _number(1)
+        assert caller.data == expected.encode()
+
+    asyncio.run(body())
+
+
 def test_nothing_is_relayed_after_a_stop() -> None:
     """What was received before is not passed on to the caller any more."""
 
--- a/tests/entry/test_tokens.py
+++ b/tests/entry/test_tokens.py
@@ -95,7 +95,7 @@
 ) -> None:
     """Repeated events are dropped; a gap stops the relay."""
     state = StreamState('a')
-    state.begin_run()
+    state.begin_run('')
     new = state.take(b''.join(_make_event(n) for n in sent))
     assert new.events == [_make_event(n) for n in relayed]
     assert new.has_gap is has_gap
