Begin the numbers of heartbeats anew at random in each process

A VM that had just started could count as fresh by a peer that had heard nothing of it, and act on a configuration that was replaced meanwhile.

Heartbeats are numbered from 1 in each process, and a peer echoes the newest number that it has received, whichever process sent it. A peer that hears no more of the VM, or whose heartbeat is late, echoes a number of the process before; once the new process has sent as many, the echo counts as one of its own, as new as that heartbeat.

Ruled out: late and repeated heartbeats of one process (the property holds without restarts); generations that fall (the largest counts).

A process now begins at a random number of 48 bits.

--- a/src/lentilrun/coordination/heartbeat.py
+++ b/src/lentilrun/coordination/heartbeat.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import collections
+import secrets
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 2.0
 _MAX_REMEMBERED_ROUNDS = 64
+_FIRST_NUMBER_BITS = 48
 
 
 class Heartbeat(NamedTuple):
@@ -50,11 +52,15 @@
 
 
 class HeartbeatTracker:
-    """Numbers outgoing heartbeats and records incoming ones."""
+    """Numbers outgoing heartbeats and records incoming ones.
+
+    Each process begins at a random number: a peer may still echo the last
+    heartbeat that it received from the process before.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._last_round = 0
+        self._last_round = secrets.randbits(_FIRST_NUMBER_BITS)
         self._round_times: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
         )
