Keep the furthest state that a response of a new version was reported in

In a larger fleet, a VM could judge a new version by responses that had failed as if they were only late, and so ban it later or not at all.

A response may be reported twice, as overdue and as it ended. A hub passes the first report on for about a second, also to the VM that it comes from. If that VM has ended the response meanwhile and the first report has expired there, it replaced the second one, which was not applied again when it came back too.

Ruled out: reports from one sender that come twice within their time, or in order.

Of two reports of a response, the one that is further counts: a failure, or the longer time. A report that adds nothing no longer asks for a verdict.

--- a/src/lentilrun/gateway/rolloutledger.py
+++ b/src/lentilrun/gateway/rolloutledger.py
@@ -28,7 +28,8 @@
 class OutcomeLedger:
     """The outcomes of one roll-out, of all VMs.
 
-    A report with the same VM and number replaces the earlier one.
+    Of reports with the same VM and number, that of the furthest state counts:
+    a response may be reported as overdue, and then as it ended.
     """
 
     def __init__(self, order: int) -> None:
@@ -43,7 +44,7 @@
         outcomes = self._new if report.is_new else self._old
         key = (report.node, report.number)
         previous = outcomes.get(key)
-        outcomes[key] = Outcome(
+        outcome = Outcome(
             previous.at if previous is not None else now,
             report.route,
             report.target,
@@ -51,9 +52,12 @@
             report.first_level,
             report.rest_level,
         )
+        if previous is not None and _is_at_least(previous, outcome):
+            return
+        outcomes[key] = outcome
         if len(outcomes) > _MAX_OUTCOMES:
             del outcomes[next(iter(outcomes))]
-        self.has_changed |= report.is_new and outcomes[key] != previous
+        self.has_changed |= report.is_new
 
     def list_new(self) -> list[Outcome]:
         """Return the outcomes of the new version."""
@@ -64,6 +68,22 @@
         return list(self._old.values())
 
 
+def _is_at_least(known: Outcome, outcome: Outcome) -> bool:
+    """Return whether a response was known as ``outcome``, or as further.
+
+    Its times only grow, and a failure ends it.
+    """
+    return _measure_progress(known) >= _measure_progress(outcome)
+
+
+def _measure_progress(outcome: Outcome) -> tuple[bool, int, int]:
+    return (
+        outcome.fate is not Fate.GOOD,
+        outcome.first_level,
+        outcome.rest_level,
+    )
+
+
 class _Quota:
     """Counts the reports of a route and version in the current second."""
 
