Take a cache event that comes again or late for a gap

A late event of an engine could bring back a block that a newer one had removed, so that requests were placed by a cache entry that is gone.

Only numbers beyond the next one counted as a gap; one that goes back was applied, and made the numbers that follow look right.

Any number but the next one of its process now counts as a gap, after which earlier placements are not trusted. The sockets keep the order of events, so this was not seen in a run of whole processes.

--- a/src/lentilrun/targets/events.py
+++ b/src/lentilrun/targets/events.py
@@ -49,11 +49,13 @@
     def follows_gap(self, event: CacheEvent) -> bool:
         """Return whether events of its incarnation were missed before it.
 
-        The first event of an incarnation follows no gap.
+        The first event of an incarnation follows no gap. One whose number
+        comes again or goes back may undo what a later one has stated, so
+        nothing before it holds either.
         """
         is_same_incarnation = event.incarnation == self._incarnation
         has_gap = (
-            is_same_incarnation and event.sequence > self._last_sequence + 1
+            is_same_incarnation and event.sequence != self._last_sequence + 1
         )
         self._incarnation = event.incarnation
         self._last_sequence = event.sequence
--- a/tests/routing/test_placements.py
+++ b/tests/routing/test_placements.py
@@ -48,10 +48,16 @@
 
 @pytest.mark.parametrize(
     ('numbers', 'gaps'),
-    [([1, 2, 3], [0, 0, 0]), ([5, 6, 9], [0, 0, 1]), ([1, 3, 4], [0, 1, 0])],
+    [
+        ([1, 2, 3], [0, 0, 0]),
+        ([5, 6, 9], [0, 0, 1]),
+        ([1, 3, 4], [0, 1, 0]),
+        ([4, 5, 3, 4], [0, 0, 1, 0]),
+        ([4, 5, 5, 6], [0, 0, 1, 0]),
+    ],
 )
 def test_gaps_are_detected(numbers: list[int], gaps: list[int]) -> None:
-    """A skipped sequence number shows that events were missed."""
+    """A number that is not the next one shows that events were missed."""
     detector = GapDetector()
     events = [CacheEvent(n, 'i', 'v', (), ()) for n in numbers]
     assert [detector.follows_gap(e) for e in events] == [bool(g) for g in gaps]
