Drop relayed rows from before a restoration of the store

A VM could send requests to a target, or by a row, that the restored store had lost: a datagram or response of the era before that came late was applied if the VM knew no row of that key.

Rows are compared with the last one of their key only, and nothing removes a key that no later era has.

Rows of an earlier era than the follower's position are now dropped as a whole; the read after a restoration has all that is left of them.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -258,7 +258,10 @@
         """Apply rows, and pass on those that are new.
 
         Other VMs may have relayed some of them since the store was called.
+        What is from before a restoration may be lost since, and is dropped.
         """
+        if find_era(changes.store_version) < find_era(self._position):
+            return
         previous_version = self.newest_row_version
         self._record_era(changes.store_version)
         new_rows = tuple(r for r in changes.rows if self._apply_row(r))
--- a/tests/gateway/test_late_rows.py
+++ b/tests/gateway/test_late_rows.py
@@ -15,6 +15,7 @@
 from lentilrun.gateway.logs import Log
 from lentilrun.platform.rows import Row
 from lentilrun.platform.rows import Rows
+from lentilrun.platform.rowversions import make_version
 from lentilrun.standins import timeloop
 import pytest
 
@@ -292,3 +293,34 @@
         task.cancel()
 
     timeloop.run(main)
+
+
+@pytest.mark.parametrize('era', [1, 2])
+@pytest.mark.parametrize('is_deleted', [False, True])
+def test_rows_from_before_a_restoration(
+    era: int, is_deleted: bool, log_file: int
+) -> None:
+    """A late datagram of an earlier era brings back no row that is lost."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        store = _Store([_Delay(0.0, 0.0)])
+        vm = _Vm(store, loop, Log(loop, 'vm1', log_file))
+        task = asyncio.ensure_future(vm.follower.run())
+        await asyncio.sleep(0.2)
+        task.cancel()
+        newest = make_version(2, 5)
+        vm.follower.apply_relayed(
+            0, Rows((Row('a', b'new', newest),), newest, 0.0)
+        )
+        version = make_version(era, 9)
+        late = Row('b', b'' if is_deleted else b'lost', version, is_deleted)
+        vm.follower.apply_relayed(0, Rows((late,), version, 0.0))
+        if era == 2 and not is_deleted:
+            assert vm.rows == {'a': b'new', 'b': b'lost'}
+        else:
+            assert vm.rows == {'a': b'new'}
+        assert vm.follower.newest_row_version == max(
+            newest, version if era == 2 else 0
+        )
+
+    timeloop.run(main)
