--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import re
 from typing import NamedTuple
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -11,18 +10,19 @@
 import msgspec
 from tornado.iostream import StreamClosedError
 
+from ..targets.requests import INCARNATION_HEADER
 from ..targets.requests import is_response_to
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
-from ..web.eventstream import split_events
+from .eventorder import EventOrder
+from .eventorder import is_last
+from .eventorder import NewEvents
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
     from tornado.httputil import HTTPHeaders
 
-_EVENT_ID = re.compile(rb'^id: ?(\d{1,18})\r?$', re.MULTILINE)
-_DONE = b'data: [DONE]'
 _USAGE = b'"usage"'
 _EVENT_STREAM = 'text/event-stream'
 _OK = 200
@@ -75,69 +75,64 @@
 class StreamState:
     """The progress of one stream over all its connections.
 
-    ``last_event_id`` is the number of the last relayed event;
-    ``event_count`` also counts events without a number.
+    ``event_count`` also counts events without a number. ``incarnation`` is
+    that of the target's process that makes the stream, if it is known.
     """
 
-    def __init__(self, attempt_id: str) -> None:
+    def __init__(
+        self, attempt_id: str, last_event_id: int = 0, incarnation: str = ''
+    ) -> None:
+        """Go on after ``last_event_id``, which the caller has."""
         self.attempt_id = attempt_id
-        self.last_event_id = 0
+        self.incarnation = incarnation
+        self._order = EventOrder(last_event_id)
         self.event_count = 0
-        self.has_event_ids = False
         self.is_done = False
         self.usage: _UsageBody | None = None
 
-    def filter(self, data: bytes) -> bytes | None:
-        """Return the new events of ``data``, or nothing on a gap.
+    @property
+    def last_event_id(self) -> int:
+        """Return the number of the last relayed event."""
+        return self._order.last_number
 
-        Events that were relayed before are left out. If no event has a
-        number, all are returned unchanged.
+    @property
+    def has_event_ids(self) -> bool:
+        """Return whether events have numbers, by which it can be resumed."""
+        return self._order.has_numbers
+
+    def begin_run(self, incarnation: str) -> bool:
+        """Begin with the events of another response.
+
+        Return whether it comes from the process that makes the stream; its
+        ``incarnation`` is empty if the response doesn't state it.
         """
-        numbers = [int(n) for n in _EVENT_ID.findall(data)]
-        if numbers:
-            self.has_event_ids = True
-            first = self.last_event_id + 1
-            if numbers != list(range(first, first + len(numbers))):
-                new_events = self._filter_each_event(data)
-                if new_events is None:
-                    return None
-                data = new_events
-            else:
-                self.last_event_id = numbers[-1]
-        self._record_events(data)
-        return data
-
-    def _filter_each_event(self, data: bytes) -> bytes | None:
-        new_events = []
-        for event in split_events(data):
-            id_match = _EVENT_ID.search(event)
-            number = int(id_match[1]) if id_match else self.last_event_id + 1
-            if number <= self.last_event_id:
-                continue
-            if number > self.last_event_id + 1:
-                return None
-            self.last_event_id = number
-            new_events.append(event)
-        return b''.join(new_events)
-
-    def _record_events(self, data: bytes) -> None:
-        events = split_events(data)
-        self.event_count += len(events)
-        if _USAGE in data:
-            for event in events:
-                if _USAGE in event:
-                    usage = parse_usage(_find_data(event))
-                    self.usage = usage or self.usage
-        if _DONE in data:
+        if self.incarnation and incarnation not in ('', self.incarnation):
+            return False
+        self.incarnation = self.incarnation or incarnation
+        self._order.begin_run()
+        return True
+
+    def take(self, data: bytes) -> NewEvents:
+        """Return the new events of ``data``, up to a gap."""
+        new = self._order.take(data)
+        for event in new.events:
+            self._record(event)
+        return new
+
+    def _record(self, event: bytes) -> None:
+        self.event_count += 1
+        if _USAGE in event:
+            self.usage = parse_usage(_find_data(event)) or self.usage
+        if is_last(event):
             self.is_done = True
 
 
 class ResponseReceiver(ResponseHandler):
     """Receives the response to one attempt; relays it if it is a stream.
 
-    ``misdelivered`` is set if the response belongs to another attempt;
-    nothing of it is relayed then. ``has_gap`` is set if events are
-    missing.
+    ``misdelivered`` is set if the response belongs to another attempt or
+    comes from another process of the target; nothing of it is relayed then.
+    ``has_gap`` is set if events are missing.
     """
 
     def __init__(self, stream: StreamState, writer: ResponseWriter) -> None:
@@ -156,19 +151,24 @@
     ) -> Awaitable[None] | None:
         """Check that the response is to this attempt; detect streams."""
         super().receive_head(status, headers)
-        if not is_response_to(headers, self.stream.attempt_id):
+        content_type = headers.get('Content-Type', '')
+        is_stream = status == _OK and content_type.startswith(_EVENT_STREAM)
+        is_own = is_response_to(headers, self.stream.attempt_id)
+        if is_own and is_stream:
+            is_own = self.stream.begin_run(headers.get(INCARNATION_HEADER, ''))
+        if not is_own:
             self.misdelivered = True
             self.stop()
             return None
-        content_type = headers.get('Content-Type', '')
-        self.is_stream = status == _OK and content_type.startswith(
-            _EVENT_STREAM
-        )
+        self.is_stream = is_stream
         return None
 
     def receive_chunk(self, chunk: bytes) -> Awaitable[None] | None:
-        """Relay the complete events of a stream; collect other bodies."""
-        if self.misdelivered:
+        """Relay the complete events of a stream; collect other bodies.
+
+        What was received before the exchange was stopped may still come.
+        """
+        if self.is_stopped:
             return None
         if not self.is_stream:
             return super().receive_chunk(chunk)
@@ -176,12 +176,13 @@
         if len(self._buffer) > _MAX_EVENT_BYTES:
             self.stop()
             return None
-        new_events = self.stream.filter(events)
-        if new_events is None:
-            self.has_gap = True
+        new = self.stream.take(events)
+        self.has_gap = new.has_gap
+        if new.events:
+            return self._relay(b''.join(new.events))
+        if new.has_gap:
             self.stop()
-            return None
-        return self._relay(new_events) if new_events else None
+        return None
 
     async def _relay(self, data: bytes) -> None:
         if not self.relay_started:
@@ -191,6 +192,7 @@
             await self.writer.write(data)
         except StreamClosedError:
             self.caller_disconnected = True
+        if self.caller_disconnected or self.has_gap:
             self.stop()
 
 
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -18,7 +18,11 @@
 from ..decisions.topology import pick_hubs
 from ..decisions.topology import pick_readers
 from ..decisions.topology import pick_recipients
+from .endedprocesses import EndedProcesses
+from .endedprocesses import VmProcess
 from .events import wait_for_event
+from .messagedelays import add_delay
+from .messagedelays import MessageDelays
 from .messages import BadMessageError
 from .messages import decode
 from .messages import encode
@@ -75,6 +79,7 @@
         self.has_lost_store = False
         self.has_lost_rows = False
         self.is_cut_off = False
+        self.delays = MessageDelays()
 
 
 class GossipSource(Protocol):
@@ -114,6 +119,7 @@
         self._hubs_picked_for: frozenset[str] = frozenset()
         self.incarnation = secrets.randbits(48)
         self.by_name: dict[str, Peer] = {}
+        self._ended = EndedProcesses()
         self.make_messages: GossipSource | None = None
         self.has_lost_store: Callable[[], bool] = lambda: False
         self.on_message: list[Callable[[GossipMessage], None]] = []
@@ -468,33 +474,60 @@
     def _receive_message(self, message: GossipMessage) -> None:
         if message.node == self.own_member.name:
             return
+        process = VmProcess(message.node, message.incarnation)
+        if process in self._ended:
+            return
         if message.is_leaving:
+            self._ended.add(process)
             if message.node in self.by_name:
                 self._remove(message.node, 'leaving')
             return
-        self._record_received(message)
+        delay = self._record_received(message)
+        if delay is None:
+            return
+        if delay > 0.0:
+            message = add_delay(message, delay)
         for callback in self.on_message:
             callback(message)
 
-    def _record_received(self, message: GossipMessage) -> None:
-        member = Member(message.node, message.data_centre, message.power)
-        self.add(member, Address(message.host, message.port))
-        peer = self.by_name[message.node]
-        if peer.incarnation != message.incarnation:
-            self._log.write(
-                'peer_known',
-                peer=message.node,
-                incarnation=message.incarnation,
-            )
-            peer.incarnation = message.incarnation
-            for callback in self.on_restart:
-                callback(message.node)
-        peer.last_received = self._clock.now()
+    def _record_received(self, message: GossipMessage) -> float | None:
+        """Record the sender's state; return the delay of its message, in s.
+
+        Return nothing if a newer one of its process has arrived before.
+        """
+        peer = self._find_sender(message)
+        now = self._clock.now()
+        sent_at = message.find_sent_at()
+        delay: float | None = 0.0
+        if sent_at is not None:
+            delay = peer.delays.record(sent_at, now)
+        if delay is None:
+            return None
+        peer.last_received = now
         peer.suspect_until = float('-inf')
         peer.unresponsive = message.unresponsive
         peer.has_lost_store = message.has_lost_store
         peer.has_lost_rows = message.has_lost_rows
         peer.is_cut_off = message.is_cut_off
+        return delay
+
+    def _find_sender(self, message: GossipMessage) -> Peer:
+        """Return the sender, after a restart as that of a new process."""
+        member = Member(message.node, message.data_centre, message.power)
+        self.add(member, Address(message.host, message.port))
+        peer = self.by_name[message.node]
+        if peer.incarnation == message.incarnation:
+            return peer
+        self._log.write(
+            'peer_known', peer=message.node, incarnation=message.incarnation
+        )
+        if peer.incarnation:
+            self._ended.add(VmProcess(message.node, peer.incarnation))
+        peer.incarnation = message.incarnation
+        peer.delays = MessageDelays()
+        for callback in self.on_restart:
+            callback(message.node)
+        return peer
 
 
 __all__ = [
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -24,6 +24,8 @@
 from .rowversions import MAX_ERA
 from .rowversions import MAX_NUMBER
 from .rowversions import split_version
+from .storeclock import StoreClock
+from .storeclock import TimedResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -183,7 +185,7 @@
         self._client = client
         self._address = address
         self._clock = clock
-        self._store_clock_offset_s = 0.0
+        self._store_clock = StoreClock()
         self.call_count = 0
         # The newest era that a response stated, if there was any response,
         # and that another VM reported.
@@ -200,7 +202,11 @@
 
     def estimate_clock(self) -> float:
         """Return a lower bound of the store's clock, in seconds."""
-        return self._clock.now() + self._store_clock_offset_s
+        return self._store_clock.earliest(self._clock.now())
+
+    def latest_clock(self) -> float:
+        """Return an upper bound of the store's clock, in seconds."""
+        return self._store_clock.latest(self._clock.now())
 
     async def _send(
         self, method: str, path: str, body: bytes, timeout: float
@@ -255,9 +261,11 @@
         """Return all rows of a table that have an empty ``part``.
 
         Rows with an unreadable key are left out, other malformed ones have
-        an empty value. Raises ``PlatformError``.
+        an empty value. The pages of a long table are of different times: the
+        version is that of the first one, so that no change after it is taken
+        for read. Raises ``PlatformError``.
         """
-        era: int | None = None
+        first_version: int | None = None
         rows: list[Row] = []
         first_key = ''
         while True:
@@ -268,14 +276,18 @@
             }
             if first_key:
                 query['from'] = first_key
+            sent_at = self._clock.now()
             page, has_more = await self._read_page(query)
-            self._store_clock_offset_s = page.store_time - self._clock.now()
-            if era not in (None, find_era(page.store_version)):
+            self._store_clock.record(
+                TimedResponse(page.store_time, sent_at, self._clock.now())
+            )
+            if first_version is None:
+                first_version = page.store_version
+            if find_era(page.store_version) != find_era(first_version):
                 raise PlatformError('the store was restored during a read')
-            era = find_era(page.store_version)
             rows += page.rows
             if not has_more:
-                return Rows(tuple(rows), page.store_version, page.store_time)
+                return Rows(tuple(rows), first_version, page.store_time)
             # The smallest key that sorts after the last one.
             first_key = page.rows[-1].key + '\0'
 
