Test a target's rest without the choice among engines

Callers saw nothing: the test was red, the router was right. On this machine test_target_that_asks_for_a_rest[/talk/x] ended with 0 > 0 in each of 3 runs: none of the 40 calls of two other VMs reached the resting engine.

A rest that VMs believe although it doesn't bind them was ruled out by printing the candidates and costs of each choice: both other VMs had the resting engine among the usable targets in all 40 choices, and each time it cost more, 0.060 to 0.033 s against 0.039 to 0.004 s. All calls of the test have one prompt, which the other engine has cached, so it gets all calls as long as it has room.

The test now asks who may use which target after the refusal, lets the VM that was asked send its calls while there is another target, and then removes that one: each call of each other VM must run at the resting target. Before, one call of either VM was enough.

It fails where rests are told to all VMs like departures ({503} == {200}, 3 of 3 cases), and where the VM that was asked goes on sending (200 == 503, 3 of 3).

--- a/tests/gateway/test_target_statements.py
+++ b/tests/gateway/test_target_statements.py
@@ -55,6 +55,20 @@
     return all(name in n.targets.states for n in nodes)
 
 
+def _list_usable(node: Node, service: str) -> set[str]:
+    """Return the targets that a VM may send requests now."""
+    usable = node.targets.list_usable(service)
+    return {s.target.incarnation for s in usable}
+
+
+async def _remove(
+    deployment: Deployment, nodes: list[Node], name: str
+) -> None:
+    """Remove the row of a target; wait until no VM knows it."""
+    deployment.store.put('servers', name, None)
+    await wait_until(lambda: all(name not in n.targets.states for n in nodes))
+
+
 @pytest.mark.parametrize('path', _SERVICES)
 @pytest.mark.parametrize('fault', ['', 'full'])
 def test_target_that_said_that_it_leaves(path: str, fault: str) -> None:
@@ -97,10 +111,7 @@
             deployment.add_replica('r2', 'app')
             await wait_until(lambda: _all_know(nodes, 'r2'))
             await asyncio.sleep(0.6)
-            deployment.store.put('servers', 'r1', None)
-            await wait_until(
-                lambda: all('r1' not in n.targets.states for n in nodes)
-            )
+            await _remove(deployment, nodes, 'r1')
             leaving.plan.is_leaving = False
             row = make_target_row(
                 'app', deployment.addresses['r1'], {}, 'ready', born
@@ -156,14 +167,19 @@
             deployment.add_replica('r2', service)
             await wait_until(lambda: _all_know(nodes, 'r2'))
             assert await first == 503
+            usable = [_list_usable(n, service) for n in nodes]
+            assert usable == [{'r2'}, {'r1', 'r2'}, {'r1', 'r2'}]
             before = len(resting.runs)
-            await _ask_all(deployment, nodes[:1], path, 20)
+            assert await _ask_all(deployment, nodes[:1], path, 20) == {200}
             assert len(resting.runs) == before
-            await _ask_all(deployment, nodes[1:], path, 20)
-            assert len(resting.runs) > before
+            # An engine that has the prompt cached gets all calls otherwise.
+            await _remove(deployment, nodes, 'r2')
+            for node in nodes[1:]:
+                before = len(resting.runs)
+                assert await _ask_all(deployment, [node], path, 5) == {200}
+                assert len(resting.runs) == before + 5
             await asyncio.sleep(2.1)
-            usable = nodes[0].targets.list_usable(service)
-            assert 'r1' in {s.target.incarnation for s in usable}
+            assert _list_usable(nodes[0], service) == {'r1'}
 
     asyncio.run(body())
 
