Reserve the ports of tests and stand-ins until they are released

Callers saw nothing; test_caller_heads.py::test_any_request once ended with OSError 98 (Address already in use) in a whole run. A port was drawn between 10,000 and 32,000, bound as a trial, released and bound for good later. Until then the same test, another worker or another tree could draw it again; a stopped server's port could go to someone else as well. The tests of processes counted through ranges of their own by worker, which two runs at once, or more than eight workers, share.

A reservation now holds a TCP socket bound until its owner ends. Two reservations exclude each other over all processes, as the socket is bound without SO_REUSEADDR; with that option set afterwards, a server that sets it too (Tornado, asyncio, zmq) can listen, stop and listen again. Binding with port 0 was ruled out: VMs need the number of a port before they bind it, for TCP and UDP, and a stopped server's port would be one of those that the system gives to outgoing connections. Datagrams are received at reserved ports only, below those that the system gives out. What remains: a foreign program that binds such a number without a reservation. The deployments of the gateway's tests, the soak's and the tests of processes use it; the two functions that picked ports are gone.

In test_port_in_use, the other listener shares the port with the reservation, as a server does that starts again; the daemon must still fail, since that one listens.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -17,7 +17,7 @@
 from lentilrun.standins.configuration import make_target_row
 from lentilrun.standins.configuration import make_weights_announcement
 from lentilrun.standins.configuration import MODEL
-from lentilrun.standins.process import pick_free_port
+from lentilrun.standins.ports import ReservedPorts
 from lentilrun.standins.process import SETTINGS_TEMPLATE
 from lentilrun.standins import replica
 from lentilrun.standins import rowstore
@@ -60,9 +60,10 @@
         self.name = name
         self._folder = folder
         self.store_proxy = Proxy(store)
-        self.entry_port = pick_free_port()
-        self.readiness_port = pick_free_port()
-        self._peer_port = pick_free_port()
+        self._ports = ReservedPorts()
+        self.entry_port = self._ports.reserve()
+        self.readiness_port = self._ports.reserve()
+        self._peer_port = self._ports.reserve()
         self._settings_path = folder / f'{name}.toml'
         self.log = folder / f'{name}.log'
         self.process: asyncio.subprocess.Process | None = None
@@ -92,6 +93,7 @@
     ) -> None:
         await self.stop(signal.SIGKILL)
         await self.store_proxy.__aexit__(kind, error, trace)
+        self._ports.__exit__(kind, error, trace)
 
     async def start(self) -> None:
         """Start the process."""
@@ -158,6 +160,7 @@
         self._folder = folder
         self._vm_count = vms
         self._stack = contextlib.AsyncExitStack()
+        self._ports = self._stack.enter_context(ReservedPorts())
         self.store = rowstore.RowStoreState()
         self._operator_rows: dict[str, bytes] = {}
         self.replicas: dict[str, replica.ReplicaState] = {}
@@ -190,7 +193,7 @@
 
     def _serve(self, application: Any) -> int:
         server = HTTPServer(application)
-        port = pick_free_port()
+        port = self._ports.reserve()
         server.listen(port, LOOPBACK)
         self._stack.callback(server.stop)
         return port
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -7,13 +7,13 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 from typing import Any
 from typing import NamedTuple
 
 from lentilrun.config.ini import Address
+from lentilrun.standins.ports import ReservedPorts
 from lentilrun.web.client import Client
 from lentilrun.web.client import Request
 from lentilrun.web.client import Response
@@ -24,23 +24,6 @@
 API_KEYS = {'solo': 'key-of-solo', 'jepara': 'key-of-jepara'}
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 30.0
-_PORTS_PER_WORKER = 1500
-# Tests that run in parallel use separate port ranges.
-_WORKER = int(os.environ.get('PYTEST_XDIST_WORKER', 'gw0')[2:]) % 8
-_FIRST_PORT = 20_000 + _WORKER * _PORTS_PER_WORKER
-_PORTS = iter(range(_FIRST_PORT, _FIRST_PORT + _PORTS_PER_WORKER))
-
-
-def pick_free_port() -> int:
-    """Return an unused port below the ephemeral range."""
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        return port
-    raise AssertionError('no port is free')
 
 
 class VmAddresses(NamedTuple):
@@ -52,26 +35,20 @@
     peers: Address
 
 
-def _pick_address() -> Address:
-    return Address('127.0.0.1', pick_free_port())
-
-
 class FleetProcesses:
-    """The processes of one test; all are killed on exit."""
+    """The processes and ports of one test; all are released on exit."""
 
     def __init__(self, folder: pathlib.Path, vms: int, targets: int) -> None:
         self.folder = folder
-        self.platform = _pick_address()
+        self.ports = ReservedPorts()
+        reserve = self.ports.reserve_address
+        self.platform = reserve()
         self.vms = [
-            VmAddresses(
-                f'vm{i}', _pick_address(), _pick_address(), _pick_address()
-            )
+            VmAddresses(f'vm{i}', reserve(), reserve(), reserve())
             for i in range(1, vms + 1)
         ]
-        self.targets = {
-            f't{i}': _pick_address() for i in range(1, targets + 1)
-        }
-        self.service = _pick_address()
+        self.targets = {f't{i}': reserve() for i in range(1, targets + 1)}
+        self.service = reserve()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.client = Client()
         _, secret = zmq.curve_keypair()
@@ -101,6 +78,7 @@
         for process in self.processes.values():
             process.wait(_STOP_TIMEOUT_S)
         self.client.__exit__(None, None, None)
+        self.ports.__exit__(None, None, None)
 
     def _start(self, name: str, *arguments: str) -> None:
         log = (self.folder / f'{name}.log').open('ab')
--- a/tests/e2e/test_input.py
+++ b/tests/e2e/test_input.py
@@ -189,9 +189,7 @@
     """A daemon whose port is in use exits with code 3."""
     fleet = FleetProcesses(tmp_path, vms=1, targets=0)
     address: Address = getattr(fleet.vms[0], which)
-    with socket.socket() as listener:
-        listener.bind(tuple(address))
-        listener.listen()
+    with fleet.ports, socket.create_server(address):
         fleet.start_vm(fleet.vms[0])
         assert fleet.processes['vm1'].wait(30.0) == 3
     assert 'port_in_use' in (tmp_path / 'vm1.log').read_text()
--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -20,11 +20,12 @@
 from lentilrun.standins.configuration import make_target_row
 from lentilrun.standins.configuration import make_weights_announcement
 from lentilrun.standins.configuration import MODEL
-from lentilrun.standins.process import pick_free_port
+from lentilrun.standins.ports import ReservedPorts
 from lentilrun.standins import replica
 from lentilrun.standins import rowstore
 import msgspec
 from tornado.httpserver import HTTPServer
+from tornado.web import Application
 
 _LOOPBACK = '127.0.0.1'
 
@@ -63,6 +64,7 @@
         self.software_versions: dict[str, str] = {}
         self.nodes: dict[str, Node] = {}
         self._stack = contextlib.AsyncExitStack()
+        self._ports = self._stack.enter_context(ReservedPorts())
         self._ids = itertools.count(1)
         self._servers: dict[str, HTTPServer] = {}
         if log_file is None:
@@ -70,10 +72,8 @@
         self._log_file = log_file
 
     async def __aenter__(self) -> Deployment:
-        self._store_port = pick_free_port()
-        server = HTTPServer(rowstore.make_application(self.store))
-        server.listen(self._store_port, _LOOPBACK)
-        self._servers['store'] = server
+        application = rowstore.make_application(self.store)
+        self._store_address = self._serve('store', application)
         self.configure(make_configuration(1))
         self.announce_weights(1)
         return self
@@ -85,6 +85,14 @@
             await server.close_all_connections()
         os.close(self._log_file)
 
+    def _serve(self, name: str, application: Application) -> Address:
+        """Start a server; return its address."""
+        address = self._ports.reserve_address()
+        server = HTTPServer(application)
+        server.listen(address.port, address.host)
+        self._servers[name] = server
+        return address
+
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write a configuration."""
         value = msgspec.json.encode(configuration)
@@ -120,12 +128,9 @@
         models = {MODEL: weights_version} if service == 'llm' else {}
         self.software_versions[name] = software_version
         state = replica.ReplicaState(name, models)
-        port = pick_free_port()
-        server = HTTPServer(replica.make_application(state))
-        server.listen(port, _LOOPBACK)
+        address = self._serve(name, replica.make_application(state))
         self.replicas[name] = state
-        self.addresses[name] = f'{_LOOPBACK}:{port}'
-        self._servers[name] = server
+        self.addresses[name] = str(address)
         self.register(name, service)
         return state
 
@@ -164,10 +169,10 @@
             _LOOPBACK,
             'a',
             1.0,
-            Address(_LOOPBACK, pick_free_port()),
-            Address(_LOOPBACK, pick_free_port()),
-            pick_free_port(),
-            Address(_LOOPBACK, self._store_port),
+            self._ports.reserve_address(),
+            self._ports.reserve_address(),
+            self._ports.reserve(),
+            self._store_address,
             bounds,
         )
         node = await self._stack.enter_async_context(
--- a/tests/gateway/test_run.py
+++ b/tests/gateway/test_run.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import os
 import pathlib
 import signal
@@ -11,7 +12,7 @@
 import urllib.error
 import urllib.request
 
-from lentilrun.standins.process import pick_free_port
+from lentilrun.standins.ports import ReservedPorts
 from lentilrun.standins.process import SETTINGS_TEMPLATE
 import pytest
 
@@ -53,10 +54,18 @@
         return 0
 
 
-def test_store_unreachable_at_start(tmp_path: pathlib.Path) -> None:
-    """Without the store, a process keeps running and is not ready."""
+@pytest.fixture
+def ports() -> Iterator[dict[str, int]]:
+    """Reserve the ports that settings name."""
     names = ('peers', 'entry', 'readiness', 'store')
-    ports = {n: pick_free_port() for n in names}
+    with ReservedPorts() as reserved:
+        yield {n: reserved.reserve() for n in names}
+
+
+def test_store_unreachable_at_start(
+    tmp_path: pathlib.Path, ports: dict[str, int]
+) -> None:
+    """Without the store, a process keeps running and is not ready."""
     path = tmp_path / 'node.toml'
     settings = SETTINGS_TEMPLATE.format(name='vm1', **ports)
     path.write_text('unknown-field = 7\n' + settings, encoding='utf-8')
