Let replicas of the soak be processes that are killed

What callers saw: streams that ended too soon on machines of the users, where targets are processes. The soak's replicas ran inside its own process, behind a proxy, so that no kernel closed a connection of a dead one.

The change: replicas of a service of its own run the stand-in's application as processes, without a proxy. Each run is written to a file before its answer, so it stays on record when the process is killed. Each event names its request and its run.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -24,13 +24,18 @@
 import msgspec
 from tornado.httpserver import HTTPServer
 
+from .eventstreams import FaultLevel
 from .proxy import LOOPBACK
 from .proxy import Proxy
+from .replicaprocesses import extend_configuration
+from .replicaprocesses import PROCESS_MODEL
+from .replicaprocesses import ReplicaProcess
 
 if TYPE_CHECKING:
     from types import TracebackType
 
 _SOURCE_FOLDER = pathlib.Path(__file__).parents[1] / 'src'
+_SOAK_FOLDER = pathlib.Path(__file__).parent
 _PROGRAM = 'lentilrund.py'
 _REPLICA_SERVICES = {
     'a1': 'app',
@@ -49,6 +54,7 @@
 def copy_programs(folder: pathlib.Path) -> None:
     """Copy the source, so that all seeds of a run test the same version."""
     shutil.copytree(_SOURCE_FOLDER, folder / 'src')
+    shutil.copytree(_SOAK_FOLDER, folder / 'soak')
 
 
 class VmProcess:
@@ -151,12 +157,28 @@
 
 
 class Deployment:
-    """Runs the store and the replicas in process, the VMs as processes."""
+    """Runs the store in process, the VMs as processes, replicas as both."""
 
-    def __init__(self, folder: pathlib.Path, vms: int) -> None:
-        """Keep the settings and logs of ``vms`` daemons in a folder."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        vms: int,
+        processes: int = 0,
+        seed: int = 0,
+        level: FaultLevel = FaultLevel.NONE,
+    ) -> None:
+        """Keep the settings and logs of ``vms`` daemons in a folder.
+
+        Of the replicas, ``processes`` are processes of their own, whose
+        streams have the faults of ``level``, drawn from ``seed``.
+        """
         self._folder = folder
         self._vm_count = vms
+        self._process_count = processes
+        self._seed = seed
+        self._level = level
+        self.processes: list[ReplicaProcess] = []
+        self.second_version = 1
         self._stack = contextlib.AsyncExitStack()
         self.store = rowstore.RowStoreState()
         self._operator_rows: dict[str, bytes] = {}
@@ -175,6 +197,7 @@
         self.announce_weights()
         for name in _REPLICA_SERVICES:
             await self._add_replica(name)
+        await self._add_processes()
         for number in range(self._vm_count):
             vm = VmProcess(f'vm{number}', self._folder, (LOOPBACK, port))
             self.vms.append(await self._stack.enter_async_context(vm))
@@ -200,6 +223,7 @@
         versions = {MODEL: self.weights_version} if is_engine else {}
         state = replica.ReplicaState(name, versions)
         state.plan.echoes_request_id = True
+        state.plan.names_runs = True
         state.plan.event_count = STREAM_EVENTS
         state.plan.event_interval_s = _EVENT_PAUSE_S
         port = self._serve(replica.make_application(state))
@@ -210,10 +234,22 @@
         self.replicas[name] = state
         self.register(name)
 
+    async def _add_processes(self) -> None:
+        if self._process_count:
+            self.announce_second_weights()
+        for number in range(self._process_count):
+            process = ReplicaProcess(
+                self, f'p{number}', self._folder, self._seed, self._level
+            )
+            self.processes.append(process)
+            await self._stack.enter_async_context(process)
+
     def configure(self, **overrides: Any) -> None:
         """Write the next configuration."""
         self.configuration_version += 1
         value = make_configuration(self.configuration_version, **overrides)
+        if self._process_count:
+            extend_configuration(value)
         self._write_operator_row('config', msgspec.json.encode(value))
 
     def announce_weights(self) -> None:
@@ -222,6 +258,14 @@
         value = make_weights_announcement(self.weights_version)
         self._write_operator_row(f'version/{MODEL}', value)
 
+    def announce_second_weights(self) -> None:
+        """Announce the next weights of the replicas that are processes."""
+        self.second_version += 1
+        row = {'model': PROCESS_MODEL, 'version': self.second_version}
+        self._write_operator_row(
+            f'version/{PROCESS_MODEL}', msgspec.json.encode(row)
+        )
+
     def _write_operator_row(self, key: str, value: bytes) -> None:
         self._operator_rows[key] = value
         self.store.put('op', key, value)
@@ -232,6 +276,8 @@
             self.store.put('op', key, value)
         for name in self.replicas:
             self.register(name)
+        for process in self.processes:
+            process.register()
 
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a replica's row."""
@@ -259,6 +305,8 @@
         runs = list(self.earlier_runs)
         for state in self.replicas.values():
             runs += state.runs
+        for process in self.processes:
+            runs += process.read_runs()
         return runs
 
 
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 from typing import NamedTuple
+from typing import TYPE_CHECKING
 
 import msgspec
 from tornado.iostream import IOStream
@@ -14,6 +15,10 @@
 
 from .rawresponse import RawResponse
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
 _ACCEPTED = 202
 _CONFLICT = 409
 _MISDIRECTED = 421
@@ -47,7 +52,8 @@
 
     ``status`` and ``body`` are the response to a request that isn't a
     stream; with ``echoes_request_id`` the body is the request's id.
-    ``event_count`` events with lines that end in ``line_end`` make a stream.
+    ``event_count`` events with lines that end in ``line_end`` make a stream;
+    if it ``names_runs``, their data names the request and the run.
     Unless ``is_framed``, responses have neither a length nor chunks, end
     with their connection and are sent in packets of ``packet_bytes`` (0:
     one for each event or body). ``fault`` is full, reset, cut, crossed, hang,
@@ -71,6 +77,7 @@
         self.event_count = 3
         self.event_interval_s = 0.0
         self.line_end = '\n'
+        self.names_runs = False
         self.is_framed = True
         self.packet_bytes = 0
         self.fault = ''
@@ -88,7 +95,12 @@
 
 
 class ReplicaState:
-    """The state of one incarnation of a replica."""
+    """The state of one incarnation of a replica.
+
+    ``record_run`` is called before a request is answered. If there is a
+    ``stream_responder``, it sends the events of streams; the handler that it
+    gets has the headers set.
+    """
 
     def __init__(self, incarnation: str, models: dict[str, int]) -> None:
         self.incarnation = incarnation
@@ -96,6 +108,11 @@
         self.is_busy = False
         self.orders: list[dict[str, Any]] = []
         self.runs: list[ExecutedRequest] = []
+        self.run_count = 0
+        self.record_run: Callable[[ExecutedRequest], None] = self.add_run
+        self.stream_responder: (
+            Callable[[RequestHandler], Awaitable[None]] | None
+        ) = None
         self.in_flight = 0
         self.cancelled = 0
         self.has_crashed = False
@@ -103,6 +120,10 @@
         self._loading: asyncio.Future[None] | None = None
         self.plan = ReplicaPlan()
 
+    def add_run(self, run: ExecutedRequest) -> None:
+        """Keep a request that was run."""
+        self.runs.append(run)
+
     def next_fault(self) -> str:
         """Return the fault of the next request, or nothing; count it."""
         plan = self.plan
@@ -142,6 +163,7 @@
     def initialize(self, state: ReplicaState) -> None:
         self.state = state
         self.task: asyncio.Task[None] | None = None
+        self.run_number = 0
 
     def compute_etag(self) -> str | None:
         return None
@@ -263,7 +285,9 @@
 
     def record_run(self) -> None:
         request = self.request
-        self.state.runs.append(
+        self.state.run_count += 1
+        self.run_number = self.state.run_count
+        self.state.record_run(
             ExecutedRequest(
                 request.headers.get('X-Request-Id', ''),
                 request.method or '',
@@ -303,10 +327,15 @@
         self.state_itself()
         if fault != 'unsigned':
             self.set_header('X-Response-Signature', 'signed')
+        is_stream = 'X-Prefix-Hash' in self.request.headers
+        if is_stream and self.state.stream_responder is not None:
+            self.set_header('Content-Type', 'text/event-stream')
+            await self.state.stream_responder(self)
+            return
         if not self.state.plan.is_framed:
             await self.send_unframed(fault)
             return
-        if 'X-Prefix-Hash' in self.request.headers:
+        if is_stream:
             await self.send_events(fault)
             return
         self.set_status(self.state.next_status())
@@ -326,7 +355,12 @@
 
     def make_event(self, number: int) -> str:
         end = self.state.plan.line_end
-        return f'id: {number}{end}data: piece {number}{end}{end}'
+        piece = f'piece {number}'
+        if self.state.plan.names_runs:
+            request_id = self.request.headers.get('X-Request-Id', '')
+            run = f'{self.state.incarnation}.{self.run_number}'
+            piece = f'{piece} of {request_id} in {run}'
+        return f'id: {number}{end}data: {piece}{end}{end}'
 
     async def send_events(self, fault: str) -> None:
         self.set_header('Content-Type', 'text/event-stream')
