Check the data of all events in the soak, whatever their form

The soak read only lines `id: N` that end in LF, so pieces of two runs, an event with other data, and events whose numbers have other blanks or line ends passed. Responses that timed out or that a caller left weren't checked at all.

The change: number and data of each event are compared; runs may change only where the route may be resumed, and none returns; a response that ends as complete has all events and no torn one. A response to `Last-Event-Id` begins right after it. What was received of other responses is checked too.

An abandoned response is no longer counted as cut by a shutdown; there was no such outcome before.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -18,6 +18,9 @@
 from lentilrun.standins.configuration import UNSAFE_PATH
 
 from .proxy import LOOPBACK
+from .replicaprocesses import NON_RESUMABLE_PREFIX
+from .replicaprocesses import PROCESS_MODEL
+from .replicaprocesses import RESUMABLE_PREFIX
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -42,12 +45,15 @@
     CONNECTION_CLOSED = 'broken'
     NOT_CONNECTED = 'not_connected'
     TIMED_OUT = 'silent'
+    ABANDONED = 'left'
 
 
 class RequestRecord(NamedTuple):
     """One request; times are in seconds of the event loop's clock.
 
-    ``is_complete`` is set if the response was received to its end.
+    ``is_complete`` is set if the response was received to its end. A stream
+    begins with ``first_event``; what was received of one that its caller
+    abandoned is kept too.
     """
 
     request_id: str
@@ -61,6 +67,7 @@
     response_id: str = ''
     body: bytes = b''
     is_complete: bool = False
+    first_event: int = 1
 
 
 class _Response(NamedTuple):
@@ -168,8 +175,9 @@
         'X-Tenant-Id: forged',
         f'Content-Length: {len(request_id)}',
     ]
-    if path in (RESUMABLE_PATH, NON_RESUMABLE_PATH):
-        lines.append(f'X-Model: {MODEL}')
+    is_far = path.startswith((RESUMABLE_PREFIX, NON_RESUMABLE_PREFIX))
+    if is_far or path in (RESUMABLE_PATH, NON_RESUMABLE_PATH):
+        lines.append(f'X-Model: {PROCESS_MODEL if is_far else MODEL}')
         lines.append(f'X-Token-Usage: {_TOKEN_USAGE}')
         lines.append(f'X-Prefix-Hash: {_PREFIX_HASHES}')
     return ('\r\n'.join(lines) + '\r\n\r\n' + request_id).encode()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import collections
-import re
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from lentilrun.standins.configuration import NON_RESUMABLE_PATH
+from lentilrun.standins.configuration import RESUMABLE_PATH
 from lentilrun.standins.configuration import SAFE_PATH
 from lentilrun.standins.configuration import UNSAFE_PATH
 
 from .callers import RequestOutcome
+from .eventstreams import read_length
+from .replicaprocesses import NON_RESUMABLE_PREFIX
+from .replicaprocesses import RESUMABLE_PREFIX
+from .streamcheck import check_stream
+from .streamcheck import ExpectedStream
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,8 +29,9 @@
     from .faults import FaultEvent
 
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-_AT_MOST_ONCE_PATHS = frozenset((UNSAFE_PATH, NON_RESUMABLE_PATH))
-_EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
+_AT_MOST_ONCE_PATHS = (UNSAFE_PATH, NON_RESUMABLE_PATH, NON_RESUMABLE_PREFIX)
+_RESUMABLE_PATHS = (RESUMABLE_PATH, RESUMABLE_PREFIX)
+_PROCESS_PATHS = (RESUMABLE_PREFIX, NON_RESUMABLE_PREFIX)
 _WORKSPACE = 'workspace'
 
 
@@ -42,7 +48,7 @@
     counts = collections.Counter(r.request_id for r in runs)
     for run in runs:
         path = run.uri
-        if path in _AT_MOST_ONCE_PATHS and counts[run.request_id] > 1:
+        if path.startswith(_AT_MOST_ONCE_PATHS) and counts[run.request_id] > 1:
             yield Violation('at most once', run.request_id, path)
         if run.headers.get('X-Tenant-Id') != _WORKSPACE:
             yield Violation('workspace', run.request_id, path)
@@ -69,28 +75,36 @@
 ) -> Iterator[Violation]:
     """Yield responses of another request, incomplete or out of order.
 
-    ``events`` is the number of events in a complete stream.
+    ``events`` is the number of events in a complete stream whose path
+    doesn't state it.
     """
     for record in records:
-        if record.outcome is not RequestOutcome.ANSWERED:
-            continue
         if record.response_id not in ('', record.request_id):
             yield Violation(
                 'own response', record.request_id, record.response_id
             )
         if record.status != 200:
             continue
-        if record.path in (SAFE_PATH, UNSAFE_PATH):
-            if record.body != record.request_id.encode():
-                yield Violation(
-                    'own response', record.request_id, 'other body'
-                )
-            continue
-        numbers = [int(n) for n in _EVENT_ID.findall(record.body)]
-        if numbers != list(range(1, len(numbers) + 1)):
-            yield Violation('events in order', record.request_id, str(numbers))
-        if record.is_complete and len(numbers) != events:
-            yield Violation('complete stream', record.request_id, str(numbers))
+        if record.path not in (SAFE_PATH, UNSAFE_PATH):
+            yield from _check_stream(record, events)
+        elif record.body != record.request_id.encode():
+            yield Violation('own response', record.request_id, 'other body')
+
+
+def _check_stream(record: RequestRecord, events: int) -> Iterator[Violation]:
+    last = events
+    if record.path.startswith(_PROCESS_PATHS):
+        last = read_length(record.path)
+    expected = ExpectedStream(
+        record.request_id,
+        record.first_event,
+        last,
+        record.path.startswith(_RESUMABLE_PATHS),
+    )
+    for invariant, detail in check_stream(
+        record.body, record.is_complete, expected
+    ):
+        yield Violation(invariant, record.request_id, detail)
 
 
 def check_timeouts(
@@ -124,7 +138,11 @@
             RequestOutcome.CONNECTION_CLOSED,
             RequestOutcome.TIMED_OUT,
         )
-        is_aborted |= record.status == 200 and not record.is_complete
+        is_aborted |= (
+            record.outcome is RequestOutcome.ANSWERED
+            and record.status == 200
+            and not record.is_complete
+        )
         if record.vm != vm or record.ended_at < since or not is_aborted:
             continue
         if record.request_id in ran:
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -34,8 +34,8 @@
     b'r1',
     True,
 )
-_FIRST_EVENT = b'id: 1\ndata: a\n\n'
-_SECOND_EVENT = b'id: 2\ndata: b\n\n'
+_FIRST_EVENT = b'id: 1\ndata: piece 1\n\n'
+_SECOND_EVENT = b'id: 2\ndata: piece 2\n\n'
 _STREAM = _RESPONSE._replace(
     path=RESUMABLE_PATH, body=_FIRST_EVENT + _SECOND_EVENT
 )
@@ -49,6 +49,8 @@
         ([_RUN, _RUN], ['at most once'] * 2),
         ([_RUN._replace(uri=NON_RESUMABLE_PATH)] * 2, ['at most once'] * 2),
         ([_RUN._replace(uri=SAFE_PATH)] * 2, []),
+        ([_RUN._replace(uri='/near/a-2')] * 2, ['at most once'] * 2),
+        ([_RUN._replace(uri='/far/a-2')] * 2, []),
         ([_RUN._replace(headers={})], ['workspace']),
         (
             [_RUN._replace(headers={**_RUN.headers, 'Api-Key': KEY})],
@@ -98,6 +100,36 @@
             _STREAM._replace(body=_STREAM.body * 2),
             ['events in order', 'complete stream'],
         ),
+        (
+            _STREAM._replace(body=_STREAM.body.replace(b'ece 2', b'ece 1')),
+            ['events in order'],
+        ),
+        (
+            _STREAM._replace(
+                body=_SECOND_EVENT.replace(b'\n', b'\r\n'), is_complete=False
+            ),
+            ['events in order'],
+        ),
+        (
+            _STREAM._replace(
+                body=_SECOND_EVENT,
+                is_complete=False,
+                outcome=RequestOutcome.ABANDONED,
+            ),
+            ['events in order'],
+        ),
+        (_STREAM._replace(path='/far/a-2'), []),
+        (_STREAM._replace(path='/far/a-3'), ['complete stream']),
+        (
+            _STREAM._replace(
+                path='/far/a-2', body=_SECOND_EVENT, first_event=2
+            ),
+            [],
+        ),
+        (
+            _STREAM._replace(path='/far/a-2', first_event=2),
+            ['events in order', 'complete stream'],
+        ),
     ],
 )
 def test_responses(record: RequestRecord, invariants: list[str]) -> None:
@@ -137,6 +169,12 @@
             False,
         ),
         (_STREAM._replace(is_complete=False), True),
+        (
+            _STREAM._replace(
+                is_complete=False, outcome=RequestOutcome.ABANDONED
+            ),
+            False,
+        ),
         (
             _RESPONSE._replace(
                 outcome=RequestOutcome.CONNECTION_CLOSED, vm='vm1'
