Call streams slowly, leave them, and go on at another VM in the soak

The soak's callers read at once and to the end, and never went on after a broken stream. Now callers of streams read slowly into a small buffer, leave after some bytes, or go on at any VM with `Last-Event-Id` where the route may be resumed. Replica processes are killed and stopped from outside meanwhile. After the faults all VMs must serve the routes of replica processes too.

--- a/soak/recovery.py
+++ b/soak/recovery.py
@@ -15,6 +15,8 @@
 
 from .invariants import check_aborted_requests
 from .invariants import Violation
+from .replicaprocesses import NON_RESUMABLE_PREFIX
+from .replicaprocesses import RESUMABLE_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,6 +36,9 @@
 _OK = 200
 _UNAUTHORIZED = 401
 _OBSERVATION_S = 0.5
+_PATHS = (SAFE_PATH, UNSAFE_PATH, RESUMABLE_PATH, NON_RESUMABLE_PATH)
+# Streams of three events.
+_PROCESS_PATHS = (f'{RESUMABLE_PREFIX}0-3', f'{NON_RESUMABLE_PREFIX}0-3')
 
 
 def _make_tenants(*keys: str) -> list[dict[str, object]]:
@@ -55,14 +60,10 @@
     loop = asyncio.get_running_loop()
     give_up_at = loop.time() + _RECOVERY_TIMEOUT_S
     violations = []
+    paths = _PATHS + (_PROCESS_PATHS if deployment.processes else ())
     for vm in deployment.vms:
         with callers.make_caller(vm) as caller:
-            for path in (
-                SAFE_PATH,
-                UNSAFE_PATH,
-                RESUMABLE_PATH,
-                NON_RESUMABLE_PATH,
-            ):
+            for path in paths:
                 record = await caller.send_request(path)
                 while record.status != _OK and loop.time() < give_up_at:
                     await asyncio.sleep(_POLL_INTERVAL_S)
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,6 +15,7 @@
 from .deployment import copy_programs
 from .deployment import Deployment
 from .deployment import STREAM_EVENTS
+from .eventstreams import FaultLevel
 from .faults import FaultEvent
 from .faults import FaultInjector
 from .invariants import check_refusals
@@ -22,12 +23,16 @@
 from .invariants import check_runs
 from .invariants import check_timeouts
 from .invariants import Violation
+from .processfaults import ProcessFaultInjector
 from .recovery import check_recovery
+from .streamcallers import StreamCallerPool
 
 app = cyclopts.App(name='soak', help='Run the daemons under faults.')
 _CHECK_INTERVAL_S = 0.5
 _CALLERS_PER_VM = 3
+_STREAM_CALLERS_PER_VM = 4
 _WARM_UP_S = 2.0
+_MAX_PRINTED = 50
 _MAX_SEED = 1 << 32
 
 
@@ -75,29 +80,52 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, vms: int, folder: pathlib.Path
+    seed: int,
+    seconds: float,
+    vms: int,
+    folder: pathlib.Path,
+    processes: int = 0,
+    level: FaultLevel = FaultLevel.NONE,
+    goes_on: bool = False,
 ) -> SeedResult:
-    """Run one seed: faults for ``seconds``, then checks of recovery."""
+    """Run one seed: faults for ``seconds``, then checks of recovery.
+
+    Of the replicas, ``processes`` run as processes of their own, with faults
+    of ``level`` in their streams. Faults end at the first violation unless
+    the run ``goes_on``.
+    """
     rng = random.Random(seed)
+    # Draws of its own, so that the other faults of a seed stay the same.
+    process_rng = random.Random(f'{seed} processes')
+    per_vm = _STREAM_CALLERS_PER_VM if processes else 0
     async with (
-        Deployment(folder, vms) as deployment,
+        Deployment(folder, vms, processes, seed, level) as deployment,
         CallerPool(deployment, rng, _CALLERS_PER_VM) as callers,
+        StreamCallerPool(
+            deployment, callers, process_rng, per_vm
+        ) as stream_callers,
     ):
-        await asyncio.sleep(_WARM_UP_S)
-        async with FaultInjector(deployment, rng) as faults:
-            watcher = asyncio.ensure_future(
-                _wait_for_violation(deployment, callers, faults)
-            )
-            injector = asyncio.ensure_future(faults.run(seconds))
-            await asyncio.wait(
-                (watcher, injector), return_when=asyncio.FIRST_COMPLETED
-            )
-            injector.cancel()
-            watcher.cancel()
-        violations = _check_invariants(deployment, callers, faults)
-        if not violations:
-            violations = await check_recovery(deployment, callers)
-            violations += _check_invariants(deployment, callers, faults)
+        faults = FaultInjector(deployment, rng)
+        async with ProcessFaultInjector(
+            deployment, process_rng, faults.events
+        ) as process_faults:
+            await asyncio.sleep(_WARM_UP_S)
+            async with faults:
+                process_faults.begin()
+                watcher = asyncio.ensure_future(
+                    _wait_for_violation(deployment, callers, faults)
+                )
+                injector = asyncio.ensure_future(faults.run(seconds))
+                ends = (injector,) if goes_on else (watcher, injector)
+                await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+                injector.cancel()
+                watcher.cancel()
+            violations = _check_invariants(deployment, callers, faults)
+            if not violations:
+                await process_faults.stop()
+                stream_callers.be_patient()
+                violations = await check_recovery(deployment, callers)
+                violations += _check_invariants(deployment, callers, faults)
         served = sum(
             r.status == 200 and r.is_complete for r in callers.records
         )
@@ -111,6 +139,17 @@
         )
 
 
+def print_forms(folder: pathlib.Path, request_id: str) -> None:
+    """Print how replicas that are processes answered a request."""
+    path = folder / 'forms'
+    if not path.exists():
+        return
+    marker = f'"request":"{request_id}"'
+    for line in path.read_text().splitlines():
+        if marker in line:
+            print(f'    {line}')
+
+
 def print_result(result: SeedResult) -> None:
     """Print the result of one seed."""
     verdict = 'BROKEN' if result.violations else 'ok'
@@ -121,10 +160,11 @@
     )
     if not result.violations:
         return
-    for violation in result.violations[:10]:
+    for violation in result.violations[:_MAX_PRINTED]:
         print(
             f'  {violation.invariant}: {violation.subject} {violation.detail}'
         )
+        print_forms(result.folder, violation.subject)
     for event in sorted(result.events):
         duration = event.ended_at - event.started_at
         print(
@@ -135,7 +175,13 @@
 
 
 async def _run_all(
-    seeds: list[int], seconds: float, vms: int, jobs: int
+    seeds: list[int],
+    seconds: float,
+    vms: int,
+    jobs: int,
+    processes: int,
+    level: FaultLevel,
+    goes_on: bool,
 ) -> int:
     semaphore = asyncio.Semaphore(jobs)
     base = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
@@ -145,7 +191,9 @@
         folder = base / str(seed)
         folder.mkdir()
         async with semaphore:
-            result = await run_seed(seed, seconds, vms, folder)
+            result = await run_seed(
+                seed, seconds, vms, folder, processes, level, goes_on
+            )
         print_result(result)
         return bool(result.violations)
 
@@ -162,6 +210,9 @@
     seconds: float = 10.0,
     vms: int = 3,
     jobs: int = 2,
+    processes: int = 3,
+    level: FaultLevel = FaultLevel.ANSWERS,
+    goes_on: bool = False,
 ) -> int:
     """Run seeds; exit with 1 if an invariant was violated.
 
@@ -177,11 +228,19 @@
         Number of daemons per seed.
     jobs
         Number of seeds that run concurrently.
+    processes
+        Number of replicas that are processes, which serve streams.
+    level
+        Faults in the streams of replicas that are processes.
+    goes_on
+        Go on after a violation, to see all of a seed.
     """
     if first is None:
         first = secrets.randbelow(_MAX_SEED)
     seeds = [first + n for n in range(count)]
-    violated = asyncio.run(_run_all(seeds, seconds, vms, jobs))
+    violated = asyncio.run(
+        _run_all(seeds, seconds, vms, jobs, processes, level, goes_on)
+    )
     return 1 if violated else 0
 
 
