Record when a stream of the soak was broken, and bound its packets

A stream now has 400 packets at most. A violation states the VM and the time, and the forms state when a stream was broken on purpose, to tell it from a kill by another run of the same process.

--- a/soak/eventstreams.py
+++ b/soak/eventstreams.py
@@ -30,6 +30,9 @@
 _STREAM_S = (0.0, 0.1, 0.6, 1.2)
 _PADDINGS = (0, 0, 20, 200, 4000)
 _MAX_BYTEWISE_PADDING = 20
+# Each packet takes more than a millisecond; a stream ends in time.
+_MAX_PACKETS = 400
+_EVENT_BYTES = 80
 _EVENTS_PER_WRITE = (1, 1, 1, 2, 5, 1000)
 _PACKET_BYTES = (0, 0, 0, 1, 7, 60)
 _LINE_ENDS = ('\n', '\n', '\n', '\n', '\n', '\n', '\r\n', '\r')
@@ -111,6 +114,8 @@
     if packet_bytes:
         padding = min(padding, _MAX_BYTEWISE_PADDING)
     count = max(1, last + 1 - first)
+    if packet_bytes:
+        packet_bytes = max(packet_bytes, count * _EVENT_BYTES // _MAX_PACKETS)
     fault = _draw_fault(rng, level, first > 1)
     is_framed = rng.random() < 0.5
     return StreamForm(
@@ -219,9 +224,9 @@
         state: ReplicaState,
         rng: random.Random,
         level: FaultLevel,
-        record_form: Callable[[str, StreamForm], None],
+        record_form: Callable[[str, dict[str, object]], None],
     ) -> None:
-        """Call ``record_form`` with a request's ID before it is answered."""
+        """Call ``record_form`` with a request's ID and what is done to it."""
         self.level = level
         self._state = state
         self._rng = rng
@@ -240,7 +245,7 @@
             self.level,
         )
         request_id = headers.get('X-Request-Id', '')
-        self._record_form(request_id, form)
+        self._record_form(request_id, form._asdict())
         if form.fault is StreamFault.REJECTED:
             handler.clear_header('Content-Type')
             handler.set_status(self._rng.choice(_REJECTIONS))
@@ -262,6 +267,9 @@
             await writer.write(b''.join(part))
             await asyncio.sleep(form.pause_s * len(part))
         if is_broken:
+            self._record_form(
+                request_id, {'run': form.run, 'broken': form.fault}
+            )
             await self._break(writer, form, events[len(whole) :])
         else:
             writer.finish()
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -104,7 +104,8 @@
     for invariant, detail in check_stream(
         record.body, record.is_complete, expected
     ):
-        yield Violation(invariant, record.request_id, detail)
+        seen = f'{detail} from {record.vm} at {record.ended_at:.3f}'
+        yield Violation(invariant, record.request_id, seen)
 
 
 def check_timeouts(
--- a/soak/replicaprogram.py
+++ b/soak/replicaprogram.py
@@ -21,7 +21,6 @@
 
 from .eventstreams import EventStreams
 from .eventstreams import FaultLevel
-from .eventstreams import StreamForm
 from .proxy import LOOPBACK
 
 
@@ -51,8 +50,9 @@
     def record_run(self, run: ExecutedRequest) -> None:
         os.write(self._runs, msgspec.json.encode(run) + b'\n')
 
-    def record_form(self, request_id: str, form: StreamForm) -> None:
-        fields = {'request': request_id, **form._asdict()}
+    def record_form(self, request_id: str, form: dict[str, object]) -> None:
+        now = round(asyncio.get_running_loop().time(), 3)
+        fields = {'request': request_id, 'at': now, **form}
         os.write(self._forms, msgspec.json.encode(fields) + b'\n')
 
 
