--- a/soak/replicaprocesses.py
+++ b/soak/replicaprocesses.py
@@ -163,10 +163,15 @@
         self._deployment.store.put('servers', self._incarnation, value)
 
     def send_signal(self, signal_number: signal.Signals) -> None:
-        """Send a signal to the process if it runs."""
+        """Send a signal to the process if it runs.
+
+        Its exit status is left to the event loop; ``Process.send_signal``
+        would take it.
+        """
         if self.is_running():
             assert self.process is not None
-            self.process.send_signal(signal_number)
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal_number)
 
     def stop_faults(self) -> None:
         """Let this and all further starts answer without faults."""
