--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -7,6 +7,7 @@
 
 import pytest
 from soak.deployment import copy_programs
+from soak.eventstreams import FaultLevel
 from soak.run import run_seed
 
 _FAULT_S = 4.0
@@ -15,6 +16,13 @@
 _REGRESSIONS = {
     20261225: 'the soak counted a slow start as an unexpected exit',
 }
+# The same for replicas that are processes, with the faults of their streams.
+_PROCESS_COUNT = 3
+_PROCESS_REGRESSIONS = {
+    (401, FaultLevel.PROCESSES): 'a killed replica without framing was whole',
+    (404, FaultLevel.PROCESSES): 'numbers with two blanks or CR were not read',
+    (412, FaultLevel.ANSWERS): 'wrong numbers of a replica were passed on',
+}
 
 
 @pytest.mark.parametrize('seed', [1, *_REGRESSIONS])
@@ -26,3 +34,18 @@
     result = asyncio.run(run_seed(seed, _FAULT_S, _VM_COUNT, folder))
     assert not result.violations, result.events
     assert result.served
+
+
+@pytest.mark.parametrize(('seed', 'level'), _PROCESS_REGRESSIONS)
+def test_seed_of_processes(
+    seed: int, level: FaultLevel, tmp_path: pathlib.Path
+) -> None:
+    """Streams of replicas that are killed stay whole and in order."""
+    copy_programs(tmp_path)
+    folder = tmp_path / str(seed)
+    folder.mkdir()
+    result = asyncio.run(
+        run_seed(seed, _FAULT_S, _VM_COUNT, folder, _PROCESS_COUNT, level)
+    )
+    assert not result.violations, result.events
+    assert result.served
