Read records of builds that know more fields

Cause: records are NamedTuples, and msgspec rejects an array that is longer.

Ruled out: keyed structs for these records, which can't decode; data behind a message ("trailing characters"). By a run on msgspec 0.23: array_like Structs ignore what follows the last field, and take defaults for what is missing at the end.

Change: all records that leave the process are PositionalRecords, array_like Structs.

Changed test: test_datagrams.py replaces fields with msgspec.structs.replace in place of NamedTuple._replace; what it checks is the same.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from ..records import PositionalRecord
+
 if TYPE_CHECKING:
     from ..config.ini import Address
 
@@ -166,7 +168,7 @@
     cold_remaining: float = 0.0
 
 
-class PromptSegment(NamedTuple):
+class PromptSegment(PositionalRecord, frozen=True):
     """A piece of a prompt that requests may share, and its length."""
 
     identity: str
--- a/src/lentilrun/decisions/quarantine.py
+++ b/src/lentilrun/decisions/quarantine.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 import enum
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from ..records import PositionalRecord
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from collections.abc import Sequence
@@ -42,14 +43,14 @@
     SEGMENT = 's'
 
 
-class Suspect(NamedTuple):
+class Suspect(PositionalRecord, frozen=True):
     """What targets may crash under; ``identity`` is unique for its kind."""
 
     kind: SuspectKind
     identity: str
 
 
-class Crash(NamedTuple):
+class Crash(PositionalRecord, frozen=True):
     """A crash of a target under a suspect.
 
     ``target_start`` is the target's incarnation with the time at which it
--- a/src/lentilrun/gateway/discovery.py
+++ b/src/lentilrun/gateway/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,6 +12,7 @@
 from ..decisions.topology import Member
 from ..errors import PlatformError
 from ..platform.rows import Write
+from ..records import PositionalRecord
 from .events import wait_for_event
 from .messages import Port
 from .messages import Power
@@ -36,7 +36,7 @@
 _REREADS_PER_S = 40.0
 
 
-class _VmRow(NamedTuple):
+class _VmRow(PositionalRecord, frozen=True):
     """Where a VM receives datagrams; ``power`` in processor cores."""
 
     host: str
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..platform import dialect
+from ..records import PositionalRecord
 from ..web.client import Request
 from .attemptoutcome import AttemptOutcome
 from .call import Reason
@@ -54,7 +55,7 @@
 )
 
 
-class ForwardedCall(NamedTuple):
+class ForwardedCall(PositionalRecord, frozen=True):
     """What a VM states of a call that it forwards.
 
     The caller has waited for ``waited`` seconds. The call ``is_continued``
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -5,6 +5,8 @@
 import collections
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from .messages import GossipMessage
 from .messages import LoadReport
 from .messages import Scope
@@ -102,7 +104,8 @@
         for name in recipients:
             yield (
                 [name],
-                message._replace(
+                msgspec.structs.replace(
+                    message,
                     loads=self._exclude_peer(loads, name, now),
                     admitted_tokens=self._quotas.exclude_peer(
                         message.admitted_tokens, name
@@ -219,7 +222,9 @@
             is_counted,
         )
         self._apply_loads(
-            message if is_counted else message._replace(loads=[])
+            message
+            if is_counted
+            else msgspec.structs.replace(message, loads=[])
         )
         self._apply_weights_reports(message)
         self._rate_limits.receive(message.rate_limits, message.node)
@@ -328,7 +333,8 @@
 
 
 def _subtract(load: LoadReport, peer_load: PeerLoad) -> LoadReport:
-    return load._replace(
+    return msgspec.structs.replace(
+        load,
         in_flight=load.in_flight - peer_load.in_flight,
         long_in_flight=load.long_in_flight - peer_load.long_in_flight,
         prefill_tokens=load.prefill_tokens - peer_load.prefill_tokens,
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -1,6 +1,7 @@
 """Messages that VMs send to each other, and their encoding.
 
-Records are encoded by position: their fields keep order and types.
+VMs of two builds run side by side: what the one in production decodes stays
+as it is. See ``records`` for what may be added.
 """
 
 from __future__ import annotations
@@ -10,13 +11,13 @@
 import ipaddress
 import math
 from typing import Annotated
-from typing import NamedTuple
 
 import msgspec
 
 from ..decisions.facts import PromptSegment
 from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
+from ..records import PositionalRecord
 
 
 # Sums of counts must fit into the 64 bits of an encoded integer.
@@ -37,7 +38,7 @@
     FLEET = 'rest'
 
 
-class LoadReport(NamedTuple):
+class LoadReport(PositionalRecord, frozen=True):
     """Requests in flight at a target, and its decayed outcomes.
 
     ``busy_for`` is the time until all of them are expected to be done, in
@@ -59,14 +60,14 @@
     pace_total: float = 0.0
 
 
-class WeightsLoadReport(NamedTuple):
+class WeightsLoadReport(PositionalRecord, frozen=True):
     """A target that loads weights, for ``time_left`` seconds at most."""
 
     incarnation: str
     time_left: float
 
 
-class WeightsVersionReport(NamedTuple):
+class WeightsVersionReport(PositionalRecord, frozen=True):
     """A version of a model's weights that a target has loaded."""
 
     incarnation: str
@@ -74,7 +75,7 @@
     version: int
 
 
-class AnnouncementReport(NamedTuple):
+class AnnouncementReport(PositionalRecord, frozen=True):
     """A version of a model's weights, announced ``age`` seconds ago."""
 
     model: str
@@ -82,7 +83,7 @@
     age: float
 
 
-class RateLimitReport(NamedTuple):
+class RateLimitReport(PositionalRecord, frozen=True):
     """The limit that a target stated ``age`` seconds ago.
 
     ``limit`` is in requests per second from all VMs, nothing if the target
@@ -95,21 +96,21 @@
     of_rejections: bool = False
 
 
-class LeavingReport(NamedTuple):
+class LeavingReport(PositionalRecord, frozen=True):
     """A start of a target that stated that it leaves."""
 
     incarnation: str
     started_at_ms: Count
 
 
-class StoredSegmentReport(NamedTuple):
+class StoredSegmentReport(PositionalRecord, frozen=True):
     """A prompt segment that an engine saves in the KV cache store."""
 
     salt: str
     identity: str
 
 
-class PrefillReport(NamedTuple):
+class PrefillReport(PositionalRecord, frozen=True):
     """Prompt segments that were sent to an engine for prefill."""
 
     incarnation: str
@@ -117,7 +118,7 @@
     segments: tuple[PromptSegment, ...]
 
 
-class OutcomeReport(NamedTuple):
+class OutcomeReport(PositionalRecord, frozen=True):
     """A response during a roll-out, for the verdict on the new version.
 
     ``number`` identifies it at its VM; ``order`` is the row version of the
@@ -136,7 +137,7 @@
     rest_level: int
 
 
-class RolloutReport(NamedTuple):
+class RolloutReport(PositionalRecord, frozen=True):
     """What a VM knows of a roll-out.
 
     ``order`` is the row version of the order, ``stage`` a
@@ -153,7 +154,7 @@
     reason: str
 
 
-class GossipMessage(NamedTuple):
+class GossipMessage(PositionalRecord, frozen=True):
     """State of the VMs in its scope, with usage in tokens by workspace.
 
     ``incarnation`` is a random number that each process of the sender picks
@@ -198,7 +199,7 @@
     leaving_targets: list[LeavingReport] = []  # noqa: RUF012
 
 
-class RelayedRow(NamedTuple):
+class RelayedRow(PositionalRecord, frozen=True):
     """A row of the store as a hub read it."""
 
     key: str
@@ -207,7 +208,7 @@
     is_deleted: bool
 
 
-class RelayedRows(NamedTuple):
+class RelayedRows(PositionalRecord, frozen=True):
     """All changes of a table after a version, up to ``store_version``.
 
     ``previous_version`` is the version of the newest row that the sender
@@ -223,7 +224,7 @@
     unread_for: float = 0.0
 
 
-class RowRequest(NamedTuple):
+class RowRequest(PositionalRecord, frozen=True):
     """Asks for the rows of a table that changed after a version."""
 
     node: str
--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..errors import ConflictError
 from ..platform.rows import Write
+from ..records import PositionalRecord
 from .discovery import FLEET_TABLE
 
 if TYPE_CHECKING:
@@ -29,7 +29,7 @@
 _FENCES_IN_ERA = 10**6
 
 
-class _LeaseRow(NamedTuple):
+class _LeaseRow(PositionalRecord, frozen=True):
     """The lease; ``until`` by the store's clock, in seconds."""
 
     holder: str
@@ -140,7 +140,9 @@
         if not self.is_held():
             return
         self._held_until = float('-inf')
-        lease = self._row._replace(until=self._store.estimate_clock())
+        lease = msgspec.structs.replace(
+            self._row, until=self._store.estimate_clock()
+        )
         value = msgspec.json.encode(lease)
         write = Write(FLEET_TABLE, self._key, value, self._row_version)
         await self._store.write([write])
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -21,6 +21,7 @@
 from ..platform.rollouts import STATUS_TABLE
 from ..platform.rows import Write
 from ..platform.rowversions import find_era
+from ..records import PositionalRecord
 from .discovery import FLEET_TABLE
 from .events import wait_for_event
 from .rolloutstate import Stage
@@ -52,7 +53,7 @@
 }
 
 
-class _RolloutRow(NamedTuple):
+class _RolloutRow(PositionalRecord, frozen=True):
     """The progress of a service's newest roll-out.
 
     ``order`` is the row version of the order; ``started_at`` by the store's
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -166,7 +166,10 @@
         follower = self._followers.get(relayed.table)
         if follower is None:
             return
-        rows = tuple(Row(*row) for row in relayed.rows)
+        rows = tuple(
+            Row(r.key, r.value, r.row_version, r.is_deleted)
+            for r in relayed.rows
+        )
         follower.apply_relayed(
             relayed.previous_version,
             Rows(rows, relayed.store_version, 0.0),
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from ..errors import PlatformError
 from ..platform.rows import Write
+from ..records import PositionalRecord
 from .discovery import FLEET_TABLE
 from .messages import UsePerSecond
 
@@ -24,7 +24,7 @@
 _CHECKPOINT_INTERVAL_S = 1.0
 
 
-class _UsageRow(NamedTuple):
+class _UsageRow(PositionalRecord, frozen=True):
     """Tokens by workspace and second up to ``written``, newest first.
 
     ``written`` is by the store's clock, in seconds.
--- a/tests/gateway/test_datagrams.py
+++ b/tests/gateway/test_datagrams.py
@@ -130,11 +130,15 @@
     | _draw_changed()
     | _draw_mutated()
 )
-@example(encode(_ROWS._replace(rows=[])))
-@example(encode(_MESSAGE._replace(port=70_000)))
-@example(encode(_MESSAGE._replace(host='example.com')))
-@example(encode(_MESSAGE._replace(power=float('nan'))))
-@example(encode(_MESSAGE._replace(used_per_second={'workspace': []})))
+@example(encode(msgspec.structs.replace(_ROWS, rows=[])))
+@example(encode(msgspec.structs.replace(_MESSAGE, port=70_000)))
+@example(encode(msgspec.structs.replace(_MESSAGE, host='example.com')))
+@example(encode(msgspec.structs.replace(_MESSAGE, power=float('nan'))))
+@example(
+    encode(
+        msgspec.structs.replace(_MESSAGE, used_per_second={'workspace': []})
+    )
+)
 @example(b'b' + b'\x91' * 50_000)
 def test_any_datagram(tmp_path: pathlib.Path, data: bytes) -> None:
     """A datagram is applied, or left out with a line in the log."""
@@ -156,12 +160,22 @@
         {'used_per_second': {'workspace': [1 << 63]}},
         {'admitted_tokens': {'workspace': float('nan')}},
         {'admitted_tokens': {'workspace': float('inf')}},
-        {'loads': [_MESSAGE.loads[0]._replace(in_flight=1 << 63)]},
-        {'loads': [_MESSAGE.loads[0]._replace(long_in_flight=1 << 63)]},
+        {
+            'loads': [
+                msgspec.structs.replace(_MESSAGE.loads[0], in_flight=1 << 63)
+            ]
+        },
+        {
+            'loads': [
+                msgspec.structs.replace(
+                    _MESSAGE.loads[0], long_in_flight=1 << 63
+                )
+            ]
+        },
     ],
 )
 def test_impossible_values(change: dict[str, Any]) -> None:
     """A message with a value that no VM sends is not decoded."""
     assert decode(encode(_MESSAGE)) == _MESSAGE
     with pytest.raises(BadMessageError):
-        decode(encode(_MESSAGE._replace(**change)))
+        decode(encode(msgspec.structs.replace(_MESSAGE, **change)))
