Refuse a forwarded call whose header another build wrote so that others are asked

What callers saw: a VM without a path to targets that forwards a call to a VM which can't read its header would give the caller 503 with reason bad_request for each call, though other VMs could pass it on.

Change: an array that is no call of this build is refused with 503 and `not_configured`; knows this reason and asks another VM. What is no array, or missing, gets 400 as before: no VM sent it.

Ruled out: a new reason, which takes for `internal` and doesn't retry.

Test: 2 rows more in test_vm_that_is_not_believed (missing and wrong fields) failed before ("assert 400 == 503") and pass now; one row more, of a map, fixes the 400.

--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -90,6 +90,7 @@
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(ForwardedCall)
+_array_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
 
 def take_forwarded_call(headers: HTTPHeaders) -> ForwardedCall | None:
@@ -103,6 +104,20 @@
         return None
 
 
+def is_of_another_build(headers: HTTPHeaders) -> bool:
+    """Return whether a VM states a call in a form that is not known here."""
+    text = headers.get(_CALL_HEADER, '')
+    try:
+        _array_decoder.decode(text)
+    except msgspec.MsgspecError:
+        return False
+    try:
+        _decoder.decode(text)
+    except msgspec.MsgspecError:
+        return True
+    return False
+
+
 def mark_refusal(headers: HTTPHeaders, reason: Reason) -> None:
     """Mark a response as a refusal of the helper itself."""
     headers[_REFUSAL_HEADER] = reason
@@ -225,6 +240,7 @@
     'ForwardedCall',
     'ForwardResult',
     'HelperRefusal',
+    'is_of_another_build',
     'mark_refusal',
     'take_forwarded_call',
 ]
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -6,6 +6,7 @@
 
 from .call import Reason
 from .call import Refusal
+from .forwarding import is_of_another_build
 from .forwarding import mark_refusal
 from .forwarding import take_forwarded_call
 from .server import CallHandler
@@ -53,6 +54,10 @@
 
         The VM that forwards it is not believed that it is.
         """
+        if is_of_another_build(incoming.headers):
+            self._log.write('forwarded_call_unreadable')
+            # A reason for which all builds ask another VM.
+            raise Refusal(_UNAVAILABLE, Reason.NOT_CONFIGURED, _RETRY_AFTER_S)
         stated = take_forwarded_call(incoming.headers)
         if stated is None:
             raise Refusal(_BAD_REQUEST, Reason.BAD_REQUEST)
--- a/tests/gateway/test_forwarded_calls.py
+++ b/tests/gateway/test_forwarded_calls.py
@@ -125,6 +125,9 @@
     [
         ('unknown', '["vm1",1,0.0,false]', 401),
         (KEY, '["vm1",9,0.0,false]', 503),
+        (KEY, '["vm1",1,0.0]', 503),
+        (KEY, '["vm1",1,0.0,null]', 503),
+        (KEY, '{"node":"vm1"}', 400),
         (KEY, 'nonsense', 400),
         (KEY, None, 400),
     ],
