Leave out reports of stages and fates that only a later build knows

What happens: one report with an unknown number raises ValueError while a message is applied (`peer_message_failed`), and all that follows in the message is lost, in each message for as long as the report is sent.

Cause: Stage(...) and Fate(...) of a number from another VM were not checked.

Change: such a report is left out; an outcome of an unknown fate is still passed on by hubs, and counts for no verdict.

--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -10,6 +10,7 @@
 from ..decisions.rollouts import may_send_to_new
 from ..decisions.rollouts import pick_canary_targets
 from ..decisions.rollouts import refill_tokens
+from ..decisions.rolloutverdict import Fate
 from ..decisions.rolloutverdict import find_fault
 from ..decisions.rolloutverdict import is_doubtful
 from ..platform.rowversions import find_era
@@ -45,6 +46,9 @@
 _UNNAMED_S = 1.0
 # Orders of a service that are remembered: a copy is older by few of them.
 _MAX_REPLACED_ORDERS = 8
+# A later build may report others, which are left out.
+_STAGES = frozenset(Stage)
+_FATES = frozenset(Fate)
 
 
 class Rollouts:
@@ -459,10 +463,14 @@
         if not self.reporter.recent.add(report, origin):
             return
         rollout = self.by_service.get(report.service)
+        if report.fate not in _FATES:
+            return
         if rollout is not None and rollout.order.row_version == report.order:
             rollout.ledger.add(report, self._clock.now())
 
     def _apply_report(self, report: RolloutReport) -> None:
+        if report.stage not in _STAGES:
+            return
         stage = Stage(report.stage)
         rollout = self.by_service.get(report.service)
         if rollout is None or rollout.order.row_version < report.order:
