Say which build a VM runs, and count messages that can't be read

What operators saw: nothing tells which build a VM runs, nor that a VM sends messages that others can't read, but for a log line a message.

Change: the build is a digest of the daemon's sources, known without git. It and the versions of the formats are in the log line `started` and in the metrics, and go to other VMs in a keyed statement, each 5 s and to each VM that starts. Unreadable messages are counted, by sender up to 64, and logged once in 10 s for each sender instead of one line a message.

Cost: gossip messages don't change.

--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -21,6 +21,8 @@
 from ..web.client import Client
 from ..web.memory import MemoryLimits
 from .admission import Admission
+from .build import state_build
+from .builds import Builds
 from .call import Refusal
 from .context import DispatchContext
 from .crashes import CrashTracker
@@ -189,6 +191,8 @@
         address = Address(settings.host, settings.peer_port)
         own = Member(settings.name, settings.data_centre, settings.power)
         self.peers = Peers(own, address, self.clock, self.log)
+        self.build = state_build()
+        self.builds = Builds(self.build, self.peers, self.log)
         self.helpers = Helpers(self.clock, self.peers)
         self.reachability.on_change.append(self.peers.request_send)
         self.reachability.on_change.append(self.targets.notify_changed)
@@ -320,6 +324,20 @@
         add_gauge('configuration', self._configuration_version)
         add_gauge('store_age_seconds', self._store_age)
         add_gauge('log_lines_left_out', lambda: float(self.log.omitted_lines))
+        self._add_build_gauges()
+
+    def _add_build_gauges(self) -> None:
+        unreadable = self.peers.unreadable
+        metrics = self.metrics
+        metrics.add_labelled_gauge('build', lambda: {self.build.build: 1.0})
+        metrics.add_labelled_gauge('formats', lambda: self.build.formats)
+        metrics.add_labelled_gauge('builds', self.builds.count_by_build)
+        metrics.add_gauge(
+            'peer_messages_unreadable', lambda: float(unreadable.count)
+        )
+        metrics.add_gauge(
+            'peers_unreadable', lambda: float(unreadable.count_senders())
+        )
 
     def _configuration_version(self) -> float:
         configuration = self.view.configuration
@@ -409,6 +427,7 @@
             self.target_rows,
             self.discovery,
             self.peers,
+            self.builds,
             self.upgrades,
             self.rollout_driver,
             self.usage_checkpointer,
@@ -417,7 +436,12 @@
         for component in components:
             task = asyncio.ensure_future(supervise(component, self.log))
             self._tasks.append(task)
-        self.log.write('started', entry=str(entry))
+        self.log.write(
+            'started',
+            entry=str(entry),
+            build=self.build.build,
+            formats=self.build.formats,
+        )
         return self
 
     async def leave(self) -> None:
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -27,6 +27,7 @@
 from .messages import RelayedRows
 from .messages import RowRequest
 from .messages import Scope
+from .unreadable import UnreadableMessages
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,7 @@
     from types import TracebackType
 
     from ..coordination.clock import Clock
+    from ..decisions.topology import Recipients
     from .logs import Log
 
 _MESH_INTERVAL_S = 0.25
@@ -87,11 +89,11 @@
 
 
 class _DatagramReceiver(asyncio.DatagramProtocol):
-    def __init__(self, handle_datagram: Callable[[bytes], None]) -> None:
+    def __init__(self, handle_datagram: Callable[[bytes, str], None]) -> None:
         self._handle_datagram = handle_datagram
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        self._handle_datagram(data)
+        self._handle_datagram(data, addr[0])
 
 
 class Peers:
@@ -113,6 +115,7 @@
         self._hubs: dict[str, list[str]] | None = None
         self._hubs_picked_for: frozenset[str] = frozenset()
         self.incarnation = secrets.randbits(48)
+        self.unreadable = UnreadableMessages(clock, log)
         self.by_name: dict[str, Peer] = {}
         self.make_messages: GossipSource | None = None
         self.has_lost_store: Callable[[], bool] = lambda: False
@@ -361,15 +364,25 @@
         self._send_now()
 
     def _send_now(self) -> None:
-        hubs = self.hubs()
+        recipients = self._pick_recipients()
+        self._send_messages(recipients.vm, Scope.VM)
+        self._send_messages(recipients.data_centre, Scope.DATA_CENTRE)
+        self._send_messages(recipients.fleet, Scope.FLEET)
+
+    def _pick_recipients(self) -> Recipients:
         members = [p.member for p in self.by_name.values()]
-        recipients = pick_recipients(self.own_member, members, hubs)
+        recipients = pick_recipients(self.own_member, members, self.hubs())
         if self.is_starting():
             # Hubs send sums besides: all VMs may be starting.
             recipients = recipients._replace(vm=list(self.by_name))
-        self._send_messages(recipients.vm, Scope.VM)
-        self._send_messages(recipients.data_centre, Scope.DATA_CENTRE)
-        self._send_messages(recipients.fleet, Scope.FLEET)
+        return recipients
+
+    def list_recipients(self) -> list[str]:
+        """Return the VMs that this one sends gossip messages to."""
+        recipients = self._pick_recipients()
+        return sorted(
+            {*recipients.vm, *recipients.data_centre, *recipients.fleet}
+        )
 
     def _send_messages(self, recipients: list[str], scope: Scope) -> None:
         if not recipients or self.make_messages is None:
@@ -442,11 +455,11 @@
         for callback in self.on_restart:
             callback(name)
 
-    def _receive_datagram(self, data: bytes) -> None:
+    def _receive_datagram(self, data: bytes, sender: str = '') -> None:
         try:
             message = decode(data)
         except BadMessageError as error:
-            self._log.write('peer_message_unreadable', error=error)
+            self.unreadable.record(sender, error)
             return
         try:
             self._apply(message)
--- a/src/lentilrun/metrics/registry.py
+++ b/src/lentilrun/metrics/registry.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from prometheus_client.core import Metric
 
@@ -83,6 +84,7 @@
         )
         self._timings: dict[Timing, HdrHistogram] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
+        self._labelled: dict[str, Callable[[], Mapping[str, float]]] = {}
         self._registry = CollectorRegistry(auto_describe=False)
         self._registry.register(self)
 
@@ -109,6 +111,12 @@
         """Expose what ``read`` returns as a gauge."""
         self._gauges[name] = read
 
+    def add_labelled_gauge(
+        self, name: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Expose what ``read`` returns as a gauge, by label."""
+        self._labelled[name] = read
+
     def quantiles(self, timing: Timing) -> tuple[Quantile, ...]:
         """Return the quantiles of a timing; none if it has no values."""
         histogram = self._timings.get(timing)
@@ -143,8 +151,18 @@
         yield from families.values()
         for name, read in self._gauges.items():
             yield GaugeMetricFamily(f'lentilrun_{name}', name, read())
+        yield from self._collect_labelled()
         yield from self._collect_timings()
 
+    def _collect_labelled(self) -> Iterable[Metric]:
+        for name, read in self._labelled.items():
+            family = GaugeMetricFamily(
+                f'lentilrun_{name}', name, labels=['label']
+            )
+            for label, value in sorted(read().items()):
+                family.add_metric([label], value)
+            yield family
+
     def _collect_timings(self) -> Iterable[Metric]:
         for timing, histogram in self._timings.items():
             name = f'lentilrun_{timing}_seconds'
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -270,13 +270,16 @@
             address,
             BOUNDS,
         )
-        node = Node(settings, self._log_file)
+        node = self._make_node(settings)
         store = ModelledStore(self.state, self._loop)
         node.store_client.fetch = store.fetch  # type: ignore[method-assign]
         node.peers._transport = _Transport(self, name)
         self.nodes[name] = node
         self.stores[name] = store
 
+    def _make_node(self, settings: NodeSettings) -> Node:
+        return Node(settings, self._log_file)
+
     def start(self, *names: str) -> None:
         """Start VMs, all without names."""
         for name in names or self.nodes:
@@ -289,9 +292,14 @@
                 node.upgrades.run(),
                 node.usage_checkpointer.run(),
                 node.reachability.run(),
+                *self._list_more(node),
             ]
             self._tasks[name] = [asyncio.ensure_future(c) for c in components]
 
+    def _list_more(self, node: Node) -> list[Coroutine[Any, Any, None]]:
+        """Return what not every build of a VM runs."""
+        return [node.builds.run()]
+
     def stop(self, name: str) -> None:
         """Stop a VM without an announcement."""
         for task in self._tasks.pop(name):
