--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from ..platform import dialect
+from ..records import PositionalRecord
 from ..web.client import Request
 from .attemptoutcome import AttemptOutcome
 from .call import Reason
@@ -54,7 +55,7 @@
 )
 
 
-class ForwardedCall(NamedTuple):
+class ForwardedCall(PositionalRecord, frozen=True):
     """What a VM states of a call that it forwards.
 
     The caller has waited for ``waited`` seconds. The call ``is_continued``
@@ -89,6 +90,7 @@
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(ForwardedCall)
+_array_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
 
 def take_forwarded_call(headers: HTTPHeaders) -> ForwardedCall | None:
@@ -102,6 +104,20 @@
         return None
 
 
+def is_of_another_build(headers: HTTPHeaders) -> bool:
+    """Return whether a VM states a call in a form that is not known here."""
+    text = headers.get(_CALL_HEADER, '')
+    try:
+        _array_decoder.decode(text)
+    except msgspec.MsgspecError:
+        return False
+    try:
+        _decoder.decode(text)
+    except msgspec.MsgspecError:
+        return True
+    return False
+
+
 def mark_refusal(headers: HTTPHeaders, reason: Reason) -> None:
     """Mark a response as a refusal of the helper itself."""
     headers[_REFUSAL_HEADER] = reason
@@ -227,6 +243,7 @@
     'ForwardedCall',
     'ForwardResult',
     'HelperRefusal',
+    'is_of_another_build',
     'mark_refusal',
     'take_forwarded_call',
 ]
--- a/src/lentilrun/gateway/messagedelays.py
+++ b/src/lentilrun/gateway/messagedelays.py
@@ -10,6 +10,8 @@
 
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from .messages import GossipMessage
 
@@ -51,11 +53,11 @@
     Of the other ages in messages, the earliest report counts anyway, or the
     next message replaces them.
     """
-    return message._replace(
-        rate_limits=[
-            r._replace(age=r.age + delay) for r in message.rate_limits
-        ]
-    )
+    rate_limits = [
+        msgspec.structs.replace(r, age=r.age + delay)
+        for r in message.rate_limits
+    ]
+    return msgspec.structs.replace(message, rate_limits=rate_limits)
 
 
 __all__ = ['add_delay', 'MessageDelays']
--- a/tests/gateway/test_late_outcomes.py
+++ b/tests/gateway/test_late_outcomes.py
@@ -9,6 +9,7 @@
 from lentilrun.decisions.rolloutverdict import NO_LEVEL
 from lentilrun.gateway.messages import OutcomeReport
 from lentilrun.gateway.rolloutledger import OutcomeLedger
+import msgspec
 import pytest
 
 _OVERDUE = OutcomeReport(
@@ -33,8 +34,11 @@
     fate: Fate, first_level: int, rest_level: int, order: list[bool]
 ) -> None:
     """A response that was reported as overdue has ended, and stays so."""
-    final = _OVERDUE._replace(
-        fate=int(fate), first_level=first_level, rest_level=rest_level
+    final = msgspec.structs.replace(
+        _OVERDUE,
+        fate=int(fate),
+        first_level=first_level,
+        rest_level=rest_level,
     )
     ledger = OutcomeLedger(9)
     ledger.add(_OVERDUE, 1.0)
