Require a stream to begin with its first event

What callers could see: a stream whose first events were missing, ended as complete.

The platform's numbers count events. A stream that begins with 0 is still delivered whole. test_event_id_of_any_length is about long numbers: its events are now the next ones of their streams.

--- a/src/lentilrun/decisions/streamorder.py
+++ b/src/lentilrun/decisions/streamorder.py
@@ -6,8 +6,7 @@
 whatever the runs send: events from the beginning again, events left out, or
 many events in one packet.
 
-Targets number the events of a stream 1, 2, 3 and so on. A stream whose first
-event has another number is only required to have growing numbers.
+Targets number the events of a stream 1, 2, 3 and so on.
 """
 
 from __future__ import annotations
@@ -19,8 +18,6 @@
 from ..web.eventstream import has_data
 from ..web.eventstream import split_events
 
-_FIRST_ID = 1
-
 
 class Verdict(enum.StrEnum):
     """What becomes of an event; ``SKIP`` is one that the caller has.
@@ -46,15 +43,12 @@
 
     ``last_id`` is the last event that the caller has, 0 if it has none, and
     ``run_last_id`` the last one that the run sent. A run that ``is_new``
-    sends only events that the caller doesn't have. In a stream that
-    ``is_consecutive`` each number is the one before it plus one; nothing if
-    there was no event yet.
+    sends only events that the caller doesn't have.
     """
 
     last_id: int
     run_last_id: int | None
     is_new: bool
-    is_consecutive: bool | None
 
     def judge(self, number: int | None, event: bytes) -> Verdict:
         """Return what becomes of the next event of the run."""
@@ -62,11 +56,9 @@
             return self._judge_unnumbered(event)
         if self.run_last_id is not None and number <= self.run_last_id:
             return Verdict.REPETITION
-        if self.is_consecutive and not self._follows(number):
+        if not self._follows(number):
             return Verdict.GAP
-        if self.is_consecutive is not None and number <= self.last_id:
-            return Verdict.SKIP
-        return Verdict.PASS
+        return Verdict.PASS if self._is_unseen(number) else Verdict.SKIP
 
     def _judge_unnumbered(self, event: bytes) -> Verdict:
         if self.is_new:
@@ -79,16 +71,20 @@
             return number <= self.last_id + 1
         return number == self.run_last_id + 1
 
+    def _is_unseen(self, number: int) -> bool:
+        """Return whether the caller doesn't have an event.
+
+        A stream may be numbered from 0.
+        """
+        return number > self.last_id or self.is_new
+
     def advance(self, number: int | None, verdict: Verdict) -> Position:
         """Return the position after an event that was passed or skipped."""
         if number is None:
             return self
         if verdict is Verdict.SKIP:
             return self._replace(run_last_id=number)
-        is_consecutive = self.is_consecutive
-        if is_consecutive is None:
-            is_consecutive = number == _FIRST_ID
-        return Position(number, number, True, is_consecutive)
+        return Position(number, number, True)
 
 
 class Selection(NamedTuple):
@@ -112,7 +108,6 @@
         self.has_started = False
         self._has_ids = False
         self._has_data = False
-        self._is_consecutive: bool | None = True if last_event else None
 
     def is_empty(self) -> bool:
         """Return whether the caller has received no event at all."""
@@ -127,9 +122,7 @@
 
     def make_position(self) -> Position:
         """Return where a further run begins."""
-        return Position(
-            self.last_event_id, None, self.is_empty(), self._is_consecutive
-        )
+        return Position(self.last_event_id, None, self.is_empty())
 
     def record(self, selection: Selection) -> None:
         """Record what was passed on to the caller."""
@@ -139,7 +132,6 @@
         position = selection.position
         self._has_ids = self._has_ids or position.run_last_id is not None
         self._has_data = self._has_data or has_data(selection.events)
-        self._is_consecutive = position.is_consecutive
         self.last_event_id = position.last_id
 
 
@@ -176,9 +168,9 @@
         self._progress.record(selection)
 
     def _are_next(self, ids: list[int]) -> bool:
-        """Return whether the events go on with a consecutive stream."""
+        """Return whether the events are the next ones of the stream."""
         position = self._position
-        if not position.is_new or not position.is_consecutive:
+        if not position.is_new or self.first_id is None:
             return False
         first = position.last_id + 1
         return ids == list(range(first, first + len(ids)))
--- a/tests/decisions/test_streamorder.py
+++ b/tests/decisions/test_streamorder.py
@@ -64,11 +64,7 @@
 
 @given(st.lists(_RUN, max_size=4), st.integers(0, 3))
 def test_any_runs(runs: list[_Sent], last_event: int) -> None:
-    """Whatever runs send, numbers that the caller receives only grow.
-
-    They grow by one in a stream that begins with its first event, or that
-    the caller itself resumes.
-    """
+    """Whatever runs send, the caller receives one event after the other."""
     progress = StreamProgress(last_event)
     received = b''
     for sent in runs:
@@ -79,10 +75,8 @@
         for line in received.splitlines()
         if line.startswith(b'id: ')
     ]
-    assert numbers == sorted(set(numbers))
-    if last_event or numbers[:1] == [1]:
-        first = last_event + 1
-        assert numbers == list(range(first, first + len(numbers)))
+    first = 0 if numbers[:1] == [0] and not last_event else last_event + 1
+    assert numbers == list(range(first, first + len(numbers)))
     assert progress.last_event_id == max([last_event, *numbers])
 
 
--- a/tests/gateway/test_stream_order.py
+++ b/tests/gateway/test_stream_order.py
@@ -211,13 +211,24 @@
         False,
         [None],
     ),
-    'numbers grow in other steps': _Case(
+    'stream is numbered from 0': _Case(
         _NOT_RESUMABLE,
-        (make_chunked(make_events(3), make_events(7, 9)),),
-        [3, 7, 9],
+        (
+            make_chunked(
+                b'id: 0\ndata: piece 0\n\n', make_events(1), make_events(2)
+            ),
+        ),
+        [0, 1, 2],
         True,
         [None],
     ),
+    'first event is missing': _Case(
+        _RESUMABLE,
+        (make_chunked(make_events(2, 3)), make_chunked(make_events(1, 2, 3))),
+        [1, 2, 3],
+        True,
+        [None, None],
+    ),
 }
 _FORMS = {
     'two blanks before the number': _Case(
--- a/tests/web/test_malformed_responses.py
+++ b/tests/web/test_malformed_responses.py
@@ -158,10 +158,13 @@
     asyncio.run(body())
 
 
-@pytest.mark.parametrize('number', ['9' * 5000, '9' * 18, '7'])
-def test_event_id_of_any_length(number: str) -> None:
-    """A stream is relayed whatever numbers its events have."""
-    run = StreamRun(StreamProgress(0))
+@pytest.mark.parametrize(
+    ('last_event', 'number'),
+    [(0, '9' * 5000), (int('9' * 18) - 1, '9' * 18), (6, '7')],
+)
+def test_event_id_of_any_length(last_event: int, number: str) -> None:
+    """The next event is relayed whatever the length of its number."""
+    run = StreamRun(StreamProgress(last_event))
     events = f'id: {number}\ndata: x\n\n'.encode()
     selection = run.select(events)
     assert (selection.events, selection.fault) == (events, None)
