Let the soak cut one VM from all targets

All VMs shared one proxy before each target, since targets register one address for all, so no VM could be cut off alone. Targets that are processes are still reached directly, since a proxy would accept connections to a process that is gone.

The options of a seed are one tuple now; the calls in test_seeds.py follow.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -25,11 +25,13 @@
 from tornado.httpserver import HTTPServer
 
 from .eventstreams import FaultLevel
+from .proxy import Disruption
 from .proxy import LOOPBACK
 from .proxy import Proxy
 from .replicaprocesses import extend_configuration
 from .replicaprocesses import PROCESS_MODEL
 from .replicaprocesses import ReplicaProcess
+from .storeview import StoreView
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -66,6 +68,7 @@
         self.name = name
         self._folder = folder
         self.store_proxy = Proxy(store)
+        self.target_proxies: list[Proxy] = []
         self.entry_port = pick_free_port()
         self.readiness_port = pick_free_port()
         self._peer_port = pick_free_port()
@@ -115,6 +118,11 @@
             )
         self._is_exit_expected = False
 
+    def disrupt_targets(self, disruption: Disruption) -> None:
+        """Put a disruption in force on the way to all targets."""
+        for proxy in self.target_proxies:
+            proxy.set_disruption(disruption)
+
     def is_running(self) -> bool:
         """Return whether the process runs; count an unexpected exit."""
         process = self.process
@@ -166,17 +174,20 @@
         processes: int = 0,
         seed: int = 0,
         level: FaultLevel = FaultLevel.NONE,
+        has_own_proxies: bool = False,
     ) -> None:
         """Keep the settings and logs of ``vms`` daemons in a folder.
 
         Of the replicas, ``processes`` are processes of their own, whose
-        streams have the faults of ``level``, drawn from ``seed``.
+        streams have the faults of ``level``, drawn from ``seed``. Each VM
+        ``has_own_proxies`` before the other replicas, if set.
         """
         self._folder = folder
         self._vm_count = vms
         self._process_count = processes
         self._seed = seed
         self._level = level
+        self.has_own_proxies = has_own_proxies
         self.processes: list[ReplicaProcess] = []
         self.second_version = 1
         self._stack = contextlib.AsyncExitStack()
@@ -199,10 +210,25 @@
             await self._add_replica(name)
         await self._add_processes()
         for number in range(self._vm_count):
+            proxies = await self._add_own_proxies()
+            if proxies:
+                view: Any = StoreView(self.store, proxies)
+                port = self._serve(rowstore.make_application(view))
             vm = VmProcess(f'vm{number}', self._folder, (LOOPBACK, port))
+            vm.target_proxies += proxies.values()
             self.vms.append(await self._stack.enter_async_context(vm))
         return self
 
+    async def _add_own_proxies(self) -> dict[int, Proxy]:
+        """Start proxies for one VM; return them by the ports of replicas."""
+        proxies: dict[int, Proxy] = {}
+        if self.has_own_proxies:
+            for target in self.replica_proxies.values():
+                proxy = Proxy((LOOPBACK, target.port))
+                proxies[target.port] = proxy
+                await self._stack.enter_async_context(proxy)
+        return proxies
+
     async def __aexit__(
         self,
         kind: type[BaseException] | None,
--- a/soak/processfaults.py
+++ b/soak/processfaults.py
@@ -1,14 +1,17 @@
-"""Faults of replica processes, drawn apart from those of a seed."""
+"""Faults of replica processes, and cuts of VMs from all other replicas.
+
+They are drawn apart from the other faults of a seed.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 import signal
 from typing import TYPE_CHECKING
 
 from .faults import FaultEvent
+from .proxy import Disruption
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -21,10 +24,13 @@
 _RESTART_DELAYS_S = (0.0, 0.0, 0.3, 1.0)
 _STOP_S = (0.1, 2.5)
 _NEW_ID_SHARE = 0.5
+_MEAN_CUT_INTERVAL_S = 2.0
+_CUT_S = (0.5, 4.0)
+_CUTS = (Disruption.RESET, Disruption.NO_TRAFFIC, Disruption.NO_RESPONSES)
 
 
 class ProcessFaultInjector:
-    """Kills and stops replica processes until exit; starts dead ones."""
+    """Kills and stops replica processes, and starts dead ones until exit."""
 
     def __init__(
         self,
@@ -37,7 +43,7 @@
         self._rng = rng
         self._events = events
         self._tasks: list[asyncio.Task[None]] = []
-        self._injector: asyncio.Task[None] | None = None
+        self._injectors: list[asyncio.Task[None]] = []
 
     async def __aenter__(self) -> ProcessFaultInjector:
         for process in self._deployment.processes:
@@ -57,16 +63,17 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def begin(self) -> None:
-        """Start to kill and stop processes from outside."""
+        """Start to kill and stop processes, and to cut VMs off."""
         if self._deployment.processes:
-            self._injector = asyncio.ensure_future(self._inject())
+            self._injectors.append(asyncio.ensure_future(self._inject()))
+        if self._deployment.has_own_proxies:
+            self._injectors.append(asyncio.ensure_future(self._cut_vms()))
 
     async def stop(self) -> None:
         """Stop all faults; the processes go on."""
-        if self._injector is not None:
-            self._injector.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._injector
+        for injector in self._injectors:
+            injector.cancel()
+        await asyncio.gather(*self._injectors, return_exceptions=True)
         for process in self._deployment.processes:
             process.stop_faults()
             process.send_signal(signal.SIGCONT)
@@ -99,6 +106,21 @@
             process.send_signal(signal.SIGCONT)
             self._note(started_at, f'process_{kind}', process.name)
 
+    async def _cut_vms(self) -> None:
+        while True:
+            await asyncio.sleep(
+                self._rng.expovariate(1.0 / _MEAN_CUT_INTERVAL_S)
+            )
+            vm = self._rng.choice(self._deployment.vms)
+            disruption = self._rng.choice(_CUTS)
+            started_at = asyncio.get_running_loop().time()
+            try:
+                vm.disrupt_targets(disruption)
+                await asyncio.sleep(self._rng.uniform(*_CUT_S))
+            finally:
+                vm.disrupt_targets(Disruption.NONE)
+            self._note(started_at, 'cut_vm', f'{vm.name} {disruption}')
+
     def _note(self, started_at: float, kind: str, subject: str) -> None:
         ended_at = asyncio.get_running_loop().time()
         self._events.append(FaultEvent(started_at, ended_at, kind, subject))
--- a/soak/run.py
+++ b/soak/run.py
@@ -36,6 +36,23 @@
 _MAX_SEED = 1 << 32
 
 
+class SeedOptions(NamedTuple):
+    """What a seed runs.
+
+    Of the replicas, ``processes`` run as processes of their own, with faults
+    of ``level`` in their streams. Faults last ``seconds``, but end at the
+    first violation unless the run ``goes_on``. With ``cuts``, VMs lose their
+    ways to all replicas that are no processes.
+    """
+
+    seconds: float
+    vms: int
+    processes: int = 0
+    level: FaultLevel = FaultLevel.NONE
+    goes_on: bool = False
+    cuts: bool = False
+
+
 class SeedResult(NamedTuple):
     """The result of one seed; ``folder`` holds the daemons' logs."""
 
@@ -79,27 +96,41 @@
         await asyncio.sleep(_CHECK_INTERVAL_S)
 
 
+async def _inject_faults(
+    deployment: Deployment,
+    callers: CallerPool,
+    faults: FaultInjector,
+    options: SeedOptions,
+) -> None:
+    """Inject faults, by default until the first violation."""
+    async with faults:
+        watcher = asyncio.ensure_future(
+            _wait_for_violation(deployment, callers, faults)
+        )
+        injector = asyncio.ensure_future(faults.run(options.seconds))
+        ends = (injector,) if options.goes_on else (watcher, injector)
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        injector.cancel()
+        watcher.cancel()
+
+
 async def run_seed(
-    seed: int,
-    seconds: float,
-    vms: int,
-    folder: pathlib.Path,
-    processes: int = 0,
-    level: FaultLevel = FaultLevel.NONE,
-    goes_on: bool = False,
+    seed: int, folder: pathlib.Path, options: SeedOptions
 ) -> SeedResult:
-    """Run one seed: faults for ``seconds``, then checks of recovery.
-
-    Of the replicas, ``processes`` run as processes of their own, with faults
-    of ``level`` in their streams. Faults end at the first violation unless
-    the run ``goes_on``.
-    """
+    """Run one seed: faults for some seconds, then checks of recovery."""
     rng = random.Random(seed)
     # Draws of its own, so that the other faults of a seed stay the same.
     process_rng = random.Random(f'{seed} processes')
-    per_vm = _STREAM_CALLERS_PER_VM if processes else 0
+    per_vm = _STREAM_CALLERS_PER_VM if options.processes else 0
     async with (
-        Deployment(folder, vms, processes, seed, level) as deployment,
+        Deployment(
+            folder,
+            options.vms,
+            options.processes,
+            seed,
+            options.level,
+            options.cuts,
+        ) as deployment,
         CallerPool(deployment, rng, _CALLERS_PER_VM) as callers,
         StreamCallerPool(
             deployment, callers, process_rng, per_vm
@@ -110,19 +141,11 @@
             deployment, process_rng, faults.events
         ) as process_faults:
             await asyncio.sleep(_WARM_UP_S)
-            async with faults:
-                process_faults.begin()
-                watcher = asyncio.ensure_future(
-                    _wait_for_violation(deployment, callers, faults)
-                )
-                injector = asyncio.ensure_future(faults.run(seconds))
-                ends = (injector,) if goes_on else (watcher, injector)
-                await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
-                injector.cancel()
-                watcher.cancel()
+            process_faults.begin()
+            await _inject_faults(deployment, callers, faults, options)
+            await process_faults.stop()
             violations = _check_invariants(deployment, callers, faults)
             if not violations:
-                await process_faults.stop()
                 stream_callers.be_patient()
                 violations = await check_recovery(deployment, callers)
                 violations += _check_invariants(deployment, callers, faults)
@@ -174,15 +197,7 @@
     print(f'  logs: {result.folder}', flush=True)
 
 
-async def _run_all(
-    seeds: list[int],
-    seconds: float,
-    vms: int,
-    jobs: int,
-    processes: int,
-    level: FaultLevel,
-    goes_on: bool,
-) -> int:
+async def _run_all(seeds: list[int], jobs: int, options: SeedOptions) -> int:
     semaphore = asyncio.Semaphore(jobs)
     base = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
     copy_programs(base)
@@ -191,9 +206,7 @@
         folder = base / str(seed)
         folder.mkdir()
         async with semaphore:
-            result = await run_seed(
-                seed, seconds, vms, folder, processes, level, goes_on
-            )
+            result = await run_seed(seed, folder, options)
         print_result(result)
         return bool(result.violations)
 
@@ -213,6 +226,7 @@
     processes: int = 3,
     level: FaultLevel = FaultLevel.ANSWERS,
     goes_on: bool = False,
+    cuts: bool = False,
 ) -> int:
     """Run seeds; exit with 1 if an invariant was violated.
 
@@ -234,14 +248,15 @@
         Faults in the streams of replicas that are processes.
     goes_on
         Go on after a violation, to see all of a seed.
+    cuts
+        Cut VMs from all replicas that are no processes.
     """
     if first is None:
         first = secrets.randbelow(_MAX_SEED)
     seeds = [first + n for n in range(count)]
-    violated = asyncio.run(
-        _run_all(seeds, seconds, vms, jobs, processes, level, goes_on)
-    )
+    options = SeedOptions(seconds, vms, processes, level, goes_on, cuts)
+    violated = asyncio.run(_run_all(seeds, jobs, options))
     return 1 if violated else 0
 
 
-__all__ = ['app', 'print_result', 'run_seed', 'SeedResult']
+__all__ = ['app', 'print_result', 'run_seed', 'SeedOptions', 'SeedResult']
--- a/soak/streamcallers.py
+++ b/soak/streamcallers.py
@@ -196,12 +196,9 @@
             async with asyncio.timeout(_TIMEOUT_S):
                 outcome = await self._exchange(vm, manner, request)
         except TimeoutError:
-            is_slow = manner is Manner.SLOWLY
-            outcome = (
-                RequestOutcome.ABANDONED
-                if is_slow
-                else RequestOutcome.TIMED_OUT
-            )
+            outcome = RequestOutcome.TIMED_OUT
+            if manner is Manner.SLOWLY:
+                outcome = RequestOutcome.ABANDONED
         except ConnectionRefusedError:
             outcome = RequestOutcome.NOT_CONNECTED
         except OSError:
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -9,6 +9,7 @@
 from soak.deployment import copy_programs
 from soak.eventstreams import FaultLevel
 from soak.run import run_seed
+from soak.run import SeedOptions
 
 _FAULT_S = 4.0
 _VM_COUNT = 3
@@ -31,7 +32,9 @@
     copy_programs(tmp_path)
     folder = tmp_path / str(seed)
     folder.mkdir()
-    result = asyncio.run(run_seed(seed, _FAULT_S, _VM_COUNT, folder))
+    result = asyncio.run(
+        run_seed(seed, folder, SeedOptions(_FAULT_S, _VM_COUNT))
+    )
     assert not result.violations, result.events
     assert result.served
 
@@ -44,8 +47,7 @@
     copy_programs(tmp_path)
     folder = tmp_path / str(seed)
     folder.mkdir()
-    result = asyncio.run(
-        run_seed(seed, _FAULT_S, _VM_COUNT, folder, _PROCESS_COUNT, level)
-    )
+    options = SeedOptions(_FAULT_S, _VM_COUNT, _PROCESS_COUNT, level)
+    result = asyncio.run(run_seed(seed, folder, options))
     assert not result.violations, result.events
     assert result.served
