Have all VMs leave the old version before a roll-out is completed

Callers saw requests broken off at the end of a good roll-out: at 'completed' the old targets stop at once, and VMs that don't drive the roll-out still sent to them, up to the message that told them (some 40 ms); requests under way there ended with the targets.

In the ramp each VM sends to the new version what its share allows, and the rest to the old one. Only the completion lifted the share, so a VM whose share was spent used old targets until it learned of the completion, after the store had. Waiting longer in the ramp was ruled out: the driving VM saw requests at old targets and waited its 0.8 s, and more would have come. Handing over at the beginning of the ramp was ruled out too, as a bad version that was not found out would get all requests for longer.

Now the driving VM has all VMs hand over when it would have completed: each sends to the new version only, whatever its share, and says so in its next message, sent at once. The completion is written when all VMs that report to this one have confirmed it and no request is known at old targets, after 0.2 s at the latest; the ramp before it ends 0.1 s earlier. Where VMs report over hubs, it always waits for the 0.2 s. A hand-over is a word in the reason of a report on the ramp, so that VMs of the release before go on with the ramp; it ends where the driver goes back to the canary.

The table of test_steps has the hand-over between the ramp and the completion; the cases that ended in a completion now say what it needs. The model of the VMs in benchmarks/rollouts.py got the list of callbacks for restarted VMs, which it never calls.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -237,6 +237,7 @@
     def __init__(self, name: str, loop: TimeLoop) -> None:
         self.own_member = Member(name, 'a', 1.0)
         self.on_message: list[Callable[[GossipMessage], None]] = []
+        self.on_restart: list[Callable[[str], None]] = []
         self.heard_at: dict[str, float] = {}
         self.send_requested = asyncio.Event()
         self._loop = loop
--- a/src/lentilrun/decisions/rollouts.py
+++ b/src/lentilrun/decisions/rollouts.py
@@ -4,8 +4,8 @@
 the deadline of its roll-out, which must then have got a tenth of the
 requests at most, and a good one that must have all of them by then. The old
 targets stop without draining at completion. So the new version gets a small
-share for as long as possible, then all requests for about a second, in which
-those at the old targets end.
+share for as long as possible, then all requests that the limits allow, and in
+the end all requests, until those at the old targets have ended.
 """
 
 from __future__ import annotations
@@ -49,7 +49,10 @@
 # share of the margin.
 _DOUBT_SHARE = 0.6
 _MIN_RAMP_S = 0.5
-_MAX_RAMP_S = 0.8
+_MAX_RAMP_S = 0.7
+# Without a confirmation by all VMs, and with requests at old targets, a
+# roll-out is completed after this time.
+_MAX_HAND_OVER_S = 0.2
 _MIN_RESPONSES = 8
 # A part of the targets gets all requests of the canary, so that their load
 # is at least that of the old ones. They change after a time.
@@ -172,6 +175,7 @@
 
     CANARY = 'canary'
     RAMP = 'ramp'
+    HAND_OVER = 'hand_over'
     COMPLETE = 'complete'
     ROLL_BACK = 'roll_back'
 
@@ -179,8 +183,10 @@
 class Progress(NamedTuple):
     """The state of a roll-out; times in seconds.
 
-    ``elapsed`` of ``duration`` have passed. All requests go to the new
-    version since ``ramped_for``, if they do. ``responses`` of it are known,
+    ``elapsed`` of ``duration`` have passed. The new version gets what the
+    limits allow since ``ramped_for``, and all requests since
+    ``handed_over_for``, if it does; ``unconfirmed`` VMs have not said that
+    they keep to the latter. ``responses`` of it are known,
     ``old_in_flight`` requests are at old targets.
     """
 
@@ -191,6 +197,8 @@
     fault: str
     is_doubtful: bool
     old_in_flight: int
+    handed_over_for: float | None = None
+    unconfirmed: int = 0
 
 
 def _compute_margin(duration: float) -> float:
@@ -218,8 +226,17 @@
     ramped_for = progress.ramped_for
     if ramped_for is None or ramped_for < _MIN_RAMP_S:
         return Step.RAMP
-    if progress.old_in_flight and ramped_for < _MAX_RAMP_S:
-        return Step.RAMP
+    return _decide_end_of_ramp(progress, ramped_for)
+
+
+def _decide_end_of_ramp(progress: Progress, ramped_for: float) -> Step:
+    handed_over_for = progress.handed_over_for
+    if handed_over_for is None:
+        may_wait = progress.old_in_flight and ramped_for < _MAX_RAMP_S
+        return Step.RAMP if may_wait else Step.HAND_OVER
+    is_awaited = progress.unconfirmed or progress.old_in_flight
+    if is_awaited and handed_over_for < _MAX_HAND_OVER_S:
+        return Step.HAND_OVER
     return Step.COMPLETE
 
 
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -23,6 +23,7 @@
 from ..platform.rowversions import find_era
 from .discovery import FLEET_TABLE
 from .events import wait_for_event
+from .rollouthandover import Turn
 from .rolloutstate import Stage
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
 _KEY_PREFIX = 'rollout/'
 _IDLE_INTERVAL_S = 0.5
 _WORK_INTERVAL_S = 0.1
+_RAMP_INTERVAL_S = 0.02
 _RETRY_S = 0.15
 # Another VM drives a roll-out if it reported so within this time.
 _DRIVER_TTL_S = 0.8
@@ -67,6 +69,13 @@
     retired: list[str]
 
 
+class _HandOver(NamedTuple):
+    """When this VM began a hand-over, by its clock and in its turns."""
+
+    began_at: float
+    turn: Turn
+
+
 class _StoredRow(NamedTuple):
     row: _RolloutRow
     row_version: int
@@ -104,7 +113,9 @@
         # Set if a write failed: another VM may have written, or this one.
         self._needs_read = False
         self._work_since: float | None = None
+        # By the row version of the order.
         self._ramped_at: dict[int, float] = {}
+        self._hand_overs: dict[int, _HandOver] = {}
         self._tick = 0
         self._ordered = asyncio.Event()
         self.is_leaving = False
@@ -147,6 +158,7 @@
             self._work_since = now
         if not self._lease.is_held():
             self._ramped_at.clear()
+            self._hand_overs.clear()
             if self._compute_takeover_time(work) > now:
                 return _WORK_INTERVAL_S
         wait = await self._lease.acquire()
@@ -158,7 +170,8 @@
         self._tick += 1
         for rollout in self._list_work():
             await self._advance(rollout)
-        return _WORK_INTERVAL_S
+        is_ramping = any(r.order.row_version in self._ramped_at for r in work)
+        return _RAMP_INTERVAL_S if is_ramping else _WORK_INTERVAL_S
 
     def _compute_takeover_time(self, unresolved: list[Rollout]) -> float:
         """Return when this VM may take over, by the clock, in seconds."""
@@ -248,13 +261,22 @@
         if step is Step.COMPLETE:
             await self._write(rollout, RolloutState.COMPLETED, '')
             return
-        turn = (self._lease.fence, self._tick)
+        turn = Turn(self._lease.fence, self._tick)
         self._rollouts.record_driver(rollout, turn)
-        if step is Step.RAMP:
-            self._begin_ramp(rollout)
-        else:
-            self._ramped_at.pop(rollout.order.row_version, None)
+        if step is Step.CANARY:
+            self._forget_ramp(rollout)
             self._rollouts.set_stage(rollout, Stage.CANARY, '')
+            self._rollouts.set_handed_over(rollout, False)
+            return
+        self._begin_ramp(rollout)
+        is_handed_over = step is Step.HAND_OVER
+        if is_handed_over:
+            self._begin_hand_over(rollout, turn)
+        self._rollouts.set_handed_over(rollout, is_handed_over)
+
+    def _forget_ramp(self, rollout: Rollout) -> None:
+        self._ramped_at.pop(rollout.order.row_version, None)
+        self._hand_overs.pop(rollout.order.row_version, None)
 
     def _begin_ramp(self, rollout: Rollout) -> None:
         order = rollout.order.row_version
@@ -263,8 +285,13 @@
             self._rollouts.set_stage(rollout, Stage.RAMP, '')
             self._peers.request_send()
 
+    def _begin_hand_over(self, rollout: Rollout, turn: Turn) -> None:
+        hand_over = _HandOver(self._clock.now(), turn)
+        self._hand_overs.setdefault(rollout.order.row_version, hand_over)
+
     def _make_progress(self, rollout: Rollout) -> Progress:
         now = self._clock.now()
+        hand_over = self._hand_overs.get(rollout.order.row_version)
         ramped_at = self._ramped_at.get(rollout.order.row_version)
         elapsed = self._compute_elapsed(rollout)
         duration = rollout.order.duration
@@ -276,6 +303,10 @@
             rollout.reason if rollout.stage is Stage.BANNED else '',
             is_due(elapsed, duration) and self._rollouts.is_doubtful(rollout),
             self._rollouts.count_old_in_flight(rollout),
+            None if hand_over is None else now - hand_over.began_at,
+            0
+            if hand_over is None
+            else self._rollouts.count_unconfirmed(rollout, hand_over.turn),
         )
 
     def _compute_elapsed(self, rollout: Rollout) -> float:
@@ -325,6 +356,8 @@
             ]
         )
         self._stored[service] = _StoredRow(row, written.store_version)
+        if state.is_final():
+            self._forget_ramp(rollout)
         self._rollouts.set_stage(rollout, _STAGES[state], reason)
         self._log.write(
             'rollout_status',
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -16,6 +16,8 @@
 from .messages import OutcomeReport
 from .messages import RolloutReport
 from .recent import Origin
+from .rollouthandover import HANDED_OVER
+from .rollouthandover import Turn
 from .rolloutledger import OutcomeReporter
 from .rolloutstate import Rollout
 from .rolloutstate import Stage
@@ -78,6 +80,7 @@
         self._early_reports: dict[tuple[str, int], RolloutReport] = {}
         self.on_order: list[Callable[[], None]] = []
         peers.on_message.append(self.receive)
+        peers.on_restart.append(self._forget_peer)
 
     def apply_order(self, order: RolloutOrder) -> None:
         """Apply an order that operators wrote."""
@@ -200,7 +203,7 @@
             RolloutReport(service, order, version, int(stage), 0, 0, reason)
         )
 
-    def record_driver(self, rollout: Rollout, turn: tuple[int, int]) -> bool:
+    def record_driver(self, rollout: Rollout, turn: Turn) -> bool:
         """Record a sign of the VM that drives a roll-out, if it is newer."""
         if turn <= rollout.driver_turn:
             return False
@@ -208,6 +211,35 @@
         rollout.driven_at = self._clock.now()
         return True
 
+    def set_handed_over(self, rollout: Rollout, is_begun: bool) -> None:
+        """Send nothing more to the old version, or go back to the share."""
+        if is_begun is rollout.hand_over.is_begun:
+            return
+        rollout.hand_over.is_begun = is_begun
+        self._log.write(
+            'rollout_handed_over',
+            service=rollout.order.service,
+            to=rollout.version,
+            is_begun=is_begun,
+            old_in_flight=self.count_old_in_flight(rollout),
+            driver_age=self._compute_driver_age(rollout),
+        )
+        self._targets.notify_changed()
+        self._peers.request_send()
+
+    def count_unconfirmed(self, rollout: Rollout, since: Turn) -> int:
+        """Return the VMs that may send to the old version, as far as known.
+
+        In a large fleet, most VMs don't report to this one.
+        """
+        peers = self._peers
+        names = peers.list_responsive() if peers.is_mesh() else peers.by_name
+        return rollout.hand_over.count_missing(names, since)
+
+    def _forget_peer(self, name: str) -> None:
+        for rollout in self.by_service.values():
+            rollout.hand_over.forget(name)
+
     def is_driven(self, rollout: Rollout) -> bool:
         """Return whether the driving VM has reported lately."""
         return self._clock.now() - rollout.driven_at < _DRIVER_TTL_S
@@ -242,6 +274,8 @@
             return old, False
         if not self.is_driven(rollout):
             return old, False
+        if rollout.hand_over.is_begun:
+            return new, False
         exposure = self._measure_exposure(rollout)
         vms = self._peers.count_members()
         if rollout.stage is Stage.RAMP or not old:
@@ -424,8 +458,9 @@
     def export(self, is_driver: bool) -> list[RolloutReport]:
         """Return the reports for a message.
 
-        The VM that drives reports on running roll-outs; hubs pass that on,
-        and all VMs report bans and, for a time, final stages.
+        The VM that drives reports on running roll-outs; hubs pass that on.
+        All VMs report bans, that they have handed over and, for a time,
+        final stages.
         """
         passes_on = is_driver or (
             not self._peers.is_mesh() and self._peers.is_hub()
@@ -434,7 +469,8 @@
         reports = []
         for rollout in self.by_service.values():
             if rollout.stage.is_running():
-                if not passes_on or not self.is_driven(rollout):
+                is_reported = passes_on or rollout.hand_over.is_begun
+                if not is_reported or not self.is_driven(rollout):
                     continue
             elif rollout.stage is Stage.UNKNOWN:
                 continue
@@ -449,12 +485,23 @@
     def receive(self, message: GossipMessage) -> None:
         """Apply the reports of another VM."""
         for report in message.rollouts:
+            self._record_confirmation(report, message.node)
             self._apply_report(report)
         is_local = message.data_centre == self._peers.own_member.data_centre
         origin = Origin.LOCAL if is_local else Origin.REMOTE
         for outcome in message.rollout_outcomes:
             self._add_outcome(outcome, origin)
 
+    def _record_confirmation(self, report: RolloutReport, node: str) -> None:
+        rollout = self.by_service.get(report.service)
+        if (
+            rollout is not None
+            and rollout.order.row_version == report.order
+            and _is_handed_over(report)
+        ):
+            turn = Turn(report.fence, report.tick)
+            rollout.hand_over.confirm(node, turn)
+
     def _add_outcome(self, report: OutcomeReport, origin: Origin) -> None:
         if not self.reporter.recent.add(report, origin):
             return
@@ -470,11 +517,12 @@
             return
         if rollout.order.row_version != report.order:
             return
-        if stage.is_running() and not self.record_driver(
-            rollout, (report.fence, report.tick)
-        ):
+        if not stage.is_running():
+            self.set_stage(rollout, stage, report.reason)
             return
-        self.set_stage(rollout, stage, report.reason)
+        if self.record_driver(rollout, Turn(report.fence, report.tick)):
+            self.set_stage(rollout, stage, '')
+            self.set_handed_over(rollout, _is_handed_over(report))
 
     def _keep_early(self, report: RolloutReport) -> None:
         """Keep a report on an order that this VM has not read yet."""
@@ -487,14 +535,19 @@
             retired.add(report.version)
 
 
+def _is_handed_over(report: RolloutReport) -> bool:
+    return report.stage == Stage.RAMP and report.reason == HANDED_OVER
+
+
 def _make_report(rollout: Rollout) -> RolloutReport:
+    is_handed_over = rollout.stage is Stage.RAMP and rollout.hand_over.is_begun
     return RolloutReport(
         rollout.order.service,
         rollout.order.row_version,
         rollout.version,
         int(rollout.stage),
         *rollout.driver_turn,
-        rollout.reason,
+        HANDED_OVER if is_handed_over else rollout.reason,
     )
 
 
--- a/src/lentilrun/gateway/rolloutstate.py
+++ b/src/lentilrun/gateway/rolloutstate.py
@@ -6,6 +6,8 @@
 import enum
 from typing import TYPE_CHECKING
 
+from .rollouthandover import HandOver
+from .rollouthandover import Turn
 from .rolloutledger import OutcomeLedger
 
 if TYPE_CHECKING:
@@ -51,9 +53,10 @@
         self.has_slack = has_slack
         self.stage = Stage.UNKNOWN
         self.reason = ''
-        self.driver_turn = (0, 0)
+        self.driver_turn = Turn(0, 0)
         self.driven_at = float('-inf')
         self.changed_at = now
+        self.hand_over = HandOver()
         self.total: collections.Counter[str] = collections.Counter()
         self.new: collections.Counter[str] = collections.Counter()
         # See ``Exposure``; refilled at a time by the clock.
--- a/tests/decisions/test_rollout_decisions.py
+++ b/tests/decisions/test_rollout_decisions.py
@@ -95,6 +95,12 @@
 
 
 _PROGRESS = Progress(13.9, 15.0, None, 30, '', False, 4)
+_HANDED_OVER = {
+    'ramped_for': 0.7,
+    'handed_over_for': 0.1,
+    'old_in_flight': 0,
+    'unconfirmed': 0,
+}
 
 
 @pytest.mark.parametrize(
@@ -107,15 +113,28 @@
         ({'responses': 3, 'elapsed': 20.0}, Step.CANARY),
         ({'elapsed': 20.0}, Step.RAMP),
         # Requests at old targets end before completion, if they can.
-        ({'ramped_for': 0.7}, Step.RAMP),
-        ({'ramped_for': 0.8, 'old_in_flight': 0}, Step.COMPLETE),
+        ({'ramped_for': 0.6}, Step.RAMP),
         ({'ramped_for': 0.2, 'old_in_flight': 0}, Step.RAMP),
-        ({'ramped_for': 1.3}, Step.COMPLETE),
+        # Before completion, all VMs stop sending to them.
+        ({'ramped_for': 0.6, 'old_in_flight': 0}, Step.HAND_OVER),
+        ({'ramped_for': 0.7}, Step.HAND_OVER),
+        ({'ramped_for': 1.3}, Step.HAND_OVER),
+        ({**_HANDED_OVER, 'unconfirmed': 1}, Step.HAND_OVER),
+        ({**_HANDED_OVER, 'old_in_flight': 1}, Step.HAND_OVER),
+        (_HANDED_OVER, Step.COMPLETE),
+        # VMs that are lost confirm nothing.
+        (
+            {**_HANDED_OVER, 'unconfirmed': 1, 'handed_over_for': 0.2},
+            Step.COMPLETE,
+        ),
+        ({'ramped_for': 1.3, 'handed_over_for': 0.3}, Step.COMPLETE),
         # A verdict goes before all, doubts are settled late.
         ({'fault': 'fails', 'elapsed': 1.0}, Step.ROLL_BACK),
         ({'fault': 'fails', 'ramped_for': 1.3}, Step.ROLL_BACK),
         ({'is_doubtful': True}, Step.CANARY),
         ({'is_doubtful': True, 'ramped_for': 1.3}, Step.CANARY),
+        ({**_HANDED_OVER, 'is_doubtful': True}, Step.CANARY),
+        ({**_HANDED_OVER, 'fault': 'fails'}, Step.ROLL_BACK),
         ({'is_doubtful': True, 'elapsed': 14.6}, Step.ROLL_BACK),
     ],
 )
--- a/tests/gateway/test_rollout_nodes.py
+++ b/tests/gateway/test_rollout_nodes.py
@@ -8,17 +8,21 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from deployments import BOUNDS
 from deployments import Deployment
 from lentilrun.decisions import topology
 from lentilrun.gateway.node import Node
 from lentilrun.gateway import peers
 from lentilrun.gateway.rolloutstate import Stage
+from lentilrun.platform.node import Bounds
 import pytest
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 _REQUESTS_PER_S = 60.0
+# In each moment some are under way.
+_DENSE_REQUESTS_PER_S = 200.0
 _CONCURRENT_REQUESTS = 24
 _DURATION_S = 6.0
 _OLD_DELAY_S = 0.02
@@ -27,6 +31,8 @@
 # A bad version gets no request that is sent later than this after its 50th
 # bad response.
 _ROLLBACK_S = 5.0
+# The new version's share is spent before the end of its ramp.
+_NARROW_BOUNDS = BOUNDS._replace(exposure_share=0.03, exposure_slack=20.0)
 
 
 class _Version(NamedTuple):
@@ -63,7 +69,10 @@
 
 
 async def _send_traffic(
-    deployment: Deployment, nodes: list[Node], seconds: float
+    deployment: Deployment,
+    nodes: list[Node],
+    seconds: float,
+    requests_per_s: float = _REQUESTS_PER_S,
 ) -> list[int]:
     """Send requests to random nodes; return the statuses."""
     draws = random.Random(1)
@@ -72,7 +81,7 @@
     while time.monotonic() < until:
         request = deployment.ask(draws.choice(nodes), '/plain/x')
         tasks.append(asyncio.ensure_future(request))
-        await asyncio.sleep(draws.expovariate(_REQUESTS_PER_S))
+        await asyncio.sleep(draws.expovariate(requests_per_s))
     return [r.status for r in await asyncio.gather(*tasks)]
 
 
@@ -101,11 +110,17 @@
 
 
 async def _start_rollout(
-    deployment: Deployment, version: _Version, vms: int = 2
+    deployment: Deployment,
+    version: _Version,
+    vms: int = 2,
+    bounds: Bounds = BOUNDS,
 ) -> list[Node]:
     """Start VMs with traffic behind them, and order a roll-out."""
     _add_replicas(deployment, 'v1', _Version())
-    nodes = [await deployment.start_node(f'vm{n}') for n in range(1, vms + 1)]
+    nodes = [
+        await deployment.start_node(f'vm{n}', bounds)
+        for n in range(1, vms + 1)
+    ]
     await _send_traffic(deployment, nodes, 3.5)
     deployment.order_rollout('app', 'v2', _DURATION_S)
     _add_replicas(deployment, 'v2', version)
@@ -201,6 +216,58 @@
     asyncio.run(body())
 
 
+class _Completion(NamedTuple):
+    """When a roll-out was completed, and the requests at old replicas."""
+
+    at: float
+    old_in_flight: int
+
+
+async def _wait_for_completion(deployment: Deployment) -> _Completion:
+    while _read_state(deployment) != 'completed':
+        await deployment.store.changed.wait()
+    old_in_flight = sum(
+        s.in_flight
+        for n, s in deployment.replicas.items()
+        if deployment.software_versions[n] == 'v1'
+    )
+    return _Completion(asyncio.get_running_loop().time(), old_in_flight)
+
+
+@pytest.mark.parametrize(('vms', 'mesh_vms'), [(1, 12), (3, 12), (5, 3)])
+def test_old_replicas_are_idle_at_completion(
+    vms: int, mesh_vms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """They stop then: no VM sends to them, though its share is spent."""
+    monkeypatch.setattr(topology, 'MESH_VMS', mesh_vms)
+    monkeypatch.setattr(peers, 'MESH_VMS', mesh_vms)
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            nodes = await _start_rollout(
+                deployment, _Version(), vms, _NARROW_BOUNDS
+            )
+            traffic = asyncio.ensure_future(
+                _send_traffic(
+                    deployment, nodes, _DURATION_S, _DENSE_REQUESTS_PER_S
+                )
+            )
+            async with asyncio.timeout(_DURATION_S):
+                completion = await _wait_for_completion(deployment)
+            assert set(await traffic) == {200}
+            late = [
+                run
+                for name, state in deployment.replicas.items()
+                for run in state.runs
+                if deployment.software_versions[name] == 'v1'
+                and run.started_at > completion.at
+            ]
+            assert len(late) == 0
+            assert completion.old_in_flight == 0
+
+    asyncio.run(body())
+
+
 def test_final_state_never_changes() -> None:
     """Reports on a roll-out that has ended change nothing."""
 
