Keep the limits of a target's start while its registration is missing

After an outage of the store in which the row of a target expired, all VMs sent it more requests than it had said it takes.

Its state was made anew when the row returned, also for the same start; what it had stated of leaving and resting was kept, but not its limits, nor the turns that this VM had taken.

The limits are now kept with the other statements of a start. A new start begins without any.

--- a/src/lentilrun/gateway/statements.py
+++ b/src/lentilrun/gateway/statements.py
@@ -1,4 +1,4 @@
-"""What targets say of themselves in their responses, beside rate limits.
+"""What targets say of themselves in their responses.
 
 It holds for one start of a target, also if its registration is lost and
 returns meanwhile.
@@ -9,8 +9,11 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from .ratelimits import TargetRateLimit
+
 if TYPE_CHECKING:
     from ..decisions.facts import Target
+    from .ratelimits import RoundRobin
 
 # A target that states a longer rest is asked again after this time.
 _MAX_REST_S = 120.0
@@ -30,10 +33,12 @@
 
     A target that ``is_leaving`` gets no more requests, from any VM. One that
     rests gets none from this VM before ``rest_until``, by the VM's clock in
-    seconds.
+    seconds. The limits are those of requests and of rejections.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, incarnation: str, round_robin: RoundRobin) -> None:
+        self.rate_limit = TargetRateLimit(incarnation, round_robin)
+        self.rejection_limit = TargetRateLimit(incarnation, round_robin)
         self.is_leaving = False
         self.rest_until = float('-inf')
 
@@ -53,12 +58,17 @@
     def __init__(self) -> None:
         self._by_start: dict[TargetStart, TargetStatements] = {}
 
-    def find(self, target: Target) -> TargetStatements:
-        """Return the statements of a target's start."""
+    def find(
+        self, target: Target, round_robin: RoundRobin
+    ) -> TargetStatements:
+        """Return the statements of a target's start.
+
+        At its limits, VMs take turns in the order of ``round_robin``.
+        """
         start = TargetStart(target.incarnation, target.started_at_ms)
         statements = self._by_start.get(start)
         if statements is None:
-            statements = TargetStatements()
+            statements = TargetStatements(target.incarnation, round_robin)
             self._by_start[start] = statements
             while len(self._by_start) > _MAX_STARTS:
                 del self._by_start[next(iter(self._by_start))]
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -17,7 +17,6 @@
 from .messages import PrefillReport
 from .ratelimits import RoundRobin
 from .ratelimits import SingleVm
-from .ratelimits import TargetRateLimit
 from .recent import Origin
 from .recent import RecentReports
 from .statements import StatementBook
@@ -92,9 +91,7 @@
             self.states[target.incarnation] = TargetState(
                 target,
                 self._estimators[target.service],
-                TargetRateLimit(target.incarnation, self.round_robin),
-                TargetRateLimit(target.incarnation, self.round_robin),
-                self._statements.find(target),
+                self._statements.find(target, self.round_robin),
             )
         else:
             state.target = target
--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -10,12 +10,12 @@
 from ..decisions.speeds import PaceCounts
 from ..decisions.speeds import SpeedEstimator
 from .prefixcache import PrefixCache
-from .ratelimits import TargetRateLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..decisions.facts import Target
+    from .ratelimits import TargetRateLimit
     from .statements import TargetStatements
 
 _OUTCOME_HALF_LIFE_S = 2.0
@@ -70,14 +70,12 @@
         self,
         target: Target,
         estimator: SpeedEstimator,
-        rate_limit: TargetRateLimit,
-        rejection_limit: TargetRateLimit,
         statements: TargetStatements,
     ) -> None:
         """Decay the pace with the requests that ``estimator`` counts."""
         self.target = target
-        self.rate_limit = rate_limit
-        self.rejection_limit = rejection_limit
+        self.rate_limit = statements.rate_limit
+        self.rejection_limit = statements.rejection_limit
         self.statements = statements
         # When this VM sent requests that others may not know of yet.
         self._unreported: collections.deque[float] = collections.deque()
