Wait for a lease that can't be read, and give out no smaller fencing token

A row that could not be decoded counted as no lease.

It now counts as a lease that began when this version of the row was first read, so it is waited for as any other one. Its fencing token is taken to be the number of transactions until then, which no token exceeds.

--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -9,12 +9,14 @@
 
 from ..errors import ConflictError
 from ..platform.rows import Write
+from ..platform.rowversions import split_version
 from .discovery import FLEET_TABLE
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
+    from ..platform.rows import Row
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
@@ -39,6 +41,20 @@
 
 _decoder = msgspec.json.Decoder(_LeaseRow)
 _NO_LEASE = _LeaseRow('', 0, 0.0)
+# No VM has this name.
+_UNKNOWN_HOLDER = ''
+
+
+def _assume_lease(row: Row, store_time: float) -> _LeaseRow:
+    """Return the latest lease that an unreadable row may have.
+
+    It was written by ``store_time``. No fencing token is larger than the
+    number of transactions until then.
+    """
+    version = split_version(row.version)
+    fences = min(version.number, _FENCES_IN_ERA - 1)
+    fence = version.era * _FENCES_IN_ERA + fences
+    return _LeaseRow(_UNKNOWN_HOLDER, fence, store_time + _LEASE_S)
 
 
 class OrderLease:
@@ -147,6 +163,7 @@
         self._log.write('lease_released', fence=lease.fence)
 
     def _record_lease(self, table_rows: Rows) -> None:
+        known, known_version = self._row, self._row_version
         self._row = _NO_LEASE
         self._row_version = 0
         for row in table_rows.rows:
@@ -157,6 +174,9 @@
                 self._row = _decoder.decode(row.value)
             except msgspec.MsgspecError as error:
                 self._log.write('row_unreadable', key=row.key, error=error)
+                self._row = _assume_lease(row, table_rows.store_time)
+                if row.version == known_version:
+                    self._row = known
 
     async def _write(
         self, row: _LeaseRow, store_time: float, sent_at: float
--- a/tests/gateway/test_lease_times.py
+++ b/tests/gateway/test_lease_times.py
@@ -38,7 +38,8 @@
         self._read_delay = read_delay
         self._version = 0
         self._row: dict[str, Any] | None = None
-        # Of each write, when the lease ends by the store's clock.
+        # Of the last write; ``until`` is by the store's clock.
+        self.fence = 0
         self.until = float('-inf')
 
     async def fetch(
@@ -60,8 +61,20 @@
         self._version += 1
         self._row = {**put, 'row-version': self._version}
         lease = msgspec.json.decode(base64.b64decode(put['value']))
+        self.fence = lease[1]
         self.until = lease[2]
 
+    def write_unreadable(self, version: int) -> None:
+        """Write a lease that this VM can't read, as a later build may."""
+        self._version = version
+        value = base64.b64encode(b'["vm9", 41, 1.0, "more"]').decode()
+        self._row = {
+            'table': 'vms',
+            'key': 'lease/weights',
+            'value': value,
+            'row-version': version,
+        }
+
 
 @pytest.fixture
 def log_file() -> Iterator[int]:
@@ -97,3 +110,30 @@
         assert last_held <= client.until + _ROUNDING_S
 
     timeloop.run(main)
+
+
+@pytest.mark.parametrize('is_known', [False, True])
+def test_lease_that_is_not_readable(is_known: bool, log_file: int) -> None:
+    """It is waited for, and the next fencing token is larger than its own."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        client = _Store(loop, 0.0)
+        store = RowStore(client, Address('127.0.0.1', 1), loop)
+        lease = OrderLease(
+            store, loop, 'vm1', _GAP_S, Log(loop, 'vm1', log_file)
+        )
+        if is_known:
+            assert await lease.acquire() == 0.0
+            await asyncio.sleep(2.0)
+        for renewal in range(6):
+            client.write_unreadable(50 + renewal)
+            assert await lease.acquire() > 0.0
+            assert not lease.is_held()
+            await asyncio.sleep(0.7)
+        renewed_at = loop.now() - 0.7
+        while await lease.acquire() > 0.0:
+            await asyncio.sleep(0.1)
+        assert _GAP_S + 1.5 < loop.now() - renewed_at < _GAP_S + 2.0
+        assert lease.fence == client.fence > 41
+
+    timeloop.run(main)
