Give the modelled store of the roll-outs its latest clock

Nine plays of roll-outs in tests/benchmarks/test_aims.py failed since the end of a lease comes from the upper bound of the store's clock: the modelled store of benchmarks/rollouts.py had no such bound, so no VM kept the lease.

Its VMs read the store's clock without delay, so both bounds are that clock.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -210,6 +210,9 @@
     def estimate_clock(self) -> float:
         return self._loop.now()
 
+    def latest_clock(self) -> float:
+        return self._loop.now()
+
     async def _delay(self) -> None:
         if self._shared.is_down:
             await asyncio.sleep(_STORE_TIMEOUT_S)
