--- a/soak/replicaprogram.py
+++ b/soak/replicaprogram.py
@@ -37,7 +37,7 @@
 
 
 def _open(path: str) -> int:
-    return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
+    return os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644)
 
 
 class _Records:
