--- a/src/lentilrun/gateway/builds.py
+++ b/src/lentilrun/gateway/builds.py
@@ -64,7 +64,7 @@
         try:
             statement = _decoder.decode(value)
         except (msgspec.MsgspecError, ValueError, RecursionError) as error:
-            self._log.write('statement_unreadable', peer=name, error=error)
+            self._log.write('peer_build_unreadable', peer=name, error=error)
             return
         if self.by_peer.get(name) == statement:
             return
--- a/tests/gateway/modelledforwards.py
+++ b/tests/gateway/modelledforwards.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import collections
+import functools
+import json
 from typing import TYPE_CHECKING
 
-from lentilrun.gateway.call import IncomingRequest
-from lentilrun.gateway.call import Refusal
-from lentilrun.gateway.forwardport import ForwardedCallHandler
+from productionbuild import find_module
 from tornado.httputil import HTTPHeaders
 
 if TYPE_CHECKING:
@@ -20,6 +20,7 @@
     from modelledfleets import ModelledFleet
 
 _NETWORK_S = 0.001
+_CALL_HEADER = 'Lentilrun-Forwarded'
 
 
 class _Writer:
@@ -56,14 +57,22 @@
 
 
 class ModelledForwards:
-    """Calls that VMs forward to each other; ``received`` counts them."""
+    """Calls that VMs forward to each other; ``received`` counts them.
+
+    VMs in ``portless`` take none: connections to them are refused. Those in
+    ``shortened`` get a header without its last field.
+    """
 
     def __init__(self, loop: TimeLoop, fleet: ModelledFleet) -> None:
         self._loop = loop
         self._fleet = fleet
         self.received: collections.Counter[str] = collections.Counter()
+        self.portless: set[str] = set()
+        self.shortened: set[str] = set()
         self._handlers = {
-            name: ForwardedCallHandler(
+            name: find_module(
+                node, 'gateway.forwardport'
+            ).ForwardedCallHandler(
                 node.admission,
                 node.dispatcher,
                 node.view,
@@ -74,10 +83,13 @@
         }
         for node in fleet.nodes.values():
             client = node.peer_client
-            client.exchange = self._exchange  # type: ignore[method-assign]
+            client.exchange = functools.partial(  # type: ignore[method-assign]
+                self._exchange, node
+            )
 
     async def _exchange(
         self,
+        sender: Node,
         address: Address,
         request: Request,
         handler: ResponseHandler,
@@ -85,11 +97,18 @@
     ) -> None:
         await asyncio.sleep(_NETWORK_S)
         node: Node = self._fleet.find_vm(address)
+        if node.settings.name in self.portless:
+            raise find_module(sender, 'web.client').NotSentError('refused')
+        headers = HTTPHeaders(request.headers)
+        if node.settings.name in self.shortened:
+            fields = json.loads(headers[_CALL_HEADER])
+            headers[_CALL_HEADER] = json.dumps(fields[:-1])
         port = self._handlers[node.settings.name]
-        incoming = IncomingRequest(
+        build = find_module(node, 'gateway.call')
+        incoming = build.IncomingRequest(
             request.method,
             request.path,
-            HTTPHeaders(request.headers),
+            headers,
             request.body,
             self._loop.time(),
         )
@@ -98,7 +117,7 @@
             call = port.admit(incoming)
             self.received[node.settings.name] += 1
             await port.run(call, writer)
-        except Refusal as refusal:
+        except build.Refusal as refusal:
             headers = port.make_refusal_headers('', refusal)
             await writer.send(refusal.status, headers, b'{}')
 
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -8,15 +8,12 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from lentilrun.gateway.call import IncomingRequest
-from lentilrun.gateway.call import Refusal
 from lentilrun.standins.configuration import HOST
 from lentilrun.standins.configuration import KEY
 from lentilrun.standins.configuration import MODEL
 from lentilrun.standins.configuration import RESUMABLE_PATH
 from lentilrun.standins.configuration import SAFE_PATH
-from lentilrun.web.client import InterruptedExchangeError
-from lentilrun.web.client import NotSentError
+from productionbuild import find_module
 from tornado.httputil import HTTPHeaders
 
 if TYPE_CHECKING:
@@ -114,7 +111,7 @@
     ) -> None:
         vm = node.settings.name
         if await self._is_cut_off(node):
-            raise NotSentError('no connection')
+            raise find_module(node, 'web.client').NotSentError('no connection')
         target = self._fleet.targets_by_port[address.port]
         await asyncio.sleep(_NETWORK_S)
         arrival = Arrival(self._loop.time(), vm, target)
@@ -132,7 +129,8 @@
         finally:
             self._in_flight[target] -= 1
         if target in self.broken:
-            raise InterruptedExchangeError('reset')
+            client = find_module(node, 'web.client')
+            raise client.InterruptedExchangeError('reset')
         headers = self._make_headers(target, request)
         await asyncio.sleep(_NETWORK_S)
         handler.receive_head(200, headers)
@@ -225,12 +223,13 @@
             headers['X-Model'] = MODEL
             headers['X-Token-Usage'] = '700,20'
             headers['X-Prefix-Hash'] = 'aa:500,bb:200'
-        incoming = IncomingRequest('GET', path, headers, b'', now)
+        build = find_module(node, 'gateway.call')
+        incoming = build.IncomingRequest('GET', path, headers, b'', now)
         status, retry_after = 0, 0.0
         try:
             call = node.admission.admit(incoming)
             await node.dispatcher.run(call, _Writer())
-        except Refusal as refusal:
+        except build.Refusal as refusal:
             status = refusal.status
             retry_after = refusal.retry_after or 0.0
         ended_at = self._loop.time()
--- a/tests/gateway/productionbuild.py
+++ b/tests/gateway/productionbuild.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from types import ModuleType
 
+    from lentilrun.gateway.node import Node
+
 _ROOT = pathlib.Path(__file__).parent.parent.parent
 _SAMPLES = pathlib.Path(__file__).parent / 'samples'
 _SCRIPT = pathlib.Path(__file__).parent / 'buildsamples.py'
@@ -92,8 +94,15 @@
     return importlib.import_module(f'{_ALIAS}.{module}')
 
 
+def find_module(node: Node, module: str) -> ModuleType:
+    """Return a module of the build that a VM runs."""
+    package = type(node).__module__.partition('.')[0]
+    return importlib.import_module(f'{package}.{module}')
+
+
 __all__ = [
     'find_commit',
+    'find_module',
     'import_production',
     'read_samples',
     'require_sources',
