Wait for a lease that can't be read, and let fencing tokens go on

What happens: a lease row that can't be read counted as no lease. The next VM with work took it at once, beside a holder whose row it could not read, and its fencing token began at 1 again, below those that engines have seen.

Cause: what is missing in the row was taken as "nothing is held".

Change: such a row counts as a lease of another VM from when this VM first saw it; the token grows from the newest that this VM knows. A VM that has seen no readable lease still begins at the first token of the era (design/builds.md).

--- a/src/lentilrun/gateway/orderlease.py
+++ b/src/lentilrun/gateway/orderlease.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
+    from ..platform.rows import Row
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
@@ -52,7 +53,8 @@
 
     When the store was restored from an older copy, the newest lease may be
     lost: it is acquired only after the longest time that it may have been
-    held, and fencing tokens grow with the era.
+    held, and fencing tokens grow with the era. A lease that can't be read is
+    taken for one of another VM that was acquired as it was first seen.
     """
 
     def __init__(
@@ -77,6 +79,10 @@
         self._row = _NO_LEASE
         self._row_version = 0
         self._held_until = float('-inf')
+        self._newest_fence = 0
+        # The version of the row that can't be read, and when it ends.
+        self._unreadable_version = 0
+        self._unreadable_until = 0.0
         # Called with the rows of the lease's table, each time they are read.
         self.on_read: list[Callable[[Rows], None]] = []
 
@@ -159,6 +165,15 @@
                 self._row = _decoder.decode(row.value)
             except msgspec.MsgspecError as error:
                 self._log.write('row_unreadable', key=row.key, error=error)
+                self._row = self._assume_lease(row, table_rows.store_time)
+            self._newest_fence = max(self._newest_fence, self._row.fence)
+
+    def _assume_lease(self, row: Row, store_time: float) -> _LeaseRow:
+        """Return the lease that a row which can't be read may hold."""
+        if row.version != self._unreadable_version:
+            self._unreadable_version = row.version
+            self._unreadable_until = store_time + _LEASE_S
+        return _LeaseRow('', self._newest_fence, self._unreadable_until)
 
     async def _write(
         self, row: _LeaseRow, store_time: float, sent_at: float
@@ -176,6 +191,7 @@
             self._held_until = float('-inf')
             raise
         self._row = lease
+        self._newest_fence = max(self._newest_fence, fence)
         self._row_version = written.store_version
         self._held_until = sent_at + _LEASE_S
         if is_new:
