--- a/tests/gateway/modelledforwards.py
+++ b/tests/gateway/modelledforwards.py
@@ -30,12 +30,16 @@
         self._handler = handler
 
     async def begin(
-        self, status: int, headers: HTTPHeaders, data: bytes
+        self, status: int, headers: HTTPHeaders, data: bytes = b''
     ) -> None:
-        """Pass on the head of a streamed response and its first data."""
+        """Pass on the head of a streamed response and its first data.
+
+        The build in production passes on its data afterwards.
+        """
         headers['Transfer-Encoding'] = 'chunked'
         self._handler.receive_head(status, headers)
-        await self.write(data)
+        if data:
+            await self.write(data)
 
     async def write(self, data: bytes) -> None:
         """Pass on data of a streamed response."""
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -173,7 +173,7 @@
     """Receives the response to a call; implements ``ResponseWriter``."""
 
     async def begin(
-        self, status: int, headers: HTTPHeaders, data: bytes
+        self, status: int, headers: HTTPHeaders, data: bytes = b''
     ) -> None:
         """Receive the head of a streamed response and its first data."""
 
