Wait for the VM's own stage in a test of final stages

test_final_state_never_changes failed once in a whole run: the row of the status is there before the response to its write, with which the VM's stage changes. The test now waits for the stage as well; what it checks is unchanged.

--- a/tests/gateway/test_rollout_nodes.py
+++ b/tests/gateway/test_rollout_nodes.py
@@ -10,6 +10,7 @@
 
 from deployments import BOUNDS
 from deployments import Deployment
+from deployments import wait_until
 from lentilrun.decisions import topology
 from lentilrun.gateway.node import Node
 from lentilrun.gateway import peers
@@ -283,6 +284,8 @@
             )
             rollouts = nodes[0].rollouts
             rollout = rollouts.by_service['app']
+            # The VM learns of its own write a little later.
+            await wait_until(lambda: rollout.stage is Stage.ROLLED_BACK)
             for stage in (Stage.CANARY, Stage.RAMP, Stage.COMPLETED):
                 rollouts.set_stage(rollout, stage, '')
             assert rollout.stage is Stage.ROLLED_BACK
