--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -17,6 +17,7 @@
 from .attemptlog import write_attempt
 from .attemptoutcome import AttemptOutcome
 from .attemptoutcome import ENDED_BY_ROUTER
+from .attemptstatements import AttemptStatements
 from .crashes import list_suspects
 from .exchange import CallerPatience
 from .exchange import choose_ack_timeout
@@ -24,7 +25,6 @@
 from .exchange import run_exchange
 from .loads import LoadReservation
 from .messages import PrefillReport
-from .ratelimits import StatedLimits
 from .recent import Origin
 from .relay import ResponseReceiver
 from .streammoves import StreamMove
@@ -39,7 +39,6 @@
     from ..decisions.facts import Target
     from ..decisions.quarantine import Suspect
     from ..decisions.streamorder import StreamProgress
-    from ..platform.dialect import ResponseHead
     from .call import Call
     from .call import ResponseWriter
     from .choice import Assignment
@@ -118,7 +117,9 @@
             self._record_first_event,
             expects_body=call.incoming.method != 'HEAD',
         )
-        self._receiver.on_head = self._record_statements
+        self._receiver.on_head = AttemptStatements(
+            context, call.request_id, assignment.state
+        ).record
         self._receiver.on_data = context.reachability.record_data
         self._patience = CallerPatience(
             call, context.clock, progress, self._receiver
@@ -321,48 +322,6 @@
         stored_segments.record_save(assignment.salt, prompt)
         return store.address
 
-    def _record_statements(self, head: ResponseHead) -> None:
-        """Record what the target states of itself, or no longer states.
-
-        Responses of others don't count.
-        """
-        incarnation = self._assignment.state.target.incarnation
-        is_of_target = head.incarnation == incarnation or not (
-            head.incarnation or head.misdirected
-        )
-        if not is_of_target:
-            return
-        if head.is_leaving:
-            self._record_leaving()
-        if head.misdirected:
-            return
-        if head.not_run and head.rest:
-            self._record_rest(head.rest)
-        stated = StatedLimits(head.rate_limit, head.rejection_limit)
-        self._context.rate_limits.record_response(
-            self._assignment.state, stated, self.started_at, head.is_signed
-        )
-
-    def _record_leaving(self) -> None:
-        context = self._context
-        incarnation = self._assignment.state.target.incarnation
-        if context.targets.record_leaving(incarnation):
-            context.peers.request_send()
-            context.log.write(
-                'target_leaving', id=self._call.request_id, target=incarnation
-            )
-
-    def _record_rest(self, seconds: float) -> None:
-        context = self._context
-        target = self._assignment.state
-        target.statements.record_rest(context.clock.now(), seconds)
-        context.log.write(
-            'target_rests',
-            id=self._call.request_id,
-            target=target.target.incarnation,
-            seconds=seconds,
-        )
-
     def _record_outcome(self, outcome: AttemptOutcome) -> None:
         receiver = self._receiver
         targets = self._context.targets
--- a/src/lentilrun/gateway/responseends.py
+++ b/src/lentilrun/gateway/responseends.py
@@ -72,7 +72,9 @@
             report = await engines.read_report(
                 self._client, state.target, _REPORT_TIMEOUT_S
             )
-        except PlatformError:
+        except PlatformError as error:
+            name = state.target.incarnation
+            self._log.write('report_unread', target=name, error=error)
             return False
         if not report.started_at_ms or not state.target.started_at_ms:
             return True
