--- a/tests/e2e/test_keys.py
+++ b/tests/e2e/test_keys.py
@@ -20,14 +20,14 @@
 
 async def _run(folder: pathlib.Path) -> None:
     async with FleetProcesses(folder, vms=3, targets=2) as fleet:
-        # A file is applied by the VMs that have joined.
-        await fleet.wait_until_settled()
         await fleet.apply(
             fleet.make_declaration(
                 '[route jepara]\npath = /jepara/*\nmodel = stock\n'
                 'idempotent = yes\nworkspaces = jepara\n'
             )
         )
+        # VMs that have not joined yet apply the file later.
+        await fleet.wait_until_settled()
         await _check_refusals(fleet)
         await _check_keys_hidden(fleet, folder)
         await _check_withdrawal(fleet)
