State the start of a replica in the soak's reports

The VM was paused for 2.0 s; meanwhile the replica, which sent neither a length nor chunks, was killed and started again under its ID after 0.4 s. The VM then asked whether the replica still runs (`stream_end`, `running` true in 14 ms).

The cause is the stand-in: its row has `born`, its report has not, and without it the router can't tell two starts apart. Ruled out: the older build (the VM's log line `started` names the new one's digest before the request) and a forwarded call (the attempt is in the VM's own log, by its own connection).

Reports of replicas that are processes now state the same start as their row. The test failed before (no `born` in the report) and passes now.

--- a/soak/replicaprocesses.py
+++ b/soak/replicaprocesses.py
@@ -127,6 +127,7 @@
             self._level,
             str(self._runs_path),
             str(self._folder / 'forms'),
+            self._starts,
         )
         programs = self._folder.parent
         paths = [str(programs / 'src'), str(programs)]
--- a/soak/replicaprogram.py
+++ b/soak/replicaprogram.py
@@ -34,6 +34,7 @@
     level: FaultLevel
     runs: str
     forms: str
+    born: int
 
 
 def _open(path: str) -> int:
@@ -57,7 +58,9 @@
 
 
 async def _serve(settings: ProgramSettings) -> None:
-    state = ReplicaState(settings.incarnation, settings.versions)
+    state = ReplicaState(
+        settings.incarnation, settings.versions, settings.born
+    )
     state.plan.echoes_request_id = True
     records = _Records(settings)
     state.record_run = records.record_run
--- a/src/lentilrun/standins/replica.py
+++ b/src/lentilrun/standins/replica.py
@@ -99,10 +99,17 @@
 
     ``record_run`` is called before a request is answered. If there is a
     ``stream_responder``, it sends the events of streams; the handler that it
-    gets has the headers set.
+    gets has the headers set. Reports state the start time ``born`` in
+    milliseconds, as the row does, or nothing.
     """
 
-    def __init__(self, incarnation: str, models: dict[str, int]) -> None:
+    def __init__(
+        self,
+        incarnation: str,
+        models: dict[str, int],
+        born: int | None = None,
+    ) -> None:
+        self.born = born
         self.incarnation = incarnation
         self.versions = dict(models)
         self.is_busy = False
@@ -208,6 +215,7 @@
                     'models': models,
                     'busy': self.state.is_busy,
                     'sequence': len(self.state.orders),
+                    'born': self.state.born,
                 }
             )
         )
--- a/tests/soak/test_replicaprocesses.py
+++ b/tests/soak/test_replicaprocesses.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 
+import msgspec
 import pytest
 from soak.deployment import copy_programs
 from soak.deployment import Deployment
@@ -67,3 +68,37 @@
     path = tmp_path / 'runs'
     path.write_bytes(content)
     assert read_runs(path, 0) == (lines, end)
+
+
+async def _read_start(process: ReplicaProcess) -> int:
+    """Return the start that a replica states in its report."""
+    reader, writer = await asyncio.open_connection(LOOPBACK, process.port)
+    writer.write(b'GET /lentilrun/report HTTP/1.1\r\nConnection: close\r\n')
+    writer.write(b'Host: example\r\n\r\n')
+    response = await reader.read(-1)
+    writer.close()
+    report = msgspec.json.decode(response.partition(b'\r\n\r\n')[2])
+    return report['born']
+
+
+def test_report_tells_starts_of_one_id_apart(tmp_path: pathlib.Path) -> None:
+    """A replica that starts again under its ID states another start.
+
+    As its row does; without it, a VM that was paused meanwhile takes the end
+    of the killed process for the end of the stream (seed 1001 of an upgrade).
+    """
+    copy_programs(tmp_path)
+    folder = tmp_path / '1'
+    folder.mkdir()
+
+    async def run_test() -> None:
+        async with Deployment(folder, 0, 1) as deployment:
+            (process,) = deployment.processes
+            assert await _read_start(process) == 1
+            process.send_signal(signal.SIGKILL)
+            assert process.process is not None
+            await process.process.wait()
+            await process.start(is_new=False)
+            assert await _read_start(process) == 2
+
+    asyncio.run(run_test())
