--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,7 +28,7 @@
     from .deployment import Deployment
     from .deployment import VmProcess
 
-_DEADLINE_S = 2.5
+DEADLINE_S = 2.5
 # Longer than the deadline that a request states.
 _CLIENT_TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 1.0
@@ -170,7 +170,7 @@
         f'POST {path} HTTP/1.1',
         f'Host: {HOST}',
         f'X-Request-Id: {request_id}',
-        f'X-Deadline-Ms: {int(_DEADLINE_S * 1e3)}',
+        f'X-Deadline-Ms: {int(DEADLINE_S * 1e3)}',
         f'Api-Key: {key}',
         'X-Tenant-Id: forged',
         f'Content-Length: {len(request_id)}',
@@ -259,4 +259,10 @@
                 )
 
 
-__all__ = ['Caller', 'CallerPool', 'RequestOutcome', 'RequestRecord']
+__all__ = [
+    'Caller',
+    'CallerPool',
+    'DEADLINE_S',
+    'RequestOutcome',
+    'RequestRecord',
+]
--- a/soak/invariants.py
+++ b/soak/invariants.py
@@ -11,6 +11,7 @@
 from lentilrun.standins.configuration import SAFE_PATH
 from lentilrun.standins.configuration import UNSAFE_PATH
 
+from .callers import DEADLINE_S
 from .callers import RequestOutcome
 from .eventstreams import read_length
 from .replicaprocesses import NON_RESUMABLE_PREFIX
@@ -132,7 +133,10 @@
     vm: str,
     since: float,
 ) -> Iterator[Violation]:
-    """Yield requests that ran, but got no complete response from ``vm``."""
+    """Yield requests that ran, but got no complete response from ``vm``.
+
+    A stream may be broken off at its caller's deadline.
+    """
     ran = {r.request_id for r in runs}
     for record in records:
         is_aborted = record.outcome in (
@@ -143,6 +147,7 @@
             record.outcome is RequestOutcome.ANSWERED
             and record.status == 200
             and not record.is_complete
+            and record.ended_at - record.sent_at < DEADLINE_S
         )
         if record.vm != vm or record.ended_at < since or not is_aborted:
             continue
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -169,6 +169,8 @@
             False,
         ),
         (_STREAM._replace(is_complete=False), True),
+        (_STREAM._replace(is_complete=False, ended_at=12.49), True),
+        (_STREAM._replace(is_complete=False, ended_at=12.5), False),
         (
             _STREAM._replace(
                 is_complete=False, outcome=RequestOutcome.ABANDONED
