Let the soak's targets show each event that they leave out, and name starts

They now leave out an event with another one after it. Runs are named after the start too. No check of the soak is changed.

--- a/soak/eventstreams.py
+++ b/soak/eventstreams.py
@@ -149,15 +149,22 @@
     return fault
 
 
+def _leave_out(numbers: list[int], at: int) -> list[int]:
+    """Leave an event out, but not the last: no later one would show it."""
+    if at + 1 >= len(numbers):
+        return numbers
+    return numbers[:at] + numbers[at + 1 :]
+
+
 def list_numbers(form: StreamForm) -> list[int]:
     """Return the numbers of the events that a run sends, in their order."""
     first = 1 if form.fault.startswith(StreamFault.ANEW) else form.first
     numbers = list(range(first, form.last + 1))
     at = form.fault_after
     if form.fault is StreamFault.AHEAD:
-        return numbers[1:]
+        return _leave_out(numbers, 0)
     if form.fault in (StreamFault.GAP, StreamFault.ANEW_WITH_GAP):
-        return numbers[:at] + numbers[at + 1 :]
+        return _leave_out(numbers, at)
     if form.fault is StreamFault.TWICE:
         return numbers[:at] + numbers[max(0, at - 1) :]
     if form.fault is StreamFault.BACK:
@@ -239,7 +246,7 @@
         headers = handler.request.headers
         form = draw_form(
             self._rng,
-            f'{self._state.incarnation}.{self._count}',
+            f'{self._state.incarnation}.{self._state.born}.{self._count}',
             int(headers.get('Last-Event-Id', '0')) + 1,
             read_length(handler.request.path),
             self.level,
