Decode the header of a forwarded call once

Each forwarded call's header was decoded three times: as an array, as a call to ask whether another build wrote it, and as a call to take it. It is decoded once now; only what fails is looked at again. No change of behaviour, but for the error in the log line forwarded_call_unreadable. tests/gateway/ test_forwarded_calls.py, test_builds.py and test_mixed_builds.py pass as they were.

--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from ..errors import LentilrunError
 from ..platform import dialect
 from ..records import PositionalRecord
 from ..web.client import Request
@@ -68,6 +69,10 @@
     is_continued: bool
 
 
+class UnknownFormError(LentilrunError):
+    """A VM states a call in a form that this build does not know."""
+
+
 class HelperRefusal(NamedTuple):
     """A refusal of the helper itself; ``retry_after`` in seconds."""
 
@@ -94,28 +99,27 @@
 
 
 def take_forwarded_call(headers: HTTPHeaders) -> ForwardedCall | None:
-    """Remove what a VM states of a call; return it if it is readable."""
+    """Remove what a VM states of a call; return it if it is readable.
+
+    Raises ``UnknownFormError`` if a VM of another build seems to state it.
+    """
     text = headers.pop(_CALL_HEADER, None)
     if text is None:
         return None
     try:
         return _decoder.decode(text)
-    except msgspec.MsgspecError:
+    except msgspec.MsgspecError as error:
+        if _is_array(text):
+            raise UnknownFormError(str(error)) from error
         return None
 
 
-def is_of_another_build(headers: HTTPHeaders) -> bool:
-    """Return whether a VM states a call in a form that is not known here."""
-    text = headers.get(_CALL_HEADER, '')
+def _is_array(text: str) -> bool:
     try:
         _array_decoder.decode(text)
     except msgspec.MsgspecError:
         return False
-    try:
-        _decoder.decode(text)
-    except msgspec.MsgspecError:
-        return True
-    return False
+    return True
 
 
 def mark_refusal(headers: HTTPHeaders, reason: Reason) -> None:
@@ -243,7 +247,7 @@
     'ForwardedCall',
     'ForwardResult',
     'HelperRefusal',
-    'is_of_another_build',
     'mark_refusal',
     'take_forwarded_call',
+    'UnknownFormError',
 ]
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -6,9 +6,9 @@
 
 from .call import Reason
 from .call import Refusal
-from .forwarding import is_of_another_build
 from .forwarding import mark_refusal
 from .forwarding import take_forwarded_call
+from .forwarding import UnknownFormError
 from .server import CallHandler
 
 if TYPE_CHECKING:
@@ -54,11 +54,14 @@
 
         The VM that forwards it is not believed that it is.
         """
-        if is_of_another_build(incoming.headers):
-            self._log.write('forwarded_call_unreadable')
+        try:
+            stated = take_forwarded_call(incoming.headers)
+        except UnknownFormError as error:
+            self._log.write('forwarded_call_unreadable', error=error)
             # A reason for which all builds ask another VM.
-            raise Refusal(_UNAVAILABLE, Reason.NOT_CONFIGURED, _RETRY_AFTER_S)
-        stated = take_forwarded_call(incoming.headers)
+            raise Refusal(
+                _UNAVAILABLE, Reason.NOT_CONFIGURED, _RETRY_AFTER_S
+            ) from error
         if stated is None:
             raise Refusal(_BAD_REQUEST, Reason.BAD_REQUEST)
         if self._open >= self._max_open:
