Find the numbers of events in one place

The product's own entrance had patterns of its own for numbers and data of events, beside those of web/eventstream.py, which were written at the same time. It uses these now, which in turn allow for tabs around a number, as the other ones did. An event whose line is 'data' without a colon counts as one with data there too. The two orders of events stay apart: the entrance's streams end with an event of their own and may be repeated differently.

--- a/src/lentilrun/entry/eventorder.py
+++ b/src/lentilrun/entry/eventorder.py
@@ -11,13 +11,11 @@
 import re
 from typing import NamedTuple
 
+from ..web.eventstream import find_event_ids
+from ..web.eventstream import has_data
 from ..web.eventstream import split_events
 
-_LINE_START = rb'(?:\A|[\r\n])'
-_LINE_END = rb'[ \t]*(?=[\r\n]|\Z)'
-_NUMBER = re.compile(_LINE_START + rb'id:[ \t]*(\d{1,18})' + _LINE_END)
-_DATA = re.compile(_LINE_START + rb'data:')
-_DONE = re.compile(_LINE_START + rb'data: ?\[DONE\]' + _LINE_END)
+_DONE = re.compile(rb'(?:\A|[\r\n])data: ?\[DONE\][ \t]*(?=[\r\n]|\Z)')
 
 
 def is_last(event: bytes) -> bool:
@@ -26,8 +24,8 @@
 
 
 def _find_number(event: bytes) -> int | None:
-    match = _NUMBER.search(event)
-    return None if match is None else int(match[1])
+    ids = find_event_ids(event)
+    return ids[0] if ids else None
 
 
 class NewEvents(NamedTuple):
@@ -109,7 +107,7 @@
             return _Verdict.GAP if is_too_soon else _Verdict.NEW
         if self._place is _Place.BEFORE_LAST:
             return _Verdict.REPEATED
-        return _Verdict.GAP if _DATA.search(event) else _Verdict.NEW
+        return _Verdict.GAP if has_data(event) else _Verdict.NEW
 
 
 __all__ = ['EventOrder', 'is_last', 'NewEvents']
--- a/src/lentilrun/web/eventstream.py
+++ b/src/lentilrun/web/eventstream.py
@@ -13,7 +13,7 @@
 # Blank lines that follow an event belong to it.
 _EVENT = re.compile(rb'.*?(?:\n(?:\r?\n)+|\r\r[\r\n]*)', re.DOTALL)
 # A field begins its line; literals come first, as that is searched fastest.
-_EVENT_ID = re.compile(rb'id:(?<![^\r\n]id:) *(\d{1,18}) *(?=[\r\n])')
+_EVENT_ID = re.compile(rb'id:(?<![^\r\n]id:)[ \t]*(\d{1,18})[ \t]*(?=[\r\n])')
 _DATA = re.compile(rb'data(?<![^\r\n]data)(?=[:\r\n])')
 _LINE_ENDS = b'\r\n'
 
