Give the remaining timer and twin checks their one piece of code

AttemptWatch held the lines of gateway/timers.py; the reader of versions and the check of a response's end asked the same two questions of a target before a request for its report (TargetStatements.may_ask); two methods of the client opened and kept a connection in the same way. No change of behaviour.

--- a/src/lentilrun/gateway/attemptwatch.py
+++ b/src/lentilrun/gateway/attemptwatch.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
 from ..decisions.rolloutverdict import compute_level
@@ -10,6 +9,7 @@
 from ..decisions.rolloutverdict import NO_LEVEL
 from ..decisions.rolloutverdict import Outcome
 from .attemptoutcome import AttemptOutcome
+from .timers import Timer
 
 if TYPE_CHECKING:
     from types import TracebackType
@@ -48,14 +48,13 @@
         self._expected = assignment.choice.expected_time
         self._attempt = attempt
         self._number = rollouts.reporter.next_number()
-        self._timer: asyncio.TimerHandle | None = None
+        self._timer = Timer(self._report_overdue)
 
     def __enter__(self) -> AttemptWatch:
         self._rollouts.record_sent(self._state, self._route)
         if self._rollouts.is_trial_target(self._state):
-            delay = max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * self._expected)
-            self._timer = asyncio.get_running_loop().call_later(
-                delay, self._report_overdue
+            self._timer.start(
+                max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * self._expected)
             )
         return self
 
@@ -113,8 +112,7 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
+        self._timer.cancel()
 
 
 def _find_fate(result: AttemptResult) -> Fate | None:
--- a/src/lentilrun/gateway/responseends.py
+++ b/src/lentilrun/gateway/responseends.py
@@ -61,9 +61,7 @@
         """Return whether a target has a report and takes a request now."""
         if not state.target.weights_versions:
             return False
-        if state.statements.is_resting(self._clock.now()):
-            return False
-        return state.rate_limit.has_turn()
+        return state.statements.may_ask(self._clock.now())
 
     async def _read_report(self, state: TargetState) -> bool:
         """Return whether the same start of the target sends its report."""
--- a/src/lentilrun/gateway/statements.py
+++ b/src/lentilrun/gateway/statements.py
@@ -51,6 +51,10 @@
         """Return whether this VM is to send the target nothing now."""
         return self.rest_until > now
 
+    def may_ask(self, now: float) -> bool:
+        """Return whether this VM may send a request that needs no slot."""
+        return not self.is_resting(now) and self.rate_limit.has_turn()
+
 
 class StatementBook:
     """The statements of all targets, by their start."""
--- a/src/lentilrun/gateway/versionreader.py
+++ b/src/lentilrun/gateway/versionreader.py
@@ -63,10 +63,7 @@
 
     async def _wait_for_turn(self, state: TargetState) -> None:
         """Wait until the target takes a request; it gets no others."""
-        while (
-            state.statements.is_resting(self._clock.now())
-            or not state.rate_limit.has_turn()
-        ):
+        while not state.statements.may_ask(self._clock.now()):
             state.blocked_until = self._clock.now() + _READ_TIMEOUT_S
             await asyncio.sleep(_TURN_CHECK_S)
         state.rate_limit.record_sent()
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -442,21 +442,24 @@
     async def open_idle(self, address: Address) -> bool:
         """Open a connection and keep it; return whether it was made."""
         try:
-            stream = await self._connect(address, self._connect_timeout)
+            await self._add_unused(address)
         except NotSentError:
             return False
-        self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
         return True
 
     async def is_refused(self, address: Address) -> bool:
         """Return whether a server refuses connections; keep one if not."""
         try:
-            stream = await self._connect(address, self._connect_timeout)
+            await self._add_unused(address)
         except NotSentError as error:
             return _is_refusal(error.__cause__)
-        self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
         return False
 
+    async def _add_unused(self, address: Address) -> None:
+        """Open a connection and keep it; raises ``NotSentError``."""
+        stream = await self._connect(address, self._connect_timeout)
+        self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
+
     async def exchange(
         self,
         address: Address,
