--- a/src/lentilrun/gateway/build.py
+++ b/src/lentilrun/gateway/build.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import functools
-import os
 import pathlib
 from typing import TYPE_CHECKING
 import zlib
@@ -24,7 +23,6 @@
     'platform',
     'web',
 )
-_MAX_SOURCE_BYTES = 1 << 20
 
 # The versions of the formats that other processes read. A version grows
 # with each field that is added; see ``docs/design/builds.md``.
@@ -55,24 +53,13 @@
     """Return a digest of the daemon's sources, the same on all VMs."""
     digest = 0
     for path in _list_sources():
-        digest = zlib.crc32(_read_source(path), digest)
+        digest = zlib.crc32(path.read_bytes(), digest)
     return f'{digest:08x}'
 
 
-def _list_sources() -> Iterator[str]:
+def _list_sources() -> Iterator[pathlib.Path]:
     for part in _PARTS:
-        names = sorted(os.listdir(_PACKAGE / part))
-        for name in names:
-            if name.endswith('.py'):
-                yield f'{_PACKAGE}/{part}/{name}'
-
-
-def _read_source(path: str) -> bytes:
-    descriptor = os.open(path, os.O_RDONLY)
-    try:
-        return os.read(descriptor, _MAX_SOURCE_BYTES)
-    finally:
-        os.close(descriptor)
+        yield from sorted((_PACKAGE / part).glob('*.py'))
 
 
 def state_build() -> BuildStatement:
