Let the soak's callers share their requests and the heads of responses

The two kinds of callers each encoded requests, parsed heads and had a constant for the same deadline, on which a check relies. The bytes that they send are the same but for the order of the fields. Two tests of restarts share their start.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,6 +23,7 @@
 from .replicaprocesses import RESUMABLE_PREFIX
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from types import TracebackType
 
     from .deployment import Deployment
@@ -70,6 +71,13 @@
     first_event: int = 1
 
 
+class Head(NamedTuple):
+    """The head of a response; the names of ``headers`` are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+
+
 class _Response(NamedTuple):
     status: int
     headers: dict[str, str]
@@ -118,7 +126,9 @@
         try:
             async with asyncio.timeout(_CLIENT_TIMEOUT_S):
                 reader, writer = await self._connect()
-                writer.write(_encode_request(request_id, path, key))
+                writer.write(
+                    encode_request(request_id, path, key, _list_fields(path))
+                )
                 response = await _read_response(reader)
             outcome = RequestOutcome.ANSWERED
         except TimeoutError:
@@ -165,32 +175,45 @@
     return response.headers.get('connection', '').lower() != 'close'
 
 
-def _encode_request(request_id: str, path: str, key: str) -> bytes:
+def encode_request(
+    request_id: str, path: str, key: str, fields: Sequence[str]
+) -> bytes:
+    """Return a request with further header fields; its ID is its body."""
     lines = [
         f'POST {path} HTTP/1.1',
         f'Host: {HOST}',
         f'X-Request-Id: {request_id}',
         f'X-Deadline-Ms: {int(DEADLINE_S * 1e3)}',
         f'Api-Key: {key}',
-        'X-Tenant-Id: forged',
         f'Content-Length: {len(request_id)}',
+        *fields,
     ]
-    is_far = path.startswith((RESUMABLE_PREFIX, NON_RESUMABLE_PREFIX))
-    if is_far or path in (RESUMABLE_PATH, NON_RESUMABLE_PATH):
-        lines.append(f'X-Model: {PROCESS_MODEL if is_far else MODEL}')
-        lines.append(f'X-Token-Usage: {_TOKEN_USAGE}')
-        lines.append(f'X-Prefix-Hash: {_PREFIX_HASHES}')
     return ('\r\n'.join(lines) + '\r\n\r\n' + request_id).encode()
 
 
-async def _read_response(reader: asyncio.StreamReader) -> _Response:
-    head = (await reader.readuntil(b'\r\n\r\n')).decode('latin-1')
-    line, *fields = head.strip().split('\r\n')
+def parse_head(head: bytes) -> Head:
+    """Return the status and headers of a response."""
+    line, *lines = head.decode('latin-1').strip().split('\r\n')
     headers = {}
-    for field in fields:
-        name, _, value = field.partition(':')
+    for text in lines:
+        name, _, value = text.partition(':')
         headers[name.lower()] = value.strip()
-    status = int(line.split()[1])
+    return Head(int(line.split()[1]), headers)
+
+
+def _list_fields(path: str) -> list[str]:
+    """Return the header fields of a request beside those of all."""
+    fields = ['X-Tenant-Id: forged']
+    is_far = path.startswith((RESUMABLE_PREFIX, NON_RESUMABLE_PREFIX))
+    if is_far or path in (RESUMABLE_PATH, NON_RESUMABLE_PATH):
+        fields.append(f'X-Model: {PROCESS_MODEL if is_far else MODEL}')
+        fields.append(f'X-Token-Usage: {_TOKEN_USAGE}')
+        fields.append(f'X-Prefix-Hash: {_PREFIX_HASHES}')
+    return fields
+
+
+async def _read_response(reader: asyncio.StreamReader) -> _Response:
+    status, headers = parse_head(await reader.readuntil(b'\r\n\r\n'))
     if 'content-length' in headers:
         body = await reader.readexactly(int(headers['content-length']))
         return _Response(status, headers, body, True)
@@ -263,6 +286,9 @@
     'Caller',
     'CallerPool',
     'DEADLINE_S',
+    'encode_request',
+    'Head',
+    'parse_head',
     'RequestOutcome',
     'RequestRecord',
 ]
--- a/soak/streamcallers.py
+++ b/soak/streamcallers.py
@@ -9,9 +9,10 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from lentilrun.standins.configuration import HOST
 from lentilrun.standins.configuration import KEY
 
+from .callers import encode_request
+from .callers import parse_head
 from .callers import RequestOutcome
 from .callers import RequestRecord
 from .proxy import LOOPBACK
@@ -27,7 +28,6 @@
     from .deployment import Deployment
     from .deployment import VmProcess
 
-_DEADLINE_MS = 2500
 _TIMEOUT_S = 4.0
 _CONNECT_TIMEOUT_S = 1.0
 _REQUEST_INTERVAL_S = 0.03
@@ -72,18 +72,14 @@
     head, end, rest = received.partition(b'\r\n\r\n')
     if not end:
         return _Reply(0, '', b'', False, False)
-    line, *fields = head.decode('latin-1').split('\r\n')
-    headers = {}
-    for field in fields:
-        name, _, value = field.partition(':')
-        headers[name.lower()] = value.strip()
+    status, headers = parse_head(head)
     body, is_complete = rest, False
     if headers.get('transfer-encoding') == 'chunked':
         body, is_complete = _decode_chunks(rest)
     elif 'content-length' in headers:
         is_complete = len(rest) >= int(headers['content-length'])
     return _Reply(
-        int(line.split()[1]),
+        status,
         headers.get('x-request-id', ''),
         body,
         is_complete,
@@ -262,20 +258,14 @@
 
 def _encode_request(request_id: str, path: str, last_event: int) -> bytes:
     segment = path.rpartition('/')[2].partition('-')[0]
-    lines = [
-        f'POST {path} HTTP/1.1',
-        f'Host: {HOST}',
-        f'X-Request-Id: {request_id}',
-        f'X-Deadline-Ms: {_DEADLINE_MS}',
-        f'Api-Key: {KEY}',
-        f'Content-Length: {len(request_id)}',
+    fields = [
         f'X-Model: {PROCESS_MODEL}',
         'X-Token-Usage: 100,60',
         f'X-Prefix-Hash: {segment}:100',
     ]
     if last_event:
-        lines.append(f'Last-Event-Id: {last_event}')
-    return ('\r\n'.join(lines) + '\r\n\r\n' + request_id).encode()
+        fields.append(f'Last-Event-Id: {last_event}')
+    return encode_request(request_id, path, KEY, fields)
 
 
 class StreamCallerPool:
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -88,6 +88,14 @@
     timeloop.run(main)
 
 
+async def _start_one_by_one(fleet: ModelledFleet, pause: float) -> None:
+    """Start all VMs, with a pause between them; let them find each other."""
+    for name in list(fleet.nodes):
+        fleet.start(name)
+        await asyncio.sleep(pause)
+    await asyncio.sleep(1.2)
+
+
 @pytest.mark.parametrize('pause', [0.0003, 0.0007, 0.0011, 0.0033])
 def test_all_use_counts_as_vms_start_one_after_the_other(
     pause: float, monkeypatch: pytest.MonkeyPatch
@@ -96,10 +104,7 @@
 
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
-            for name in list(fleet.nodes):
-                fleet.start(name)
-                await asyncio.sleep(pause)
-            await asyncio.sleep(1.2)
+            await _start_one_by_one(fleet, pause)
             used = await _use_quota(fleet, 4.5)
             await asyncio.sleep(1.0)
             assert min(_list_used(fleet)) >= used
@@ -145,10 +150,7 @@
 
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
-            for name in list(fleet.nodes):
-                fleet.start(name)
-                await asyncio.sleep(pause)
-            await asyncio.sleep(1.2)
+            await _start_one_by_one(fleet, pause)
             window = fleet.nodes['a000'].quotas._windows['workspace']
             share = _ASSUMED_SECONDS / BOUNDS.quota_window
             assumed = 0.5 * window.entitlement() * share
