--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -6,6 +6,7 @@
 import contextlib
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -178,12 +179,21 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def play_in_time() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(_TIME_LIMIT_S):
             return await play(record, has_trouble)
 
     try:
         held = asyncio.run(play_in_time())
-    except (CannotRun, OSError, TimeoutError) as error:
+    except (
+        CannotRun,
+        OSError,
+        TimeoutError,
+        asyncio.CancelledError,
+    ) as error:
         record.say(f'the case could not run: {error!r}')
         sys.exit(NOT_RUN)
     record.say('the rule held' if held else 'the rule was broken')
