Let VMs state which ranges of changes they know, removals included

Cause: a VM told others the version of its newest row, in gossip and as previous_version of relayed rows, and they took it for the end of what the sender knew. A removed row leaves no row behind, so a process that has just read the whole table stated a version that all VMs had already; with the next change they moved on over the removal.

Ruled out: that the restarted readers know of the removal and don't pass it on (they have no row for it); that one restarted reader is enough (held where another reader lived on).

Related paths with the same cause: answers for changes within the range that a read of the whole table had passed over (410, restored store); parts of such answers; rows of one transaction in two datagrams; rows of builds that state nothing, which were taken as complete.

Why it works: KnownChanges holds the ranges that a VM knows. After a read of the whole table the last change may be as new as the read, and is stated so. A VM moves on only over a range that the sender knows wholly; else it asks, and if nobody can tell, it reads the store itself from where it was.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -12,6 +12,8 @@
 from ..platform.rows import Rows
 from ..platform.rowversions import find_era
 from .events import wait_for_event
+from .knownchanges import KnownChanges
+from .knownchanges import TableProgress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -90,10 +92,7 @@
         self._delayed_deletions: dict[str, Row] = {}
         # Rows of a copy that were deleted before, and when they are believed.
         self._revived: dict[str, tuple[float, Row]] = {}
-        # The store version up to which the changes are known, and the one
-        # since which none is missing, deletions included.
-        self._position = 0
-        self._complete_since: int | None = None
+        self._known = KnownChanges()
         self._needs_full_read = True
         self._retry_pause = _MIN_RETRY_PAUSE_S
         self._lost_since: float | None = None
@@ -111,8 +110,8 @@
         # this long ago, in seconds; 0 if they were read without a break.
         self.unread_for = 0.0
         self._newer_rows_reported = asyncio.Event()
-        # By the gossip of other VMs; this VM may not have that row yet.
-        self._reported_row_version = 0
+        # Of the newest change that other VMs know of; this VM may lack it.
+        self._reported_version = 0
         # Of the rows that this VM has.
         self.newest_row_version = 0
         # Whether other VMs relay rows to this one.
@@ -123,8 +122,8 @@
         self.call_delay: Callable[[], float] = lambda: 0.0
         # Requests the rows of a table after a version from other VMs.
         self.request_rows: Callable[[str, int], None] = lambda *_: None
-        # Called with the table, the version of the newest row before these,
-        # new rows, and whether they were read from the store.
+        # Called with the table, the version of the last change before these,
+        # all changes since, and whether they were read from the store.
         self.on_rows: list[Callable[[str, int, Rows, bool], None]] = []
         # Called each time that all rows of the table were read.
         self.on_full_read: list[Callable[[], None]] = []
@@ -139,22 +138,31 @@
         """Return whether the last call to the store failed."""
         return self._lost_since is not None
 
-    def newest_known_row_version(self) -> int:
-        """Return the version of the newest row that this VM knows of."""
-        return max(self.newest_row_version, self._reported_row_version)
+    def progress(self) -> TableProgress:
+        """Return what this VM knows of the changes of the table.
+
+        The newest change may be one that only other VMs have, so that a VM
+        that the store does not answer still reports it.
+        """
+        return TableProgress(
+            max(self._known.changed_version, self._reported_version),
+            self._known.complete_version,
+        )
 
     def list_changes(self, after: int) -> Rows | None:
         """Return the rows that changed after a version, oldest first.
 
         Return nothing if this VM does not have all of them.
         """
-        if self._needs_full_read or self._position < after:
-            return None
-        if self._complete_since is None or after < self._complete_since:
+        if self._needs_full_read or not self._known.covers(after):
             return None
         changed = [r for r in self._rows.values() if r.version > after]
         changed.sort(key=lambda r: r.version)
-        return Rows(tuple(changed), self._position, 0.0)
+        return Rows(tuple(changed), self._known.complete_version, 0.0)
+
+    def is_divisible(self, after: int) -> bool:
+        """Return whether the changes after a version can be sent in parts."""
+        return self._known.is_divisible(after)
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -178,7 +186,7 @@
     async def _step(self) -> None:
         if self._needs_full_read:
             table_rows = await self._store.read(self.table)
-            if table_rows.store_version < self._position:
+            if table_rows.store_version < self._known.complete_version:
                 # Rows that it lacks may have been written since.
                 raise PlatformError('a stale response')
             self._record_response(0.0)
@@ -207,7 +215,8 @@
 
     async def _follow_store(self, wait: float) -> None:
         self._called_at = self._clock.now()
-        changes = await self._store.follow(self.table, self._position, wait)
+        position = self._known.complete_version
+        changes = await self._store.follow(self.table, position, wait)
         self._record_response(_BATCH_PAUSE_S + wait + _MAX_FEED_LAG_S)
         self._apply_changes(changes, is_read=True)
         if changes.rows:
@@ -218,17 +227,28 @@
         since_call = self._clock.now() - self._called_at
         if self._lost_since is not None and since_call > _PROBE_INTERVAL_S:
             await self._follow_store(_SHORT_FEED_WAIT_S)
-        elif self.newest_known_row_version() <= self._position:
+        elif not self._is_behind():
             self._row_requests = 0
             await self._wait_for_report()
         elif self._row_requests < _MAX_ROW_REQUESTS:
             self._row_requests += 1
-            self.request_rows(self.table, self._position)
+            self.request_rows(self.table, self._known.complete_version)
             await asyncio.sleep(_RELAY_DELAY_S)
         else:
             self._row_requests = 0
+            self._log.write(
+                'changes_not_relayed',
+                table=self.table,
+                complete=self._known.complete_version,
+                newest=self._reported_version,
+            )
             await self._follow_store(_SHORT_FEED_WAIT_S)
 
+    def _is_behind(self) -> bool:
+        """Return whether there are changes that this VM may lack."""
+        newest = max(self.newest_row_version, self._reported_version)
+        return newest > self._known.complete_version
+
     async def _wait_for_report(self) -> None:
         """Wait until newer rows are reported, and for these to arrive."""
         self._newer_rows_reported.clear()
@@ -236,36 +256,62 @@
             await asyncio.sleep(_RELAY_DELAY_S)
 
     def apply_relayed(
-        self, previous_version: int, changes: Rows, unread_for: float = 0.0
+        self,
+        previous_version: int,
+        changes: Rows,
+        unread_for: float = 0.0,
+        is_complete: bool = True,
     ) -> None:
         """Apply rows that another VM has.
 
-        ``previous_version`` is that of the newest row that the other VM had
-        before, and ``unread_for`` what it recorded for these rows. If this
-        VM lacks rows up to that version, it requests them instead.
+        ``previous_version`` is that of the last change before, and
+        ``unread_for`` what the other VM recorded for these rows. If this VM
+        lacks changes up to that version, it requests them instead. Of a VM
+        that does not state which changes it knows, they may not be complete.
         """
-        if self._needs_full_read or previous_version > self._position:
+        if (
+            self._needs_full_read
+            or previous_version > self._known.complete_version
+        ):
             if changes.rows:
-                self.record_newest_row_version(
+                self.record_reported_version(
                     max(r.version for r in changes.rows)
                 )
             return
         self._record_relay()
         self.unread_for = unread_for
-        self._apply_changes(changes, is_read=False)
+        if is_complete:
+            self._apply_changes(changes, is_read=False)
+        else:
+            self._apply_single_rows(changes)
+
+    def _apply_single_rows(self, changes: Rows) -> None:
+        """Apply rows besides which there may be others."""
+        for row in changes.rows:
+            if find_era(row.version) == find_era(self._known.complete_version):
+                self._apply_row(row)
+                self.record_reported_version(row.version)
 
     def _apply_changes(self, changes: Rows, is_read: bool) -> None:
-        """Apply rows, and pass on those that are new.
+        """Apply all changes of a range, and pass on those that are new.
 
         Other VMs may have relayed some of them since the store was called.
         What is from before a restoration may be lost since, and is dropped.
         """
-        if find_era(changes.store_version) < find_era(self._position):
+        known = self._known
+        if find_era(changes.store_version) < find_era(known.complete_version):
             return
-        previous_version = self.newest_row_version
+        previous_version = known.changed_version
         self._record_era(changes.store_version)
-        new_rows = tuple(r for r in changes.rows if self._apply_row(r))
-        self._position = max(self._position, changes.store_version)
+        for row in changes.rows:
+            self._apply_row(row)
+        new_rows = tuple(
+            r for r in changes.rows if r.version > previous_version
+        )
+        known.add_changes(
+            changes.store_version,
+            max((r.version for r in new_rows), default=0),
+        )
         if not new_rows:
             return
         for callback in self.on_rows:
@@ -289,15 +335,22 @@
         since_regained = self._clock.now() - self._regained_at
         return self._is_cut_off or since_regained < _EXPIRY_GRACE_S
 
-    def record_newest_row_version(self, version: int) -> None:
-        """Record the version of the newest row that another VM knows of."""
-        if version > max(self.newest_row_version, self._reported_row_version):
-            self._reported_row_version = version
+    def record_progress(self, progress: TableProgress) -> None:
+        """Record which changes another VM knows."""
+        if self._needs_full_read or not self._known.add_statement(progress):
+            self.record_reported_version(progress.changed_version)
+
+    def record_reported_version(self, version: int) -> None:
+        """Record the version of the newest change that another VM knows."""
+        known = max(self._known.complete_version, self._reported_version)
+        if version > known:
+            self._reported_version = version
             self._newer_rows_reported.set()
 
     def _record_era(self, version: int) -> None:
         """Record that rows of a version come; it may be of a later era."""
-        if self._position and find_era(version) > find_era(self._position):
+        position = self._known.complete_version
+        if position and find_era(version) > find_era(position):
             self._regained_at = self._clock.now()
             self._log.write(
                 'store_restored', table=self.table, era=find_era(version)
@@ -307,36 +360,33 @@
 
     def _apply_full_read(self, table_rows: Rows) -> None:
         self._record_era(table_rows.store_version)
-        if self._complete_since is None:
-            self._complete_since = table_rows.store_version
         self._needs_full_read = False
         keys = {r.key for r in table_rows.rows}
         for row in table_rows.rows:
             self._apply_row(row)
         for key in self._present_keys - keys:
             self._apply_row(Row(key, b'', table_rows.store_version, True))
-        self._position = table_rows.store_version
+        self._known.add_full_read(table_rows.store_version)
         for callback in self.on_full_read:
             callback()
 
-    def _apply_row(self, row: Row) -> bool:
-        """Apply a row; return whether it is newer than that of its key."""
+    def _apply_row(self, row: Row) -> None:
+        """Apply a row if it is newer than that of its key."""
         known = self._rows.get(row.key)
         if known is not None and row.version <= known.version:
-            return False
+            return
         self._rows[row.key] = row
         self.newest_row_version = max(self.newest_row_version, row.version)
         self._revived.pop(row.key, None)
         if not row.is_deleted:
             self._present_keys.add(row.key)
             self._pass_on(row, known)
-            return True
+            return
         self._present_keys.discard(row.key)
         if self._delays_deletions():
             self._delayed_deletions[row.key] = row
         else:
             self._handle_row(row)
-        return True
 
     def _pass_on(self, row: Row, known: Row | None) -> None:
         """Pass a row on, unless its key was deleted in an earlier era."""
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -141,7 +141,7 @@
             admitted_tokens,
             self._quotas.export(),
             {
-                **self._row_relay.newest_row_versions(),
+                **self._row_relay.export_progress(),
                 SENT_AT: encode_sent_at(self._clock.now()),
             },
             self._stored_segments.recent.export(max_origin),
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -18,11 +18,14 @@
 from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
 from ..records import PositionalRecord
+from .knownchanges import TableProgress
 
 
 # The name under which a message's versions of rows hold when it was sent. No
 # table has it, so a VM that doesn't know it ignores it.
 SENT_AT = ''
+# Follows the name of a table whose changes are known up to a version.
+_COMPLETE = '/complete'
 _US_PER_S = 1e6
 
 # Sums of counts must fit into the 64 bits of an encoded integer.
@@ -168,9 +171,10 @@
     sender's process, ``used_per_second`` what all VMs are known to have
     admitted in each second, newest first. ``unresponsive`` is the number
     of VMs that count as unresponsive for the sender. ``row_versions`` are
-    the versions of the newest rows that it knows of, by table of the
-    store, and under ``SENT_AT`` when the message was sent by the sender's
-    clock, in microseconds; it ``has_lost_store`` while the store does not
+    the versions of the newest changes that it knows of, by table of the
+    store, further entries of ``encode_progress``, and under ``SENT_AT`` when
+    the message was sent by the sender's clock, in microseconds; it
+    ``has_lost_store`` while the store does not
     answer it, and ``has_lost_rows`` while it gets no rows from other VMs
     either. It ``is_cut_off`` while it reaches no target.
     ``cleared_crashes`` came before a response to the same suspect.
@@ -212,12 +216,30 @@
         sent_at = self.row_versions.get(SENT_AT)
         return None if sent_at is None else sent_at / _US_PER_S
 
+    def find_progress(self, table: str) -> TableProgress | None:
+        """Return which changes of a table its sender knows.
+
+        Return nothing if it doesn't say so.
+        """
+        complete_version = self.row_versions.get(table + _COMPLETE)
+        if complete_version is None:
+            return None
+        return TableProgress(self.row_versions.get(table, 0), complete_version)
+
 
 def encode_sent_at(now: float) -> int:
     """Return a time by this VM's clock as a message has it."""
     return round(now * _US_PER_S)
 
 
+def encode_progress(table: str, progress: TableProgress) -> dict[str, int]:
+    """Return the row versions that state what a VM knows of a table."""
+    return {
+        table: progress.changed_version,
+        table + _COMPLETE: progress.complete_version,
+    }
+
+
 class RelayedRow(PositionalRecord, frozen=True):
     """A row of the store as a hub read it."""
 
@@ -230,8 +252,8 @@
 class RelayedRows(PositionalRecord, frozen=True):
     """All changes of a table after a version, up to ``store_version``.
 
-    ``previous_version`` is the version of the newest row that the sender
-    had until then. The rows may have been written ``unread_for`` seconds
+    ``previous_version`` is the version of the last change that the sender
+    knew until then. The rows may have been written ``unread_for`` seconds
     before it read them, 0 if it read them at once.
     """
 
@@ -321,6 +343,7 @@
     'BadMessageError',
     'decode',
     'encode',
+    'encode_progress',
     'encode_sent_at',
     'GossipMessage',
     'LeavingReport',
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 from ..platform.rows import Row
 from ..platform.rows import Rows
+from .messages import encode_progress
 from .messages import RelayedRow
 from .messages import RelayedRows
 from .messages import RowRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
-    from collections.abc import Sequence
 
     from .follower import Follower
     from .messages import GossipMessage
@@ -41,8 +42,13 @@
     def __init__(self, peers: Peers, followers: list[Follower]) -> None:
         self._peers = peers
         self._followers = {f.table: f for f in followers}
+        # The VMs that state which changes they know, by their last message.
+        self._stating: set[str] = set()
+        # By table, the VM that reported the newest change.
+        self._reporters: dict[str, str] = {}
         peers.has_lost_store = self.has_lost_store
-        peers.on_message.append(self._record_versions)
+        peers.on_message.append(self._record_progress)
+        peers.on_restart.append(self._stating.discard)
         peers.on_relayed_rows.append(self._apply_rows)
         peers.on_row_request.append(self._respond)
         for follower in followers:
@@ -93,15 +99,12 @@
         """Return whether neither the store nor another VM has rows."""
         return self.has_lost_store() and not self._is_relayed()
 
-    def newest_row_versions(self) -> dict[str, int]:
-        """Return the version of the newest row known of, by table.
-
-        Rows that only other VMs have count too, so that a VM that the store
-        does not answer still reports that there are newer rows.
-        """
-        return {
-            t: f.newest_known_row_version() for t, f in self._followers.items()
-        }
+    def export_progress(self) -> dict[str, int]:
+        """Return which changes this VM knows, as a message has it."""
+        versions: dict[str, int] = {}
+        for table, follower in self._followers.items():
+            versions.update(encode_progress(table, follower.progress()))
+        return versions
 
     def _relay(
         self, table: str, previous_version: int, changes: Rows, is_read: bool
@@ -124,26 +127,37 @@
     ) -> None:
         """Send rows in messages that each fit a datagram.
 
-        A row that does not fit one ends the series: the others learn from
-        gossip that there are newer rows, and read them from the store.
+        Changes of one version that do not fit one end the series: the others
+        learn from gossip that there are newer ones, and read them from the
+        store.
         """
         own = self._peers.own_member.name
-        for rows, version in _split(changes):
-            relayed = [RelayedRow(*row) for row in rows]
+        follower = self._followers[table]
+        for part in _split(changes):
+            if (
+                part.store_version < changes.store_version
+                and not follower.is_divisible(previous_version)
+            ):
+                return
+            relayed = [RelayedRow(*row) for row in part.rows]
             message = RelayedRows(
                 own,
                 table,
                 previous_version,
-                version,
+                part.store_version,
                 relayed,
-                self._followers[table].unread_for,
+                follower.unread_for,
             )
             self._peers.send(recipients, message)
-            previous_version = version
+            previous_version = part.store_version
 
     def _request(self, table: str, after: int) -> None:
+        """Ask those that relay rows, and the one with the newest change."""
+        recipients = set(self._list_sources())
+        if table in self._reporters:
+            recipients.add(self._reporters[table])
         own = self._peers.own_member.name
-        self._peers.send(self._list_sources(), RowRequest(own, table, after))
+        self._peers.send(recipients, RowRequest(own, table, after))
 
     def _respond(self, request: RowRequest) -> None:
         """Send the rows that another VM asks for, if this one has them."""
@@ -156,11 +170,19 @@
         if changes is not None:
             self._send({request.node}, request.table, request.after, changes)
 
-    def _record_versions(self, message: GossipMessage) -> None:
-        for table, version in message.row_versions.items():
-            follower = self._followers.get(table)
-            if follower is not None:
-                follower.record_newest_row_version(version)
+    def _record_progress(self, message: GossipMessage) -> None:
+        for table, follower in self._followers.items():
+            progress = message.find_progress(table)
+            if progress is None:
+                self._stating.discard(message.node)
+                follower.record_reported_version(
+                    message.row_versions.get(table, 0)
+                )
+                continue
+            self._stating.add(message.node)
+            if progress.changed_version > follower.progress().changed_version:
+                self._reporters[table] = message.node
+            follower.record_progress(progress)
 
     def _apply_rows(self, relayed: RelayedRows) -> None:
         follower = self._followers.get(relayed.table)
@@ -174,24 +196,32 @@
             relayed.previous_version,
             Rows(rows, relayed.store_version, 0.0),
             relayed.unread_for,
+            relayed.node in self._stating,
         )
 
 
-def _split(changes: Rows) -> Iterator[tuple[Sequence[Row], int]]:
-    """Yield rows by datagram, with the version up to which they are whole."""
+def _split(changes: Rows) -> Iterator[Rows]:
+    """Yield changes by datagram; all of one version are in the same one."""
     rows: list[Row] = []
     size = 0
-    for row in changes.rows:
-        row_size = len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
-        if rows and size + row_size > _MAX_VALUE_BYTES:
-            # Rows of one transaction have the same version.
-            yield rows, row.version - 1
+    for version, group in itertools.groupby(
+        changes.rows, key=lambda r: r.version
+    ):
+        changed = list(group)
+        group_size = sum(_measure(r) for r in changed)
+        if rows and size + group_size > _MAX_VALUE_BYTES:
+            yield Rows(tuple(rows), version - 1, changes.store_time)
             rows, size = [], 0
-        if row_size > _MAX_VALUE_BYTES:
+        if group_size > _MAX_VALUE_BYTES:
             return
-        rows.append(row)
-        size += row_size
-    yield rows, changes.store_version
+        rows += changed
+        size += group_size
+    yield changes._replace(rows=tuple(rows))
+
+
+def _measure(row: Row) -> int:
+    """Return the size of a row in a message, in bytes."""
+    return len(row.key) + len(row.value) + _ROW_OVERHEAD_BYTES
 
 
 __all__ = ['RowRelay']
--- a/tests/gateway/test_late_rows.py
+++ b/tests/gateway/test_late_rows.py
@@ -176,13 +176,11 @@
             )
 
     async def report(self) -> None:
-        """Let each VM learn of the others' newest versions, repeatedly."""
+        """Let each VM learn which changes the others know, repeatedly."""
         while True:
             for vm in self._vms:
                 for other in self._vms:
-                    vm.follower.record_newest_row_version(
-                        other.follower.newest_known_row_version()
-                    )
+                    vm.follower.record_progress(other.follower.progress())
             await asyncio.sleep(_REPORT_INTERVAL_S)
 
 
