Rely on others for rows only while they state that they know them recently

Cause: a call to the feed lasted up to 2.8 s, a reader counted as sound until its call failed, and no message said how recent its sender's knowledge was. So the others took readers that heard nothing for a store without changes.

Ruled out: that the VM asked for the change without an answer (nobody had it). The choice of new readers adds to the delay, but can't be in time by itself.

Why it works: each message states by table how old its sender's knowledge is; a VM relies on others while its own is younger than half (behind a hub 0.65) of the shortest time in which a change must be in force, and reads the store itself past that, up to a tenth of that time later. Any loss of a reader is noticed in that way: killed, frozen, cut off, slow, rejected, messages lost. A build that states no age is not relied on. VMs that are no hubs no longer follow the store all the time while their hub has no rows, and no longer probe it.

The follower's test of relayed deletions now has a hub that states what it knows.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -6,6 +6,7 @@
 import random
 from typing import TYPE_CHECKING
 
+from ..decisions.staleness import limit_reads
 from ..errors import PlatformError
 from ..platform.rows import HistoryLostError
 from ..platform.rows import Row
@@ -19,14 +20,16 @@
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
+    from ..decisions.staleness import ReadLimits
     from ..platform.rows import RowStore
     from .logs import Log
 
-# The longest time that a call to the feed waits for changes.
-_FEED_WAIT_S = 2.0
-# The same while deletions are delayed, after an outage, or if another VM
-# relays rows.
+# The time within which changes are in force, unless ``read_limits`` is set.
+_CHANGE_LIMIT_S = 2.0
+# The longest wait of a call to the feed while deletions are delayed, after an
+# outage, or if others should relay rows.
 _SHORT_FEED_WAIT_S = 0.3
+_MIN_FEED_WAIT_S = 0.1
 # Changes come in groups: those of this time are read in one call.
 _BATCH_PAUSE_S = 0.25
 # A VM checks this often whether another VM still relays rows to it.
@@ -69,8 +72,9 @@
     that this VM knew as deleted are passed on after ``_REVIVAL_GRACE_S``
     seconds, or once they are written again.
 
-    While other VMs relay rows, it makes no calls. It requests rows from
-    them if it learns that there are newer ones than it has.
+    While other VMs relay rows, it makes no calls, as long as one of them
+    states that it knows all changes until a short time ago. It requests rows
+    from them if it learns that there are newer ones than it has.
     """
 
     def __init__(
@@ -97,13 +101,10 @@
         self._retry_pause = _MIN_RETRY_PAUSE_S
         self._lost_since: float | None = None
         self._regained_at = float('-inf')
-        self._relayed_at = float('-inf')
         # Whether neither the store nor another VM had rows when last tried.
         self._is_cut_off = False
         self._called_at = float('-inf')
         self._row_requests = 0
-        # When the store, or a VM that relays rows, last responded.
-        self.last_read = float('-inf')
         # When the store last responded to this VM.
         self._answered_at = float('-inf')
         # Rows of the response that is being applied may have been written
@@ -118,8 +119,14 @@
         self.is_relayed: Callable[[], bool] = lambda: False
         # Whether the VM that should relay rows gets none itself.
         self.is_source_lost: Callable[[], bool] = lambda: False
-        # How long to wait before own calls once no VM relays rows, in s.
-        self.call_delay: Callable[[], float] = lambda: 0.0
+        # Whether to call the store at once if no VM relays rows.
+        self.is_hub: Callable[[], bool] = lambda: True
+        self.read_limits: Callable[[], ReadLimits] = lambda: limit_reads(
+            _CHANGE_LIMIT_S, is_hub=True
+        )
+        # How late within the spread of the limits this VM reads, 0 to 1.
+        self._turn = random.random()
+        self._was_stale = False
         # Requests the rows of a table after a version from other VMs.
         self.request_rows: Callable[[str, int], None] = lambda *_: None
         # Called with the table, the version of the last change before these,
@@ -132,12 +139,16 @@
 
     def has_been_read(self) -> bool:
         """Return whether the table was read at least once."""
-        return self.last_read > float('-inf')
+        return self._known.known_at > float('-inf')
 
     def has_lost_store(self) -> bool:
         """Return whether the last call to the store failed."""
         return self._lost_since is not None
 
+    def has_lost_rows(self) -> bool:
+        """Return whether neither the store nor another VM has rows."""
+        return self.has_lost_store() and not self._has_source()
+
     def progress(self) -> TableProgress:
         """Return what this VM knows of the changes of the table.
 
@@ -147,6 +158,7 @@
         return TableProgress(
             max(self._known.changed_version, self._reported_version),
             self._known.complete_version,
+            self._clock.now() - self._known.known_at,
         )
 
     def list_changes(self, after: int) -> Rows | None:
@@ -185,57 +197,98 @@
 
     async def _step(self) -> None:
         if self._needs_full_read:
+            sent_at = self._clock.now()
             table_rows = await self._store.read(self.table)
             if table_rows.store_version < self._known.complete_version:
                 # Rows that it lacks may have been written since.
                 raise PlatformError('a stale response')
             self._record_response(0.0)
-            self._apply_full_read(table_rows)
+            self._apply_full_read(table_rows, sent_at)
             return
-        if self.is_relayed():
-            self._record_relay()
+        self._log_staleness()
+        if self._has_source():
+            self._end_outage()
             await self._follow_relay()
             return
+        if self.is_relayed() and self._is_behind() and self._may_request():
+            await self._request_rows()
+            return
         self._is_cut_off |= self.is_source_lost()
         if self._leaves_store_alone():
-            await asyncio.sleep(_RELAY_CHECK_S)
+            pause = min(_RELAY_CHECK_S, self._time_left())
+            await asyncio.sleep(max(_MIN_RETRY_PAUSE_S, pause))
             return
-        is_short = self._delayed_deletions or self.has_lost_store()
-        await self._follow_store(
-            _SHORT_FEED_WAIT_S if is_short else _FEED_WAIT_S
-        )
+        await self._follow_store(self._pick_feed_wait())
+
+    def _has_source(self) -> bool:
+        """Return whether others relay rows and still hear from the store."""
+        return self.is_relayed() and not self._is_stale()
+
+    def _log_staleness(self) -> None:
+        """Log when others relay rows and have not read the store lately."""
+        is_stale = self.is_relayed() and self._is_stale()
+        if is_stale and not self._was_stale:
+            self._log.write(
+                'relay_stale',
+                table=self.table,
+                age=round(self.progress().age, 3),
+                limit=round(self.read_limits().max_age, 3),
+            )
+        self._was_stale = is_stale
+
+    def _is_stale(self) -> bool:
+        """Return whether later changes may have been unknown for too long."""
+        return self._time_left() <= 0.0
+
+    def _time_left(self) -> float:
+        """Return the time until this VM reads the store itself, in seconds."""
+        limits = self.read_limits()
+        max_age = limits.max_age + self._turn * limits.spread
+        return max(0.0, max_age - self.progress().age)
 
     def _leaves_store_alone(self) -> bool:
         """Return whether to wait for another VM's rows, without a call."""
-        delay = self.call_delay()
-        now = self._clock.now()
-        if delay and self.has_lost_store():
-            return now - self._called_at < _RELAYED_RETRY_S
-        return now - self._relayed_at < delay
+        if self.is_hub():
+            return False
+        if self.has_lost_store():
+            return self._clock.now() - self._called_at < _RELAYED_RETRY_S
+        return not self._is_stale()
+
+    def _pick_feed_wait(self) -> float:
+        """Return how long a call to the feed waits for changes, in s."""
+        if (
+            self._delayed_deletions
+            or self.has_lost_store()
+            or self.is_relayed()
+            or not self.is_hub()
+        ):
+            return _SHORT_FEED_WAIT_S
+        wait = self.read_limits().feed_wait - self.progress().age
+        return max(_MIN_FEED_WAIT_S, wait)
 
     async def _follow_store(self, wait: float) -> None:
-        self._called_at = self._clock.now()
+        sent_at = self._called_at = self._clock.now()
+        self._row_requests = 0
+        self._turn = random.random()
         position = self._known.complete_version
         changes = await self._store.follow(self.table, position, wait)
         self._record_response(_BATCH_PAUSE_S + wait + _MAX_FEED_LAG_S)
-        self._apply_changes(changes, is_read=True)
+        # The store waits before it responds without changes.
+        read_at = sent_at if changes.rows else sent_at + wait
+        self._apply_changes(changes, min(read_at, self._clock.now()))
         if changes.rows:
             await asyncio.sleep(_BATCH_PAUSE_S)
 
     async def _follow_relay(self) -> None:
         """Wait for relayed rows for a short time; request missing ones."""
-        since_call = self._clock.now() - self._called_at
-        if self._lost_since is not None and since_call > _PROBE_INTERVAL_S:
+        if self._is_probe_due():
             await self._follow_store(_SHORT_FEED_WAIT_S)
         elif not self._is_behind():
             self._row_requests = 0
             await self._wait_for_report()
-        elif self._row_requests < _MAX_ROW_REQUESTS:
-            self._row_requests += 1
-            self.request_rows(self.table, self._known.complete_version)
-            await asyncio.sleep(_RELAY_DELAY_S)
+        elif self._may_request():
+            await self._request_rows()
         else:
-            self._row_requests = 0
             self._log.write(
                 'changes_not_relayed',
                 table=self.table,
@@ -244,6 +297,28 @@
             )
             await self._follow_store(_SHORT_FEED_WAIT_S)
 
+    def _is_probe_due(self) -> bool:
+        """Return whether to ask if the store answers this VM again.
+
+        Others want to know it of hubs only, which may have to read for them.
+        """
+        since_call = self._clock.now() - self._called_at
+        return (
+            self.has_lost_store()
+            and self.is_hub()
+            and since_call > _PROBE_INTERVAL_S
+        )
+
+    def _may_request(self) -> bool:
+        """Return whether to ask other VMs before the store is called."""
+        return self._row_requests < _MAX_ROW_REQUESTS
+
+    async def _request_rows(self) -> None:
+        """Ask other VMs for changes that this one lacks, and wait for them."""
+        self._row_requests += 1
+        self.request_rows(self.table, self._known.complete_version)
+        await asyncio.sleep(_RELAY_DELAY_S)
+
     def _is_behind(self) -> bool:
         """Return whether there are changes that this VM may lack."""
         newest = max(self.newest_row_version, self._reported_version)
@@ -252,7 +327,8 @@
     async def _wait_for_report(self) -> None:
         """Wait until newer rows are reported, and for these to arrive."""
         self._newer_rows_reported.clear()
-        if await wait_for_event(self._newer_rows_reported, _RELAY_CHECK_S):
+        timeout = min(_RELAY_CHECK_S, self._time_left())
+        if await wait_for_event(self._newer_rows_reported, timeout):
             await asyncio.sleep(_RELAY_DELAY_S)
 
     def apply_relayed(
@@ -278,10 +354,10 @@
                     max(r.version for r in changes.rows)
                 )
             return
-        self._record_relay()
+        self._end_outage()
         self.unread_for = unread_for
         if is_complete:
-            self._apply_changes(changes, is_read=False)
+            self._apply_changes(changes)
         else:
             self._apply_single_rows(changes)
 
@@ -292,11 +368,14 @@
                 self._apply_row(row)
                 self.record_reported_version(row.version)
 
-    def _apply_changes(self, changes: Rows, is_read: bool) -> None:
+    def _apply_changes(
+        self, changes: Rows, read_at: float | None = None
+    ) -> None:
         """Apply all changes of a range, and pass on those that are new.
 
-        Other VMs may have relayed some of them since the store was called.
-        What is from before a restoration may be lost since, and is dropped.
+        ``read_at`` is when they were read from the store. Other VMs may have
+        relayed some of them since it was called. What is from before a
+        restoration may be lost since, and is dropped.
         """
         known = self._known
         if find_era(changes.store_version) < find_era(known.complete_version):
@@ -311,6 +390,7 @@
         known.add_changes(
             changes.store_version,
             max((r.version for r in new_rows), default=0),
+            float('-inf') if read_at is None else read_at,
         )
         if not new_rows:
             return
@@ -319,13 +399,9 @@
                 self.table,
                 previous_version,
                 changes._replace(rows=new_rows),
-                is_read,
+                read_at is not None,
             )
 
-    def _record_relay(self) -> None:
-        self._relayed_at = self.last_read = self._clock.now()
-        self._end_outage()
-
     def _end_outage(self) -> None:
         if self._is_cut_off:
             self._is_cut_off = False
@@ -337,7 +413,10 @@
 
     def record_progress(self, progress: TableProgress) -> None:
         """Record which changes another VM knows."""
-        if self._needs_full_read or not self._known.add_statement(progress):
+        now = self._clock.now()
+        if self._needs_full_read or not self._known.add_statement(
+            progress, now
+        ):
             self.record_reported_version(progress.changed_version)
 
     def record_reported_version(self, version: int) -> None:
@@ -358,7 +437,7 @@
             for callback in self.on_era:
                 callback(find_era(version))
 
-    def _apply_full_read(self, table_rows: Rows) -> None:
+    def _apply_full_read(self, table_rows: Rows, read_at: float) -> None:
         self._record_era(table_rows.store_version)
         self._needs_full_read = False
         keys = {r.key for r in table_rows.rows}
@@ -366,7 +445,7 @@
             self._apply_row(row)
         for key in self._present_keys - keys:
             self._apply_row(Row(key, b'', table_rows.store_version, True))
-        self._known.add_full_read(table_rows.store_version)
+        self._known.add_full_read(table_rows.store_version, read_at)
         for callback in self.on_full_read:
             callback()
 
@@ -419,14 +498,13 @@
     def _record_response(self, longest_interval: float) -> None:
         """Record a response that came in time within ``longest_interval`` s.
 
-        It counts from the response before. A VM that relayed rows until
-        then may have had no response for as long without noticing.
+        It counts from when all changes were known. A VM that relayed rows
+        until then may have had no response for as long without noticing.
         """
         now = self._clock.now()
-        interval = now - self._answered_at
-        self._answered_at = now
+        interval = now - max(self._answered_at, self._known.known_at)
         self.unread_for = interval if interval > longest_interval else 0.0
-        self.last_read = now
+        self._answered_at = now
         self._retry_pause = _MIN_RETRY_PAUSE_S
         if self._lost_since is not None:
             self._log.write(
@@ -441,7 +519,7 @@
         if self._lost_since is None:
             self._lost_since = self._clock.now()
             self._log.write('store_lost', table=self.table, error=error)
-        self._is_cut_off |= not self.is_relayed()
+        self._is_cut_off |= not self._has_source()
 
 
 __all__ = ['Follower']
--- a/src/lentilrun/gateway/knownchanges.py
+++ b/src/lentilrun/gateway/knownchanges.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import NamedTuple
 
 # Reads of the whole table whose gaps are kept; older changes count as unknown.
@@ -18,11 +19,13 @@
     """What a VM states of the changes of a table that it knows.
 
     It knows all changes up to ``complete_version``, and of none that was
-    made after ``changed_version``.
+    made after ``changed_version``. These are all changes that were made until
+    ``age`` seconds ago, by a read of the store.
     """
 
     changed_version: int
     complete_version: int
+    age: float = math.inf
 
 
 class _Gap(NamedTuple):
@@ -39,18 +42,20 @@
     """The ranges of changes of a table that a VM knows.
 
     ``complete_version`` is the version up to which all changes are known.
-    None of them was made after ``changed_version``.
+    None of them was made after ``changed_version``, and all that were made
+    before ``known_at`` are among them, by this VM's clock in seconds.
     """
 
     def __init__(self) -> None:
         self.complete_version = 0
         self.changed_version = 0
+        self.known_at = float('-inf')
         # Before the first read of the table nothing is known.
         self._since: int | None = None
         self._gaps: list[_Gap] = []
 
-    def add_full_read(self, version: int) -> None:
-        """Record that all rows were read as of a version.
+    def add_full_read(self, version: int, read_at: float) -> None:
+        """Record that all rows were read at a time, as of a version.
 
         The last change may have been the removal of a row just before.
         """
@@ -60,21 +65,26 @@
             self._add_gap(_Gap(self.complete_version, version))
         self.complete_version = version
         self.changed_version = version
+        self.known_at = max(self.known_at, read_at)
 
     def _add_gap(self, gap: _Gap) -> None:
         self._gaps.append(gap)
         if len(self._gaps) > _MAX_GAPS:
             self._since = self._gaps.pop(0).end
 
-    def add_changes(self, version: int, newest_change: int) -> None:
+    def add_changes(
+        self, version: int, newest_change: int, read_at: float
+    ) -> None:
         """Record all changes up to a version; the last is ``newest_change``.
 
-        They follow on ``complete_version`` without a gap.
+        They follow on ``complete_version`` without a gap, and are all that
+        were made until ``read_at``.
         """
         self.complete_version = max(self.complete_version, version)
         self.changed_version = max(self.changed_version, newest_change)
+        self.known_at = max(self.known_at, read_at)
 
-    def add_statement(self, progress: TableProgress) -> bool:
+    def add_statement(self, progress: TableProgress, now: float) -> bool:
         """Take over what another VM knows; return false if changes lack.
 
         If this VM has the last change that the other one knows of, it knows
@@ -85,6 +95,7 @@
         self.complete_version = max(
             self.complete_version, progress.complete_version
         )
+        self.known_at = max(self.known_at, now - progress.age)
         return True
 
     def covers(self, after: int) -> bool:
--- a/src/lentilrun/gateway/messagedelays.py
+++ b/src/lentilrun/gateway/messagedelays.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from .messages import delay_progress
+
 if TYPE_CHECKING:
     from .messages import GossipMessage
 
@@ -48,16 +50,21 @@
 
 
 def add_delay(message: GossipMessage, delay: float) -> GossipMessage:
-    """Return a message whose limits were stated earlier by its delay.
+    """Return a message that was sent earlier by its delay.
 
-    Of the other ages in messages, the earliest report counts anyway, or the
+    Its limits and what it states of the store are older then. Of the other
+    ages in messages, the earliest report counts anyway, or the
     next message replaces them.
     """
     rate_limits = [
         msgspec.structs.replace(r, age=r.age + delay)
         for r in message.rate_limits
     ]
-    return msgspec.structs.replace(message, rate_limits=rate_limits)
+    return msgspec.structs.replace(
+        message,
+        rate_limits=rate_limits,
+        row_versions=delay_progress(message.row_versions, delay),
+    )
 
 
 __all__ = ['add_delay', 'MessageDelays']
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -24,8 +24,10 @@
 # The name under which a message's versions of rows hold when it was sent. No
 # table has it, so a VM that doesn't know it ignores it.
 SENT_AT = ''
-# Follows the name of a table whose changes are known up to a version.
+# After the name of a table: the version up to which all its changes are
+# known, and for how many microseconds later ones may be unknown.
 _COMPLETE = '/complete'
+_AGE = '/age'
 _US_PER_S = 1e6
 
 # Sums of counts must fit into the 64 bits of an encoded integer.
@@ -224,7 +226,12 @@
         complete_version = self.row_versions.get(table + _COMPLETE)
         if complete_version is None:
             return None
-        return TableProgress(self.row_versions.get(table, 0), complete_version)
+        age = self.row_versions.get(table + _AGE)
+        return TableProgress(
+            self.row_versions.get(table, 0),
+            complete_version,
+            math.inf if age is None else age / _US_PER_S,
+        )
 
 
 def encode_sent_at(now: float) -> int:
@@ -234,10 +241,24 @@
 
 def encode_progress(table: str, progress: TableProgress) -> dict[str, int]:
     """Return the row versions that state what a VM knows of a table."""
-    return {
+    versions = {
         table: progress.changed_version,
         table + _COMPLETE: progress.complete_version,
     }
+    if math.isfinite(progress.age):
+        versions[table + _AGE] = round(progress.age * _US_PER_S)
+    return versions
+
+
+def delay_progress(
+    row_versions: dict[str, int], delay: float
+) -> dict[str, int]:
+    """Return row versions that were ``delay`` seconds on their way."""
+    added = round(delay * _US_PER_S)
+    return {
+        name: value + added if name.endswith(_AGE) else value
+        for name, value in row_versions.items()
+    }
 
 
 class RelayedRow(PositionalRecord, frozen=True):
@@ -342,6 +363,7 @@
     'AnnouncementReport',
     'BadMessageError',
     'decode',
+    'delay_progress',
     'encode',
     'encode_progress',
     'encode_sent_at',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -241,7 +241,9 @@
         for follower in (self.operator_rows, self.target_rows):
             follower.on_era.append(self.store.record_reported_era)
         self.row_relay = RowRelay(
-            self.peers, [self.operator_rows, self.target_rows]
+            self.peers,
+            [self.operator_rows, self.target_rows],
+            settings.bounds.change_limit(),
         )
         self.gossip = Gossip(
             address,
@@ -325,6 +327,9 @@
         add_gauge('store_calls', lambda: float(self.store.call_count))
         add_gauge('configuration', self._configuration_version)
         add_gauge('store_age_seconds', self._store_age)
+        add_gauge(
+            'targets_age_seconds', lambda: self.target_rows.progress().age
+        )
         add_gauge('log_lines_left_out', lambda: float(self.log.omitted_lines))
         self._add_build_gauges()
 
@@ -353,7 +358,7 @@
         return float(sum(s.is_unreachable(now) for s in states))
 
     def _store_age(self) -> float:
-        return self.clock.now() - self.operator_rows.last_read
+        return self.operator_rows.progress().age
 
     def serve_metrics(self, address: Address) -> None:
         """Serve the metrics at an address; raises ``OSError``."""
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -5,6 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING
 
+from ..decisions.staleness import limit_reads
 from ..platform.rows import Row
 from ..platform.rows import Rows
 from .messages import encode_progress
@@ -15,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..decisions.staleness import ReadLimits
     from .follower import Follower
     from .messages import GossipMessage
     from .peers import Peers
@@ -22,11 +24,6 @@
 # Below the size of a datagram, which holds names and versions besides.
 _MAX_VALUE_BYTES = 48_000
 _ROW_OVERHEAD_BYTES = 40
-# A VM that is no hub waits this long before it calls the store: until its
-# hub is replaced if it is silent, and longer if its hub responds but has no
-# rows, as the store is then down for all hubs.
-_SILENT_HUB_DELAY_S = 0.4
-_LOST_ROWS_DELAY_S = 1.5
 
 
 class RowRelay:
@@ -35,12 +32,18 @@
     The readers of the fleet follow the store and send what they read to
     all hubs. The preferred hub of each data centre sends it to the VMs
     that are no hubs. A VM that knows of newer rows than it has asks for
-    them. It reads the store itself while no responsive VM has rows for it,
-    or if it gets none when it asks.
+    them. It reads the store itself if what it knows becomes too old, as
+    nobody that it hears from has read the store lately, or if it gets no
+    rows when it asks. A hub also does so while no responsive VM has rows.
+
+    Changes must be in force within ``change_limit`` seconds.
     """
 
-    def __init__(self, peers: Peers, followers: list[Follower]) -> None:
+    def __init__(
+        self, peers: Peers, followers: list[Follower], change_limit: float
+    ) -> None:
         self._peers = peers
+        self._change_limit = change_limit
         self._followers = {f.table: f for f in followers}
         # The VMs that state which changes they know, by their last message.
         self._stating: set[str] = set()
@@ -54,7 +57,8 @@
         for follower in followers:
             follower.is_relayed = self._is_relayed
             follower.is_source_lost = self._is_source_lost
-            follower.call_delay = self._call_delay
+            follower.is_hub = peers.is_hub
+            follower.read_limits = self._limit_reads
             follower.request_rows = self._request
             follower.on_rows.append(self._relay)
 
@@ -84,12 +88,8 @@
         hub = self._peers.find_hub()
         return hub is not None and hub.has_lost_rows
 
-    def _call_delay(self) -> float:
-        if self._peers.is_hub():
-            return 0.0
-        if self._is_source_lost():
-            return _LOST_ROWS_DELAY_S
-        return _SILENT_HUB_DELAY_S
+    def _limit_reads(self) -> ReadLimits:
+        return limit_reads(self._change_limit, self._peers.is_hub())
 
     def has_lost_store(self) -> bool:
         """Return whether the last store call of any table failed."""
@@ -97,7 +97,7 @@
 
     def has_lost_rows(self) -> bool:
         """Return whether neither the store nor another VM has rows."""
-        return self.has_lost_store() and not self._is_relayed()
+        return any(f.has_lost_rows() for f in self._followers.values())
 
     def export_progress(self) -> dict[str, int]:
         """Return which changes this VM knows, as a message has it."""
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -47,6 +47,12 @@
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
 
+    def change_limit(self) -> float:
+        """Return the time in which any row must be in force, in seconds."""
+        return min(
+            self.configuration_limit, self.drain, self.stale_weights_limit
+        )
+
 
 class NodeSettings(NamedTuple):
     """The settings of a router process.
--- /dev/null
+++ b/tests/gateway/test_cut_readers.py
@@ -0,0 +1,139 @@
+"""Changes while the VMs that read the store for others have lost it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from deployments import BOUNDS
+from lentilrun.standins import timeloop
+from modelledfleets import ModelledFleet
+import pytest
+
+_SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
+_LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
+_LARGEST_FLEET = dict.fromkeys('abc', 65)
+# Its two hubs are its readers.
+_SINGLE_DATA_CENTRE = {'a': 14}
+# After its start, a VM exchanges messages with its hubs only.
+_STARTED_S = 4.0
+_LIMIT_S = min(BOUNDS.configuration_limit, BOUNDS.drain)
+# What all VMs of a fleet of this size may ask the store a second, at least.
+_READS_PER_S = 6000
+_FIRST_HUBS = ['a000', 'b000', 'c000', 'd000']
+_ALL_HUBS = [*_FIRST_HUBS, 'a001', 'b001', 'c001', 'd001']
+
+
+class _Cut(NamedTuple):
+    """VMs that lose the store ``after`` seconds from a first change.
+
+    Their calls hang, those in progress too, unless the store rejects them;
+    a second change comes just after.
+    """
+
+    names: list[str]
+    after: float = 0.4
+    rejects: bool = False
+
+
+_CUTS = [
+    _Cut(['a000', 'b000']),
+    # Their calls to the feed have just begun, or are about to end.
+    _Cut(['a000', 'b000'], after=0.25),
+    _Cut(['a000', 'b000'], after=0.6),
+    _Cut(['a000', 'b000'], after=1.9),
+    _Cut(['a000', 'b000'], rejects=True),
+    _Cut(['a000', 'a001']),
+    _Cut(_FIRST_HUBS),
+    _Cut(_ALL_HUBS),
+    _Cut(_ALL_HUBS, rejects=True),
+]
+
+
+def _cut(fleet: ModelledFleet, cut: _Cut) -> list[str]:
+    names = [n for n in cut.names if n in fleet.nodes]
+    for name in names:
+        fleet.stores[name].rejects = cut.rejects
+        fleet.stores[name].hangs = not cut.rejects
+    return names
+
+
+@pytest.mark.parametrize(
+    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
+)
+@pytest.mark.parametrize('cut', _CUTS)
+def test_change_arrives_though_all_readers_are_cut_off(
+    data_centres: dict[str, int],
+    cut: _Cut,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """VMs kept an old configuration, as their readers' calls just hung.
+
+    Nothing told them that these heard no longer from the store.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
+            fleet.start()
+            await asyncio.sleep(_STARTED_S)
+            fleet.configure(2)
+            fleet.register('new')
+            await asyncio.sleep(cut.after)
+            names = _cut(fleet, cut)
+            await asyncio.sleep(0.02)
+            fleet.configure(3)
+            fleet.register('e0', 'draining')
+
+            def list_late() -> list[str]:
+                late = set(fleet.list_behind(3)).difference(names)
+                late |= {
+                    n.settings.name
+                    for n in fleet
+                    if n.settings.name not in names
+                    and not n.targets.states['e0'].target.is_draining
+                }
+                return sorted(late)
+
+            await fleet.wait_until(lambda: not list_late(), _LIMIT_S)
+
+    timeloop.run(main)
+
+
+def test_store_is_not_overrun_as_all_readers_are_cut_off(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The VMs of a large fleet read for themselves, at different times."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _LARGEST_FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(_STARTED_S)
+            _cut(fleet, _Cut(_ALL_HUBS))
+            most = 0
+            before = fleet.count_calls().total()
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                calls = fleet.count_calls().total()
+                most = max(most, calls - before)
+                before = calls
+            assert most <= _READS_PER_S * 0.1
+
+    timeloop.run(main)
+
+
+def test_readers_call_seldom_enough(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Without changes only the readers call the store."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _LARGE_FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(_STARTED_S)
+            before = fleet.count_calls()
+            await asyncio.sleep(10.0)
+            calls = fleet.count_calls() - before
+            assert calls.keys() == {'follow op', 'follow servers'}
+            # A fifth of the time in which a change must be in force.
+            waits = 10.0 / (0.2 * _LIMIT_S)
+            assert calls.total() <= 2 * 2 * (waits + 1)
+
+    timeloop.run(main)
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -9,6 +9,7 @@
 
 from lentilrun.errors import PlatformError
 from lentilrun.gateway.follower import Follower
+from lentilrun.gateway.knownchanges import TableProgress
 from lentilrun.gateway.logs import Log
 from lentilrun.platform.rows import HistoryLostError
 from lentilrun.platform.rows import Row
@@ -21,6 +22,7 @@
 
 _TABLE = 'servers'
 _POLL_S = 0.02
+_REPORT_INTERVAL_S = 0.25
 
 
 class _Table:
@@ -145,6 +147,14 @@
     timeloop.run(main)
 
 
+async def _report_progress(follower: Follower) -> None:
+    """Let a hub state that it knows all changes that the follower has."""
+    while True:
+        version = follower.progress().complete_version
+        follower.record_progress(TableProgress(version, version, 0.0))
+        await asyncio.sleep(_REPORT_INTERVAL_S)
+
+
 @pytest.mark.parametrize(
     ('restored_after', 'present_after'),
     [
@@ -172,6 +182,7 @@
         await asyncio.sleep(4.0)
         assert follower.has_lost_store()
         follower.is_relayed = lambda: True
+        reports = asyncio.ensure_future(_report_progress(follower))
         follower.apply_relayed(
             1, Rows((Row('a1', b'', 2, True),), 2, loop.time())
         )
@@ -186,6 +197,7 @@
         for delay, is_present in present_after.items():
             await asyncio.sleep(relayed_at + delay - loop.time())
             assert ('a1' in present.keys) is is_present, delay
+        reports.cancel()
         task.cancel()
 
     timeloop.run(main)
