Tell an outage of the store by what a VM knows, not by what its hub lost

What callers would see: requests reach a target later than the users allow after its row was removed, as the hubs of a data centre are cut off from the store.

A VM took the report of its hub that it gets no rows for an outage, though the store answered this VM.

Ruled out: that the VMs learn of the removal late; they had the row as deleted.

Why it works: an outage is what the VM itself sees: its calls fail and nobody knows more, or it learns nothing for longer than the time between two reads. Rows expire only later.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -64,8 +65,9 @@
     A row is newer if its version is above the last one of its key.
     Deletions within ``_EXPIRY_GRACE_S`` seconds after an outage are
     delayed until then: the writers of these rows could not reach the
-    store either. An outage ends when the store answers this VM or another
-    VM relays rows.
+    store either. There was an outage if the store did not answer this VM
+    and no other one told it more, or if nobody told it anything for longer
+    than the time between two reads.
 
     When the store was restored from an older copy, all rows are read anew.
     Deletions are delayed then too, as lost rows are written again. Rows
@@ -101,10 +103,10 @@
         self._retry_pause = _MIN_RETRY_PAUSE_S
         self._lost_since: float | None = None
         self._regained_at = float('-inf')
-        # Whether neither the store nor another VM had rows when last tried.
-        self._is_cut_off = False
         self._called_at = float('-inf')
         self._row_requests = 0
+        # Whether the store did not answer, and no other VM knew more.
+        self._is_cut_off = False
         # When the store last responded to this VM.
         self._answered_at = float('-inf')
         # Rows of the response that is being applied may have been written
@@ -117,8 +119,6 @@
         self.newest_row_version = 0
         # Whether other VMs relay rows to this one.
         self.is_relayed: Callable[[], bool] = lambda: False
-        # Whether the VM that should relay rows gets none itself.
-        self.is_source_lost: Callable[[], bool] = lambda: False
         # Whether to call the store at once if no VM relays rows.
         self.is_hub: Callable[[], bool] = lambda: True
         self.read_limits: Callable[[], ReadLimits] = lambda: limit_reads(
@@ -207,13 +207,11 @@
             return
         self._log_staleness()
         if self._has_source():
-            self._end_outage()
             await self._follow_relay()
             return
         if self.is_relayed() and self._is_behind() and self._may_request():
             await self._request_rows()
             return
-        self._is_cut_off |= self.is_source_lost()
         if self._leaves_store_alone():
             pause = min(_RELAY_CHECK_S, self._time_left())
             await asyncio.sleep(max(_MIN_RETRY_PAUSE_S, pause))
@@ -354,7 +352,6 @@
                     max(r.version for r in changes.rows)
                 )
             return
-        self._end_outage()
         self.unread_for = unread_for
         if is_complete:
             self._apply_changes(changes)
@@ -381,6 +378,7 @@
         if find_era(changes.store_version) < find_era(known.complete_version):
             return
         previous_version = known.changed_version
+        known_before = known.known_at
         self._record_era(changes.store_version)
         for row in changes.rows:
             self._apply_row(row)
@@ -392,6 +390,7 @@
             max((r.version for r in new_rows), default=0),
             float('-inf') if read_at is None else read_at,
         )
+        self._end_outage(known_before)
         if not new_rows:
             return
         for callback in self.on_rows:
@@ -402,22 +401,35 @@
                 read_at is not None,
             )
 
-    def _end_outage(self) -> None:
-        if self._is_cut_off:
+    def _end_outage(self, known_before: float) -> None:
+        """Record that all changes are known anew, if they were not for long.
+
+        ``known_before`` is until when they were known until now.
+        """
+        gap = self._known.known_at - known_before
+        was_long = gap > self.read_limits().outage
+        was_noticed = self._is_cut_off and not self._is_stale()
+        if was_noticed or (was_long and math.isfinite(known_before)):
             self._is_cut_off = False
             self._regained_at = self._clock.now()
 
     def _delays_deletions(self) -> bool:
         since_regained = self._clock.now() - self._regained_at
-        return self._is_cut_off or since_regained < _EXPIRY_GRACE_S
+        return (
+            self._is_cut_off
+            or self.progress().age > self.read_limits().outage
+            or since_regained < _EXPIRY_GRACE_S
+        )
 
     def record_progress(self, progress: TableProgress) -> None:
         """Record which changes another VM knows."""
+        known_before = self._known.known_at
         now = self._clock.now()
         if self._needs_full_read or not self._known.add_statement(
             progress, now
         ):
             self.record_reported_version(progress.changed_version)
+        self._end_outage(known_before)
 
     def record_reported_version(self, version: int) -> None:
         """Record the version of the newest change that another VM knows."""
@@ -445,7 +457,9 @@
             self._apply_row(row)
         for key in self._present_keys - keys:
             self._apply_row(Row(key, b'', table_rows.store_version, True))
+        known_before = self._known.known_at
         self._known.add_full_read(table_rows.store_version, read_at)
+        self._end_outage(known_before)
         for callback in self.on_full_read:
             callback()
 
@@ -513,7 +527,6 @@
                 seconds=round(now - self._lost_since, 3),
             )
             self._lost_since = None
-        self._end_outage()
 
     def _record_failure(self, error: PlatformError) -> None:
         if self._lost_since is None:
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -56,7 +56,6 @@
         peers.on_row_request.append(self._respond)
         for follower in followers:
             follower.is_relayed = self._is_relayed
-            follower.is_source_lost = self._is_source_lost
             follower.is_hub = peers.is_hub
             follower.read_limits = self._limit_reads
             follower.request_rows = self._request
@@ -83,11 +82,6 @@
     def _is_relayed(self) -> bool:
         return bool(self._list_sources())
 
-    def _is_source_lost(self) -> bool:
-        """Return whether the hub of this VM responds but gets no rows."""
-        hub = self._peers.find_hub()
-        return hub is not None and hub.has_lost_rows
-
     def _limit_reads(self) -> ReadLimits:
         return limit_reads(self._change_limit, self._peers.is_hub())
 
--- a/tests/gateway/test_cut_readers.py
+++ b/tests/gateway/test_cut_readers.py
@@ -137,3 +137,43 @@
             assert calls.total() <= 2 * 2 * (waits + 1)
 
     timeloop.run(main)
+
+
+@pytest.mark.parametrize(
+    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
+)
+@pytest.mark.parametrize('cut', _CUTS)
+def test_removal_is_believed_though_all_readers_are_cut_off(
+    data_centres: dict[str, int],
+    cut: _Cut,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """VMs took the loss of their hubs for an outage, and kept what was gone.
+
+    After an outage of the store they wait for rows that expired meanwhile.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
+            fleet.start()
+            await asyncio.sleep(_STARTED_S)
+            fleet.register('new')
+            await asyncio.sleep(cut.after)
+            names = _cut(fleet, cut)
+            await asyncio.sleep(0.02)
+            for number in range(8):
+                gone = f'e{number}'
+                fleet.state.put('servers', gone, None)
+                await fleet.wait_until(
+                    lambda gone=gone: (
+                        not any(
+                            gone in n.targets.states
+                            for n in fleet
+                            if n.settings.name not in names
+                        )
+                    ),
+                    _LIMIT_S,
+                )
+                await asyncio.sleep(0.5)
+
+    timeloop.run(main)
