--- a/tests/gateway/test_mixed_builds.py
+++ b/tests/gateway/test_mixed_builds.py
@@ -9,6 +9,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from deployments import BOUNDS
 from lentilrun.gateway.builds import UNSTATED
 from lentilrun.gateway.recent import Origin
 from lentilrun.standins import timeloop
@@ -272,6 +273,36 @@
     _play(monkeypatch, vms, is_old, main)
 
 
+@_mixes
+def test_rows_removed_while_readers_restart(
+    vms: dict[str, int],
+    is_old: Callable[[str], bool],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """VMs of this build rely on no reader that does not say what it knows."""
+
+    async def main(fleet: MixedFleet, loop: timeloop.TimeLoop) -> None:
+        readers = ['a000', 'b000']
+        for name in readers:
+            fleet.stop(name)
+        await asyncio.sleep(0.05)
+        fleet.state.put('servers', 'a1', None)
+        await asyncio.sleep(0.05)
+        for name in readers:
+            fleet.replace(name)
+        fleet.configure(2)
+        new = fleet.list_build(is_old=False)
+        await fleet.wait_until(
+            lambda: (
+                not any('a1' in n.targets.states for n in new)
+                and all(n.view.configuration.version == 2 for n in new)
+            ),
+            min(BOUNDS.configuration_limit, BOUNDS.drain),
+        )
+
+    _play(monkeypatch, vms, is_old, main)
+
+
 @_mixes
 def test_vms_are_replaced_one_after_the_other(
     vms: dict[str, int],
