Give the tests of modelled fleets one set of fleets and limits

The cases of two tests of cut readers are given once, and a function that was only called once is where it is used. No assertion, bound or case has changed.

--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -60,6 +60,18 @@
 _FIRST_TARGET_PORT = 9000
 
 
+# Fleets by data centre: in a mesh, and over two hubs of each. The first VMs
+# of two data centres read the store.
+SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
+LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
+# Its two hubs are its readers.
+SINGLE_DATA_CENTRE = {'a': 14}
+# After its start, a VM exchanges messages with its hubs only.
+STARTED_S = 4.0
+# In which any change must be in force, by what the users set.
+CHANGE_LIMIT_S = min(BOUNDS.configuration_limit, BOUNDS.drain)
+
+
 class ModelledStore:
     """The calls of one VM to the store; implements ``Client.fetch``.
 
@@ -389,4 +401,12 @@
         return self._loop.time() - started_at
 
 
-__all__ = ['ModelledFleet', 'ModelledStore']
+__all__ = [
+    'CHANGE_LIMIT_S',
+    'LARGE_FLEET',
+    'ModelledFleet',
+    'ModelledStore',
+    'SINGLE_DATA_CENTRE',
+    'SMALL_FLEET',
+    'STARTED_S',
+]
--- a/tests/gateway/test_cut_readers.py
+++ b/tests/gateway/test_cut_readers.py
@@ -5,19 +5,16 @@
 import asyncio
 from typing import NamedTuple
 
-from deployments import BOUNDS
 from lentilrun.standins import timeloop
+from modelledfleets import CHANGE_LIMIT_S
+from modelledfleets import LARGE_FLEET
 from modelledfleets import ModelledFleet
+from modelledfleets import SINGLE_DATA_CENTRE
+from modelledfleets import SMALL_FLEET
+from modelledfleets import STARTED_S
 import pytest
 
-_SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
-_LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
 _LARGEST_FLEET = dict.fromkeys('abc', 65)
-# Its two hubs are its readers.
-_SINGLE_DATA_CENTRE = {'a': 14}
-# After its start, a VM exchanges messages with its hubs only.
-_STARTED_S = 4.0
-_LIMIT_S = min(BOUNDS.configuration_limit, BOUNDS.drain)
 # What all VMs of a fleet of this size may ask the store a second, at least.
 _READS_PER_S = 6000
 _FIRST_HUBS = ['a000', 'b000', 'c000', 'd000']
@@ -36,18 +33,24 @@
     rejects: bool = False
 
 
-_CUTS = [
-    _Cut(['a000', 'b000']),
-    # Their calls to the feed have just begun, or are about to end.
-    _Cut(['a000', 'b000'], after=0.25),
-    _Cut(['a000', 'b000'], after=0.6),
-    _Cut(['a000', 'b000'], after=1.9),
-    _Cut(['a000', 'b000'], rejects=True),
-    _Cut(['a000', 'a001']),
-    _Cut(_FIRST_HUBS),
-    _Cut(_ALL_HUBS),
-    _Cut(_ALL_HUBS, rejects=True),
-]
+_cuts = pytest.mark.parametrize(
+    'cut',
+    [
+        _Cut(['a000', 'b000']),
+        # Their calls to the feed have just begun, or are about to end.
+        _Cut(['a000', 'b000'], after=0.25),
+        _Cut(['a000', 'b000'], after=0.6),
+        _Cut(['a000', 'b000'], after=1.9),
+        _Cut(['a000', 'b000'], rejects=True),
+        _Cut(['a000', 'a001']),
+        _Cut(_FIRST_HUBS),
+        _Cut(_ALL_HUBS),
+        _Cut(_ALL_HUBS, rejects=True),
+    ],
+)
+_fleets = pytest.mark.parametrize(
+    'data_centres', [SMALL_FLEET, LARGE_FLEET, SINGLE_DATA_CENTRE]
+)
 
 
 def _cut(fleet: ModelledFleet, cut: _Cut) -> list[str]:
@@ -58,10 +61,8 @@
     return names
 
 
-@pytest.mark.parametrize(
-    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
-)
-@pytest.mark.parametrize('cut', _CUTS)
+@_cuts
+@_fleets
 def test_change_arrives_though_all_readers_are_cut_off(
     data_centres: dict[str, int],
     cut: _Cut,
@@ -75,7 +76,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             fleet.configure(2)
             fleet.register('new')
             await asyncio.sleep(cut.after)
@@ -94,7 +95,7 @@
                 }
                 return sorted(late)
 
-            await fleet.wait_until(lambda: not list_late(), _LIMIT_S)
+            await fleet.wait_until(lambda: not list_late(), CHANGE_LIMIT_S)
 
     timeloop.run(main)
 
@@ -107,7 +108,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, _LARGEST_FLEET) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             _cut(fleet, _Cut(_ALL_HUBS))
             most = 0
             before = fleet.count_calls().total()
@@ -125,24 +126,22 @@
     """Without changes only the readers call the store."""
 
     async def main(loop: timeloop.TimeLoop) -> None:
-        with ModelledFleet(loop, monkeypatch, _LARGE_FLEET) as fleet:
+        with ModelledFleet(loop, monkeypatch, LARGE_FLEET) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             before = fleet.count_calls()
             await asyncio.sleep(10.0)
             calls = fleet.count_calls() - before
             assert calls.keys() == {'follow op', 'follow servers'}
             # A fifth of the time in which a change must be in force.
-            waits = 10.0 / (0.2 * _LIMIT_S)
+            waits = 10.0 / (0.2 * CHANGE_LIMIT_S)
             assert calls.total() <= 2 * 2 * (waits + 1)
 
     timeloop.run(main)
 
 
-@pytest.mark.parametrize(
-    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
-)
-@pytest.mark.parametrize('cut', _CUTS)
+@_cuts
+@_fleets
 def test_removal_is_believed_though_all_readers_are_cut_off(
     data_centres: dict[str, int],
     cut: _Cut,
@@ -156,7 +155,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             fleet.register('new')
             await asyncio.sleep(cut.after)
             names = _cut(fleet, cut)
@@ -172,7 +171,7 @@
                             if n.settings.name not in names
                         )
                     ),
-                    _LIMIT_S,
+                    CHANGE_LIMIT_S,
                 )
                 await asyncio.sleep(0.5)
 
--- a/tests/gateway/test_mixed_builds.py
+++ b/tests/gateway/test_mixed_builds.py
@@ -9,11 +9,11 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from deployments import BOUNDS
 from lentilrun.gateway.builds import UNSTATED
 from lentilrun.gateway.recent import Origin
 from lentilrun.standins import timeloop
 from mixedfleets import MixedFleet
+from modelledfleets import CHANGE_LIMIT_S
 from modelledforwards import ModelledForwards
 from modelledtargets import Callers
 from modelledtargets import count_most
@@ -297,7 +297,7 @@
                 not any('a1' in n.targets.states for n in new)
                 and all(n.view.configuration.version == 2 for n in new)
             ),
-            min(BOUNDS.configuration_limit, BOUNDS.drain),
+            CHANGE_LIMIT_S,
         )
 
     _play(monkeypatch, vms, is_old, main)
--- a/tests/gateway/test_removed_rows.py
+++ b/tests/gateway/test_removed_rows.py
@@ -5,17 +5,15 @@
 import asyncio
 from typing import NamedTuple
 
-from deployments import BOUNDS
 from lentilrun.standins import timeloop
+from modelledfleets import CHANGE_LIMIT_S
+from modelledfleets import LARGE_FLEET
 from modelledfleets import ModelledFleet
+from modelledfleets import SINGLE_DATA_CENTRE
+from modelledfleets import SMALL_FLEET
+from modelledfleets import STARTED_S
 import pytest
 
-_SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
-_LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
-# Its two hubs are its readers.
-_SINGLE_DATA_CENTRE = {'a': 14}
-# After its start, a VM exchanges messages with its hubs only.
-_STARTED_S = 4.0
 _SETTLE_S = 1.0
 
 
@@ -32,7 +30,7 @@
 
 
 @pytest.mark.parametrize(
-    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
+    'data_centres', [SMALL_FLEET, LARGE_FLEET, SINGLE_DATA_CENTRE]
 )
 @pytest.mark.parametrize(
     'restart',
@@ -61,7 +59,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             names = [n for n in restart.names if n in fleet.nodes]
             for name in names:
                 fleet.stop(name)
@@ -76,7 +74,7 @@
                 fleet.register('new')
             await fleet.wait_until(
                 lambda: not any('e0' in n.targets.states for n in fleet),
-                removed_at + BOUNDS.drain - loop.time(),
+                removed_at + CHANGE_LIMIT_S - loop.time(),
             )
             await asyncio.sleep(_SETTLE_S)
             known = {frozenset(n.targets.states) for n in fleet}
--- a/tests/gateway/test_row_faults.py
+++ b/tests/gateway/test_row_faults.py
@@ -4,30 +4,25 @@
 
 import asyncio
 from typing import NamedTuple
-from typing import TYPE_CHECKING
 
-from deployments import BOUNDS
 from hypothesis import example
 from hypothesis import given
 from hypothesis import HealthCheck
 from hypothesis import settings
 from hypothesis import strategies as st
 from lentilrun.standins import timeloop
+from modelledfleets import CHANGE_LIMIT_S
 from modelledfleets import ModelledFleet
+from modelledfleets import STARTED_S
 import pytest
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
 _MESH = {'a': 3, 'b': 3}
 # Two hubs, which are the readers, and VMs behind them.
 _HUBS = {'a': 14}
 # Reads, gossip and relays of rows go through these.
 _FAULTY = ('a000', 'a001', 'b000', 'b001')
-_STARTED_S = 4.0
 _LENGTH_S = 8.0
 _CHANGE_INTERVAL_S = 0.5
-_LIMIT_S = min(BOUNDS.configuration_limit, BOUNDS.drain)
 _RESTART_S = 0.1
 
 
@@ -114,7 +109,7 @@
     checks: list[asyncio.Task[None]] = []
 
     async def check_later(version: int, gone: str) -> None:
-        await asyncio.sleep(_LIMIT_S)
+        await asyncio.sleep(CHANGE_LIMIT_S)
         late.extend(_check(fleet, version, gone))
 
     for _ in range(int(_LENGTH_S / _CHANGE_INTERVAL_S)):
@@ -146,24 +141,15 @@
 ) -> None:
     """Whatever befalls the readers and hubs, the others read in time."""
     late: list[str] = []
-    play = _make_play(data_centres, monkeypatch, faults, late)
-    timeloop.run(play)
-    assert not late
 
-
-def _make_play(
-    data_centres: dict[str, int],
-    monkeypatch: pytest.MonkeyPatch,
-    faults: list[_Fault],
-    late: list[str],
-) -> Callable[[timeloop.TimeLoop], object]:
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             applied = _Faults(fleet)
             tasks = [asyncio.ensure_future(applied.apply(f)) for f in faults]
             await _change(fleet, late)
             await asyncio.gather(*tasks)
 
-    return main
+    timeloop.run(main)
+    assert not late
--- a/tests/gateway/test_storecalls.py
+++ b/tests/gateway/test_storecalls.py
@@ -11,17 +11,16 @@
 
 from deployments import BOUNDS
 from lentilrun.standins import timeloop
+from modelledfleets import CHANGE_LIMIT_S
+from modelledfleets import LARGE_FLEET
 from modelledfleets import ModelledFleet
+from modelledfleets import SINGLE_DATA_CENTRE
+from modelledfleets import SMALL_FLEET
+from modelledfleets import STARTED_S
 import pytest
 
-_SMALL_FLEET = {'a': 2, 'b': 2, 'c': 2, 'd': 2}
-_LARGE_FLEET = {'a': 19, 'b': 19, 'c': 19, 'd': 20}
-# Its two hubs are its readers.
-_SINGLE_DATA_CENTRE = {'a': 14}
 # The first byte of datagrams with rows.
 _ROWS_KIND = b'r'
-# After its start, a VM exchanges messages with its hubs only.
-_STARTED_S = 4.0
 
 
 def _is_loaded(fleet: ModelledFleet, version: int) -> bool:
@@ -39,9 +38,9 @@
     """
 
     async def main(loop: timeloop.TimeLoop) -> None:
-        with ModelledFleet(loop, monkeypatch, _LARGE_FLEET) as fleet:
+        with ModelledFleet(loop, monkeypatch, LARGE_FLEET) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             fleet.announce_weights(2)
             await fleet.wait_until(lambda: _is_loaded(fleet, 2), 6.0)
             holder = fleet.engines.orders[-1][2].holder
@@ -57,7 +56,7 @@
     timeloop.run(main)
 
 
-@pytest.mark.parametrize('data_centres', [_SMALL_FLEET, _LARGE_FLEET])
+@pytest.mark.parametrize('data_centres', [SMALL_FLEET, LARGE_FLEET])
 def test_two_vms_follow_the_store(
     data_centres: dict[str, int], monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -69,7 +68,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             before = {n: s.calls.copy() for n, s in fleet.stores.items()}
             started_at = loop.time()
             for version in range(2, 12):
@@ -87,7 +86,7 @@
             # A reader's calls end with each change, and wait a fifth of the
             # time in which one must be in force: others have to know that it
             # still hears from the store.
-            wait = 0.2 * BOUNDS.change_limit()
+            wait = 0.2 * CHANGE_LIMIT_S
             most = 20 + (loop.time() - started_at) / wait
             for counts in readers:
                 assert counts.keys() == {'follow op', 'follow servers'}
@@ -116,7 +115,7 @@
 
 # The readers of the large fleet are a000 and b000, its hubs also a001, b001.
 @pytest.mark.parametrize(
-    'data_centres', [_SMALL_FLEET, _LARGE_FLEET, _SINGLE_DATA_CENTRE]
+    'data_centres', [SMALL_FLEET, LARGE_FLEET, SINGLE_DATA_CENTRE]
 )
 @pytest.mark.parametrize(
     'fault',
@@ -146,7 +145,7 @@
     async def main(loop: timeloop.TimeLoop) -> None:
         with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             names = [n for n in fault.names if n in fleet.nodes]
             lost = collections.Counter()
 
@@ -176,9 +175,9 @@
     """
 
     async def main(loop: timeloop.TimeLoop) -> None:
-        with ModelledFleet(loop, monkeypatch, _LARGE_FLEET) as fleet:
+        with ModelledFleet(loop, monkeypatch, LARGE_FLEET) as fleet:
             fleet.start()
-            await asyncio.sleep(_STARTED_S)
+            await asyncio.sleep(STARTED_S)
             before = fleet.count_calls()
             fleet.state.faults.is_down = True
             await asyncio.sleep(4.5)
