Send less between data centres as VMs start, and compress hubs' messages

Ruled out: rows and statements of builds.

A starting process now sends to remote VMs that are no hubs once a second; they only need to know that it is there, as its use and loads reach them through the hubs. Hubs compress messages for VMs of other data centres that state gossip version 2; older builds get them as before.

The metric's test names the version from FORMATS in place of a literal 1.0.

--- a/src/lentilrun/gateway/build.py
+++ b/src/lentilrun/gateway/build.py
@@ -27,7 +27,8 @@
 # The versions of the formats that other processes read. A version grows
 # with each field that is added; see ``docs/design/builds.md``.
 FORMATS = {
-    'gossip': 1,
+    # 2: gossip messages are also read compressed.
+    'gossip': 2,
     'relayed_rows': 1,
     'row_request': 1,
     'statement': 1,
--- a/src/lentilrun/gateway/builds.py
+++ b/src/lentilrun/gateway/builds.py
@@ -28,6 +28,8 @@
 # The label of VMs that state no build.
 UNSTATED = 'unstated'
 _MAX_NAME_LENGTH = 64
+# VMs that speak this version of gossip messages read compressed ones.
+_COMPRESSED_GOSSIP = 2
 
 _decoder = msgspec.json.Decoder(BuildStatement)
 
@@ -43,6 +45,7 @@
         self.by_peer: dict[str, BuildStatement] = {}
         peers.on_relayed_rows.append(self.receive)
         peers.on_restart.append(self._greet)
+        peers.reads_compressed = self.reads_compressed
 
     async def run(self) -> None:
         """State this VM's build until cancelled."""
@@ -81,6 +84,13 @@
         self.by_peer.pop(name, None)
         self._peers.send([name], self._message)
 
+    def reads_compressed(self, name: str) -> bool:
+        """Return whether a VM states that it reads compressed gossip."""
+        statement = self.by_peer.get(name)
+        if statement is None:
+            return False
+        return statement.formats.get('gossip', 1) >= _COMPRESSED_GOSSIP
+
     def count_by_build(self) -> Mapping[str, float]:
         """Return the VMs by build: this one, and those that send to it."""
         counts: collections.Counter[str] = collections.Counter()
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -18,6 +18,9 @@
 from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
 from ..records import PositionalRecord
+from .compression import BadCompressionError
+from .compression import compress
+from .compression import decompress
 from .knownchanges import TableProgress
 
 
@@ -310,6 +313,8 @@
     RelayedRows: b'r',
     RowRequest: b'q',
 }
+# A compressed message: this kind, then the compressed bytes of another.
+_COMPRESSED = b'z'
 
 
 def encode(message: Message) -> bytes:
@@ -317,8 +322,18 @@
     return _kinds[type(message)] + _encoder.encode(message)
 
 
+def encode_compressed(message: Message) -> bytes:
+    """Return a message as bytes that VMs of older builds can't read."""
+    return _COMPRESSED + compress(encode(message))
+
+
 def decode(data: bytes) -> Message:
     """Return the message in a datagram; raises ``BadMessageError``."""
+    try:
+        if data[:1] == _COMPRESSED:
+            data = decompress(data[1:])
+    except BadCompressionError as error:
+        raise BadMessageError(str(error)) from error
     decoder = _decoders.get(data[:1])
     if decoder is None:
         raise BadMessageError('unknown kind of message')
@@ -365,6 +380,7 @@
     'decode',
     'delay_progress',
     'encode',
+    'encode_compressed',
     'encode_progress',
     'encode_sent_at',
     'GossipMessage',
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -26,6 +26,7 @@
 from .messages import BadMessageError
 from .messages import decode
 from .messages import encode
+from .messages import encode_compressed
 from .messages import GossipMessage
 from .messages import Message
 from .messages import RelayedRows
@@ -56,6 +57,10 @@
 # For this time after its start, a process adopts the usage that peers
 # report, and sends to all VMs that it has found, so that they add it.
 STARTING_S = 3.0
+# A starting process sends to VMs of other data centres that are no hubs at
+# this interval. They only need to know that it is there, and in a fleet that
+# starts as a whole each VM would send to all others four times a second.
+_REMOTE_GREETING_INTERVAL_S = 1.0
 # A requested message is sent at least this time after the previous one.
 _MIN_INTERVAL_S = 0.04
 _MAX_DATAGRAM_BYTES = 60_000
@@ -113,6 +118,8 @@
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._started_at = clock.now()
+        # By VM, when this process last sent to it as it started.
+        self._greeted_at: dict[str, float] = {}
         # By hub, the time since which it should send to this VM.
         self._expected_since: dict[str, float] = {}
         self._send_requested = asyncio.Event()
@@ -124,6 +131,8 @@
         self.by_name: dict[str, Peer] = {}
         self._ended = EndedProcesses()
         self.make_messages: GossipSource | None = None
+        # Whether a VM reads compressed messages.
+        self.reads_compressed: Callable[[str], bool] = lambda _: False
         self.has_lost_store: Callable[[], bool] = lambda: False
         self.on_message: list[Callable[[GossipMessage], None]] = []
         self.on_relayed_rows: list[Callable[[RelayedRows], None]] = []
@@ -371,18 +380,39 @@
 
     def _send_now(self) -> None:
         recipients = self._pick_recipients()
+        if self.is_starting():
+            self._record_greetings(recipients.vm)
         self._send_messages(recipients.vm, Scope.VM)
         self._send_messages(recipients.data_centre, Scope.DATA_CENTRE)
         self._send_messages(recipients.fleet, Scope.FLEET)
 
+    def _record_greetings(self, names: Iterable[str]) -> None:
+        now = self._clock.now()
+        self._greeted_at.update(dict.fromkeys(names, now))
+
     def _pick_recipients(self) -> Recipients:
         members = [p.member for p in self.by_name.values()]
         recipients = pick_recipients(self.own_member, members, self.hubs())
         if self.is_starting():
             # Hubs send sums besides: all VMs may be starting.
-            recipients = recipients._replace(vm=list(self.by_name))
+            recipients = recipients._replace(vm=self._list_to_greet())
         return recipients
 
+    def _list_to_greet(self) -> list[str]:
+        """Return the VMs that a starting process sends its message to now."""
+        if self.is_mesh():
+            return list(self.by_name)
+        own = self.own_member.data_centre
+        hubs = {n for names in self.hubs().values() for n in names}
+        due_before = self._clock.now() - _REMOTE_GREETING_INTERVAL_S
+        return [
+            n
+            for n, p in self.by_name.items()
+            if n in hubs
+            or p.member.data_centre == own
+            or self._greeted_at.get(n, float('-inf')) <= due_before
+        ]
+
     def list_recipients(self) -> list[str]:
         """Return the VMs that this one sends gossip messages to."""
         recipients = self._pick_recipients()
@@ -395,8 +425,26 @@
             return
         for names, message in self.make_messages(scope, recipients):
             data = encode(message)
+            compressed = None
             for name in names:
-                self._send_datagram(name, data)
+                if not self._saves_bytes(name):
+                    self._send_datagram(name, data)
+                    continue
+                if compressed is None:
+                    compressed = encode_compressed(message)
+                self._send_datagram(name, compressed)
+
+    def _saves_bytes(self, name: str) -> bool:
+        """Return whether messages to a VM are compressed.
+
+        Bytes between data centres are charged, others are not. In a mesh
+        each VM would have to decompress the messages of all others.
+        """
+        if self.is_mesh() or not self.reads_compressed(name):
+            return False
+        peer = self.by_name.get(name)
+        own = self.own_member.data_centre
+        return peer is not None and peer.member.data_centre != own
 
     def _send_datagram(self, name: str, data: bytes) -> None:
         transport = self._transport
--- a/tests/gateway/test_build_statements.py
+++ b/tests/gateway/test_build_statements.py
@@ -108,7 +108,7 @@
             for line in (
                 f'lentilrun_build{{label="{own}"}} 1.0',
                 f'lentilrun_builds{{label="{own}"}} 2.0',
-                'lentilrun_formats{label="gossip"} 1.0',
+                f'lentilrun_formats{{label="gossip"}} {FORMATS["gossip"]}.0',
                 'lentilrun_peer_messages_unreadable 1.0',
                 'lentilrun_peers_unreadable 1.0',
             ):
