Cancel unsafe calls that were not sent when their callers disconnect

What callers saw: an unsafe request ran up to 1.2 s after its caller had given up and closed the connection, as it waited for targets that were down.

Cause: whether a call may be cancelled was decided on its admission by the kind of its route. An unsafe call must not be cancelled at a target that may run it, but the rule was applied to its waits as well, and the close was not remembered for the time after an attempt that had not run.

Four cases of tests/gateway/test_gone_callers.py failed before: no usable target, a slow connection, refused connections, and a target that refuses the request after the caller has left.

Why it works: a call's cancellation is forbidden from the moment before the first byte goes to a target or another VM, and permitted again once the attempt is known not to have run. A close in between then ends the call instead of another attempt. A call that may have run is completed and not sent again. Streams are cancelled as before.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -83,12 +83,14 @@
         writer: ResponseWriter,
         may_move: Callable[[], bool],
         may_stop: bool,
+        on_start: Callable[[], None],
     ) -> None:
         """Continue the stream whose ``progress`` earlier attempts made.
 
         ``may_move`` returns whether another target may continue the stream
         now, and reserves the retry for that if so. The attempt ``may_stop``
         when this VM loses all targets, as another VM may repeat it.
+        ``on_start`` is called before the first byte of the request is sent.
         """
         self._context = context
         self._call = call
@@ -120,6 +122,7 @@
         self._receiver.on_head = AttemptStatements(
             context, call.request_id, assignment.state
         ).record
+        self._receiver.on_start = on_start
         self._receiver.on_data = context.reachability.record_data
         self._patience = CallerPatience(
             call, context.clock, progress, self._receiver
--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -7,9 +7,13 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from tornado.iostream import StreamClosedError
+
 from ..decisions.facts import RouteKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from tornado.httputil import HTTPHeaders
 
     from ..decisions.facts import Prompt
@@ -68,11 +72,43 @@
             + self.route.urgency
         )
 
-    def may_cancel(self) -> bool:
-        """Return whether the call is cancelled if the caller disconnects."""
+    def may_cancel_sent(self) -> bool:
+        """Return whether the call may be cancelled after it was sent."""
         return self.route.kind is not RouteKind.UNSAFE
 
 
+class Cancellation:
+    """Cancels a call whose caller disconnects, unless it is forbidden.
+
+    It is forbidden while a call runs that must be completed.
+    """
+
+    def __init__(self) -> None:
+        # Called if the call is to end while it waits.
+        self.cancel: Callable[[], object] = lambda: None
+        self._is_forbidden = False
+        self._is_requested = False
+
+    def request(self) -> None:
+        """Record that the caller has disconnected."""
+        self._is_requested = True
+        if not self._is_forbidden:
+            self.cancel()
+
+    def forbid(self) -> None:
+        """Complete the call from now on, even if the caller disconnects."""
+        self._is_forbidden = True
+
+    def permit(self) -> None:
+        """Permit the cancellation, as the call has not run.
+
+        Raises ``StreamClosedError`` if the caller has disconnected.
+        """
+        self._is_forbidden = False
+        if self._is_requested:
+            raise StreamClosedError
+
+
 class Reason(enum.StrEnum):
     """Why the router itself responded to a request."""
 
@@ -139,4 +175,11 @@
         """Close the connection, so that the response looks incomplete."""
 
 
-__all__ = ['Call', 'IncomingRequest', 'Reason', 'Refusal', 'ResponseWriter']
+__all__ = [
+    'Call',
+    'Cancellation',
+    'IncomingRequest',
+    'Reason',
+    'Refusal',
+    'ResponseWriter',
+]
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.retries import RetryBudget
+from .call import Cancellation
 from .events import wait_for_event
 from .execution import CallExecution
 
@@ -33,13 +34,25 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def run(self, call: Call, writer: ResponseWriter) -> None:
+    async def run(
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
+    ) -> None:
         """Run a call and send its response to ``writer``.
 
-        Raises ``Refusal`` if no whole response was delivered, and
+        Without a ``cancellation`` the caller is taken to stay. Raises
+        ``Refusal`` if no whole response was delivered, and
         ``StreamClosedError`` if the caller has disconnected.
         """
-        execution = CallExecution(self, self._context, call, writer)
+        execution = CallExecution(
+            self,
+            self._context,
+            call,
+            writer,
+            cancellation or Cancellation(),
+        )
         await execution.run()
 
     def retry_budget(self, service: str) -> RetryBudget:
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from ..platform.dialect import ResponseHead
     from .call import Call
+    from .call import Cancellation
     from .call import ResponseWriter
     from .context import DispatchContext
     from .dispatch import Dispatcher
@@ -67,11 +68,13 @@
         context: DispatchContext,
         call: Call,
         writer: ResponseWriter,
+        cancellation: Cancellation,
     ) -> None:
         self._dispatcher = dispatcher
         self._context = context
         self._call = call
         self._writer = writer
+        self._cancellation = cancellation
         self._suspects = list_suspects(call)
         self._progress = StreamProgress(call.last_event_id)
         self._avoid: set[str] = set()
@@ -118,9 +121,11 @@
             if result.outcome is AttemptOutcome.DELIVERED:
                 return
             if result.outcome is AttemptOutcome.NOT_SENT:
+                self._cancellation.permit()
                 continue
             self._sent_attempts += 1
             if result.outcome is AttemptOutcome.NOT_RUN:
+                self._cancellation.permit()
                 continue
             self._possible_runs += 1
             if result.outcome is AttemptOutcome.MOVED:
@@ -145,6 +150,7 @@
             self._writer,
             lambda: self._may_move(assignment),
             self._may_repeat_elsewhere(),
+            self._forbid_cancellation,
         )
         events_before = self._progress.last_event_id
         with AttemptWatch(
@@ -176,6 +182,7 @@
             self._progress,
             self._writer,
             self._record_forwarded_head,
+            self._forbid_cancellation,
         )
         with context.helpers.count(helper):
             result = await attempt.run(
@@ -190,6 +197,11 @@
             result.outcome, result.receiver, result.is_abandoned
         )
 
+    def _forbid_cancellation(self) -> None:
+        """Complete a call that may run from now on, if it must be."""
+        if not self._call.may_cancel_sent():
+            self._cancellation.forbid()
+
     def _record_forwarded_head(self, head: ResponseHead) -> None:
         """Record that the target that answered another VM leaves."""
         if head.is_leaving:
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -149,10 +149,12 @@
         progress: StreamProgress,
         writer: ResponseWriter,
         on_head: Callable[[ResponseHead], None],
+        on_start: Callable[[], None],
     ) -> None:
         """Continue the stream whose ``progress`` earlier attempts made.
 
-        ``on_head`` is called with the head of the response.
+        ``on_head`` is called with the head of the response, and ``on_start``
+        before the first byte of the request is sent.
         """
         self._client = client
         self._clock = clock
@@ -167,6 +169,7 @@
             expects_body=call.incoming.method != 'HEAD',
         )
         self._receiver.on_head = on_head
+        self._receiver.on_start = on_start
 
     async def run(self, node: str, configuration: int) -> ForwardResult:
         """Forward the call as the VM ``node``; deliver a whole response.
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -16,6 +16,7 @@
 
     from .admission import Admission
     from .call import Call
+    from .call import Cancellation
     from .call import IncomingRequest
     from .call import ResponseWriter
     from .dispatch import Dispatcher
@@ -90,11 +91,13 @@
             is_forwarded=True, is_continued=stated.is_continued
         )
 
-    async def run(self, call: Call, writer: ResponseWriter) -> None:
+    async def run(
+        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+    ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         self._open += 1
         try:
-            await self._dispatcher.run(call, writer)
+            await self._dispatcher.run(call, writer, cancellation)
         finally:
             self._open -= 1
 
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -61,6 +61,7 @@
 
     from ..platform.node import NodeSettings
     from .call import Call
+    from .call import Cancellation
     from .call import IncomingRequest
     from .call import ResponseWriter
 
@@ -129,9 +130,11 @@
             self._node.metrics.add(Count.REFUSALS, refusal.reason)
             raise
 
-    async def run(self, call: Call, writer: ResponseWriter) -> None:
+    async def run(
+        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+    ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
-        await self._node.dispatcher.run(call, writer)
+        await self._node.dispatcher.run(call, writer, cancellation)
 
     def record_end(self, call: Call, refusal: Refusal | None) -> None:
         """Record a finished call; refund its charge if it has not run."""
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -23,6 +23,7 @@
     from ..decisions.streamorder import Selection
     from ..decisions.streamorder import StreamProgress
     from ..decisions.streamorder import Verdict
+    from ..web.memory import MemoryBudget
     from .call import ResponseWriter
 
 _OK = 200
@@ -64,6 +65,8 @@
         super().__init__()
         self.head: ResponseHead | None = None
         self.caller_disconnected = False
+        # Called before the first byte of the request is sent.
+        self.on_start: Callable[[], None] = lambda: None
         # Called once the head of the response has arrived.
         self.on_head: Callable[[ResponseHead], None] = lambda _: None
         # Called with each part of the response.
@@ -79,6 +82,11 @@
         self._fault: Verdict | None = None
         self._buffer = EventBuffer()
 
+    def start(self, close: Callable[[], None], memory: MemoryBudget) -> None:
+        """Record that the request is sent over a connection now."""
+        super().start(close, memory)
+        self.on_start()
+
     def is_response_to_request(self, headers: HTTPHeaders) -> bool:
         """Return whether a response belongs to the request."""
         return dialect.is_response_to(headers, self._request_id)
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -19,6 +19,7 @@
 
 from ..platform import dialect
 from ..web.sockets import abort
+from .call import Cancellation
 from .call import IncomingRequest
 from .call import Reason
 from .call import Refusal
@@ -51,7 +52,9 @@
         """Return an admitted call; raises ``Refusal``."""
         raise NotImplementedError
 
-    async def run(self, call: Call, writer: ResponseWriter) -> None:
+    async def run(
+        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+    ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         raise NotImplementedError
 
@@ -156,8 +159,7 @@
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
         self._arrived_at = 0.0
-        self._task: asyncio.Task[None] | None = None
-        self.may_cancel = True
+        self._cancellation = Cancellation()
 
     def headers_received(
         self,
@@ -191,20 +193,20 @@
             self._line.method == 'HEAD',
             self._line.version != _HTTP_1_0,
         )
-        coroutine = self._port.respond(incoming, writer, self)
-        self._task = asyncio.ensure_future(coroutine)
+        coroutine = self._port.respond(incoming, writer, self._cancellation)
+        task = asyncio.ensure_future(coroutine)
+        self._cancellation.cancel = task.cancel
         # After the request has been read, only this reports a close.
         self._connection.set_close_callback(self.on_connection_close)
-        self._port.in_flight.add(self._task)
-        self._task.add_done_callback(self._mark_done)
+        self._port.in_flight.add(task)
+        task.add_done_callback(self._mark_done)
 
     def _mark_done(self, task: asyncio.Task[None]) -> None:
         self._port.in_flight.discard(task)
         self._port.mark_idle(self._server_connection)
 
     def on_connection_close(self) -> None:
-        if self._task is not None and self.may_cancel:
-            self._task.cancel()
+        self._cancellation.request()
 
 
 class CallerPort(HTTPServerConnectionDelegate):
@@ -258,7 +260,7 @@
         self,
         incoming: IncomingRequest,
         writer: _ConnectionWriter,
-        receiver: _RequestReceiver,
+        cancellation: Cancellation,
     ) -> None:
         """Answer one request: run it as a call, or refuse it."""
         try:
@@ -266,8 +268,7 @@
         except Refusal as refusal:
             await self._refuse(incoming, writer, refusal)
             return
-        receiver.may_cancel = call.may_cancel()
-        call_refusal = await self._run(call, writer)
+        call_refusal = await self._run(call, writer, cancellation)
         self._handler.record_end(call, call_refusal)
         if call_refusal is not None:
             await self._refuse(incoming, writer, call_refusal)
@@ -285,14 +286,14 @@
             raise Refusal(_INTERNAL_ERROR, Reason.INTERNAL) from error
 
     async def _run(
-        self, call: Call, writer: _ConnectionWriter
+        self, call: Call, writer: _ConnectionWriter, cancellation: Cancellation
     ) -> Refusal | None:
         time_left = max(0.0, call.deadline - self.clock.now())
         try:
             async with asyncio.timeout(
                 time_left + _DELIVERY_GRACE_S
             ) as delivery:
-                await self._handler.run(call, writer)
+                await self._handler.run(call, writer, cancellation)
         except Refusal as refusal:
             return refusal
         except TimeoutError as error:
