Send no requests to data centres that operators evacuate

Callers saw requests run in a data centre that was to be shut down: the row op/evacuate/ZONE was ignored, and only targets that left by themselves were left alone.

A VM now keeps the data centres whose row is there, and excludes their targets where all candidates come from: first attempts, queued calls, retries, moved and forwarded ones, and sources of KV cache. If none is left, a call is refused at once, before it is forwarded or waits. A VM is ready only after it has read the operators' rows. evacuation-ms counts in the time within which rows must be in force. A row that a restored store has again is in force at once, as nobody renews it: the usual delay of 6 s is more than an evacuation may take.

The modelled fleets take settings, a log file, a data centre and a configuration for their targets; existing tests are unchanged.

--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -47,7 +47,8 @@
 _MAX_WAIT_SHARE = 0.6
 _RETRY_AFTER_S = 0.25
 _QUARANTINE_RETRY_AFTER_S = 1.0
-# Retry-After while all targets of a service leave and none has replaced them.
+# Retry-After while all targets of a service leave, or are excluded, and none
+# has replaced them.
 _LEAVING_RETRY_S = 1.0
 # A waiting call looks for a target at intervals in this range; they differ so
 # that the VMs do not send their calls at the same time.
@@ -336,6 +337,8 @@
                 raise self._make_refusal(
                     Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
                 )
+            if not self._context.targets.has_target_left(self._service):
+                raise self._make_refusal(Reason.NO_TARGET, _LEAVING_RETRY_S)
             helper = self._find_helper()
             if helper is not None:
                 return helper
--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -78,7 +78,12 @@
     ) -> None:
         self._store = store
         self.table = table
-        self._delivery = RowDelivery(handle_row, clock, self._is_outage)
+        self._delivery = RowDelivery(
+            handle_row,
+            clock,
+            self._is_outage,
+            lambda key: self.revives_at_once(key),
+        )
         self._clock = clock
         self._log = log
         # The newest row of each key; deleted ones too.
@@ -97,6 +102,9 @@
         # Rows of the response that is being applied may have been written
         # this long ago, in seconds; 0 if they were read without a break.
         self.unread_for = 0.0
+        # Whether a row with this key is not delayed if a copy of the store
+        # has it again, as its writer does not renew it.
+        self.revives_at_once: Callable[[str], bool] = lambda _: False
         self._newer_rows_reported = asyncio.Event()
         # Of the newest change that other VMs know of; this VM may lack it.
         self._reported_version = 0
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -238,6 +238,7 @@
             self.clock,
             self.log,
         )
+        self.operator_rows.revives_at_once = documents.is_evacuation_key
         for follower in (self.operator_rows, self.target_rows):
             follower.on_era.append(self.store.record_reported_era)
         self.row_relay = RowRelay(
@@ -323,6 +324,10 @@
             'peers_heard', lambda: float(len(self.peers.list_responsive()))
         )
         add_gauge('targets', lambda: float(len(self.targets.states)))
+        add_gauge(
+            'evacuated_data_centres',
+            lambda: float(len(self.view.evacuations.by_data_centre)),
+        )
         add_gauge('targets_unreachable', self._count_unreachable)
         add_gauge('store_calls', lambda: float(self.store.call_count))
         add_gauge('configuration', self._configuration_version)
@@ -403,13 +408,24 @@
             self.log,
         )
         self.discovery.on_read.append(self.rollout_driver.apply_rows)
+        self.discovery.on_read.append(
+            lambda _: self._log_unknown_evacuations()
+        )
         self.gossip.is_driving_rollouts = self.rollout_driver.is_driving
 
+    def _log_unknown_evacuations(self) -> None:
+        if not self.target_rows.has_been_read():
+            return
+        vms = [self.peers.own_member]
+        vms += [p.member for p in self.peers.by_name.values()]
+        self.view.evacuations.log_unknown({v.data_centre for v in vms})
+
     def is_ready(self) -> bool:
         """Return whether this VM accepts new callers."""
         return (
             not self.caller_port.is_leaving
             and self.view.configuration is not None
+            and self.operator_rows.has_been_read()
             and self.target_rows.has_been_read()
         )
 
--- a/src/lentilrun/gateway/reachability.py
+++ b/src/lentilrun/gateway/reachability.py
@@ -101,7 +101,7 @@
         if self.is_cut_off():
             return False
         now = self._clock.now()
-        states = self._targets.list_of_service(service)
+        states = self._targets.list_included(service)
         return not states or not all(s.is_unreachable(now) for s in states)
 
     def watch(self, stop: Callable[[], None] | None) -> AttemptWatch:
@@ -160,10 +160,16 @@
         )
 
     def _pick_targets(self) -> list[TargetState]:
-        """Return targets to connect to, reachable ones first."""
+        """Return targets to connect to, reachable ones first.
+
+        A path to evacuated targets is of no use.
+        """
         now = self._clock.now()
         states = [
-            s for s in self._targets.states.values() if not s.is_leaving()
+            s
+            for s in self._targets.states.values()
+            if not s.is_leaving()
+            and self._targets.places.includes(s.target.data_centre)
         ]
         random.shuffle(states)
         states.sort(key=lambda s: s.is_unreachable(now))
--- a/src/lentilrun/gateway/rowdelivery.py
+++ b/src/lentilrun/gateway/rowdelivery.py
@@ -28,7 +28,8 @@
     store either. The same holds after the store was restored from an older
     copy, as lost rows are written again. Rows that were known as deleted
     before are passed on after ``_REVIVAL_GRACE_S`` seconds, or once they are
-    written again. ``is_outage`` returns whether the store seems to be away.
+    written again, unless ``revives_at_once`` is true of the key. ``is_outage``
+    returns whether the store seems to be away.
     """
 
     def __init__(
@@ -36,10 +37,12 @@
         handle_row: Callable[[Row], None],
         clock: Clock,
         is_outage: Callable[[], bool],
+        revives_at_once: Callable[[str], bool] = lambda _: False,
     ) -> None:
         self._handle_row = handle_row
         self._clock = clock
         self._is_outage = is_outage
+        self._revives_at_once = revives_at_once
         self._delayed_deletions: dict[str, Row] = {}
         # Rows of a copy that were deleted before, and when they are believed.
         self._revived: dict[str, tuple[float, Row]] = {}
@@ -77,6 +80,7 @@
             and known.is_deleted
             and not is_delayed
             and find_era(row.version) > find_era(known.version)
+            and not self._revives_at_once(row.key)
         ):
             believed_at = self._clock.now() + _REVIVAL_GRACE_S
             self._revived[row.key] = (believed_at, row)
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.placement import Candidate
+from ..decisions.places import EVERYWHERE
+from ..decisions.places import Places
 from ..decisions.ratelimits import count_spare_turns
 from ..decisions.ratelimits import has_sure_room
 from ..decisions.ratelimits import Room
@@ -59,6 +61,8 @@
         # The number of VMs, and how late they know of requests, in seconds.
         self.count_members: Callable[[], int] = lambda: 1
         self.report_lag: Callable[[], float] = lambda: 0.0
+        # The data centres without the evacuated ones.
+        self.places = EVERYWHERE
 
     def configure(self, configuration: Configuration) -> None:
         """Apply the sizes of the engines."""
@@ -105,6 +109,28 @@
         """Remove a target; return its state if it was known."""
         return self.states.pop(incarnation, None)
 
+    def evacuate(self, data_centres: frozenset[str]) -> None:
+        """Exclude the targets of these data centres, and of no others."""
+        self.places = Places(data_centres)
+        self.notify_changed()
+
+    def has_target_left(self, service: str) -> bool:
+        """Return whether a target may get requests, if not now.
+
+        It is so too if no data centre is excluded.
+        """
+        return self.places.has_any(
+            s.target.data_centre for s in self.list_of_service(service)
+        )
+
+    def list_included(self, service: str) -> list[TargetState]:
+        """Return a service's targets in data centres that may be used."""
+        return [
+            s
+            for s in self.list_of_service(service)
+            if self.places.includes(s.target.data_centre)
+        ]
+
     def list_of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service."""
         states = self.states.values()
@@ -166,9 +192,7 @@
 
         Otherwise some may take requests without a turn, if not now.
         """
-        states = [
-            s for s in self.list_of_service(service) if not s.is_leaving()
-        ]
+        states = [s for s in self.list_included(service) if not s.is_leaving()]
         if any(s.rate_limit.limit is None for s in states):
             return []
         return states
@@ -177,7 +201,7 @@
         now = self._clock.now()
         return [
             s
-            for s in self.list_of_service(service)
+            for s in self.list_included(service)
             if not s.is_leaving()
             and not s.statements.is_resting(now)
             and s.blocked_until <= now
@@ -216,7 +240,7 @@
 
         It is 0 unless all of them rest or leave, and infinite if all leave.
         """
-        states = self.list_of_service(service)
+        states = self.list_included(service)
         now = self._clock.now()
         staying = [s for s in states if not s.is_leaving()]
         if not states or any(
@@ -231,7 +255,7 @@
         now = self._clock.now()
         return [
             s
-            for s in self.list_of_service(service)
+            for s in self.list_included(service)
             if s.blocked_until <= now and not s.is_cordoned(now)
         ]
 
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -10,6 +10,7 @@
 from ..platform.rollouts import decode_order
 from ..platform.rollouts import is_rollout_key
 from ..platform.rowversions import find_era
+from .evacuations import Evacuations
 from .messages import AnnouncementReport
 
 if TYPE_CHECKING:
@@ -111,6 +112,7 @@
         self._clock = clock
         self._log = log
         self.targets = targets
+        self.evacuations = Evacuations(clock, targets, log)
         self.configuration: Configuration | None = None
         self.announced: dict[str, AnnouncedWeights] = {}
         self._has_operator_rows = False
@@ -133,6 +135,8 @@
                 self._apply_announcement(row)
             elif is_rollout_key(row.key):
                 self._apply_rollout_order(row)
+            elif documents.is_evacuation_key(row.key):
+                self.evacuations.apply(row)
         except BadDocumentError as error:
             self._log.write('row_unreadable', key=row.key, error=error)
 
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -25,6 +25,7 @@
 TARGET_TABLE = 'servers'
 CONFIGURATION_KEY = 'config'
 _ANNOUNCEMENT_PREFIX = 'version/'
+_EVACUATION_PREFIX = 'evacuate/'
 _S_PER_MS = 1e-3
 _DEFAULT_TIMEOUT_MS = 30_000.0
 # A deeply nested document exceeds the recursion limit.
@@ -147,6 +148,12 @@
     version: Number
 
 
+class _WireEvacuation(msgspec.Struct):
+    # The key names the zone; the body has no fields yet.
+    pass
+
+
+_evacuation_decoder = msgspec.json.Decoder(_WireEvacuation)
 _announcement_decoder = msgspec.json.Decoder(_WireAnnouncement)
 
 
@@ -281,15 +288,42 @@
     return WeightsAnnouncement(document.model, document.version)
 
 
+def is_evacuation_key(key: str) -> bool:
+    """Return whether an operators' row with this key is an evacuation."""
+    return key.startswith(_EVACUATION_PREFIX)
+
+
+def read_evacuated(key: str) -> str:
+    """Return the data centre that a row with this key evacuates.
+
+    Raises ``BadDocumentError`` if the key names none.
+    """
+    data_centre = key.removeprefix(_EVACUATION_PREFIX)
+    if not data_centre:
+        raise BadDocumentError('an evacuation names no data centre')
+    return data_centre
+
+
+def check_evacuation(value: bytes) -> None:
+    """Raise ``BadDocumentError`` if the body of an evacuation is odd."""
+    try:
+        _evacuation_decoder.decode(value)
+    except _DECODE_ERRORS as error:
+        raise BadDocumentError(f'malformed evacuation: {error}') from error
+
+
 __all__ = [
     'BadDocumentError',
+    'check_evacuation',
     'CONFIGURATION_KEY',
     'decode_announcement',
     'decode_configuration',
     'decode_target',
+    'is_evacuation_key',
     'is_weights_key',
     'Number',
     'OPERATOR_TABLE',
+    'read_evacuated',
     'TARGET_TABLE',
     'WeightsAnnouncement',
 ]
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -16,10 +16,13 @@
 from ..errors import LentilrunError
 
 PATH_VARIABLE = 'LENTILRUN_CONFIG'
+_S_PER_MS = 1e-3
 _BYTES_PER_MB = 1_000_000
 _DEFAULT_MEMORY_MB = 128
 _DEFAULT_EXPOSURE_SHARE = 0.1
 _DEFAULT_EXPOSURE_SLACK = 50.0
+# A day is longer than the other limits, so that it changes none of them.
+_DEFAULT_EVACUATION_MS = 86_400_000.0
 
 
 class Bounds(NamedTuple):
@@ -30,7 +33,8 @@
     ``retry_slack`` limit the retries of all VMs together in
     ``retry_window``. ``quota_overage`` is a share of a workspace's rate and
     burst, ``quota_slack`` is in tokens. Of the requests during a roll-out,
-    a bad version may get ``exposure_share`` and ``exposure_slack`` more.
+    a bad version may get ``exposure_share`` and ``exposure_slack`` more. An
+    evacuation must be in force within ``evacuation_limit``.
     """
 
     drain: float
@@ -46,11 +50,15 @@
     stale_weights_limit: float
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
+    evacuation_limit: float = _DEFAULT_EVACUATION_MS * _S_PER_MS
 
     def change_limit(self) -> float:
         """Return the time in which any row must be in force, in seconds."""
         return min(
-            self.configuration_limit, self.drain, self.stale_weights_limit
+            self.configuration_limit,
+            self.drain,
+            self.stale_weights_limit,
+            self.evacuation_limit,
         )
 
 
@@ -79,9 +87,6 @@
     code = Code.INVALID_FILE
 
 
-_S_PER_MS = 1e-3
-
-
 _Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 _Positive = Annotated[float, msgspec.Meta(gt=0.0)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
@@ -117,6 +122,7 @@
     version_ms: _Amount
     exposure_share: _Amount = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: _Amount = _DEFAULT_EXPOSURE_SLACK
+    evacuation_ms: _Amount = _DEFAULT_EVACUATION_MS
 
 
 class _WireSettings(msgspec.Struct, rename='kebab'):
@@ -145,6 +151,7 @@
         stale_weights_limit=wire.version_ms * _S_PER_MS,
         exposure_share=float(wire.exposure_share),
         exposure_slack=float(wire.exposure_slack),
+        evacuation_limit=wire.evacuation_ms * _S_PER_MS,
     )
     if not all(map(math.isfinite, bounds)):
         raise ValueError('a bound is not finite')
--- a/src/lentilrun/standins/configuration.py
+++ b/src/lentilrun/standins/configuration.py
@@ -76,6 +76,11 @@
     )
 
 
+def make_evacuation_key(data_centre: str) -> str:
+    """Return the key of the row that evacuates a data centre."""
+    return f'evacuate/{data_centre}'
+
+
 def make_target_row(
     service: str,
     address: str,
@@ -83,21 +88,25 @@
     state: str,
     born: int = 0,
     software_version: str = 'v1',
+    data_centre: str = 'a',
+    cold_remaining_ms: float = 0.0,
 ) -> bytes:
     """Return the row with which a replica registers itself.
 
     ``versions`` holds the weights version of each model, ``born`` the
-    replica's start time in milliseconds.
+    replica's start time in milliseconds. The replica is cold for
+    ``cold_remaining_ms`` milliseconds.
     """
     return msgspec.json.encode(
         {
             'service': service,
             'address': address,
-            'zone': 'a',
+            'zone': data_centre,
             'version': software_version,
             'slots': _SLOTS,
             'state': state,
             'born': born,
+            'cold-remaining-ms': cold_remaining_ms,
             'models': [{'name': n, 'version': v} for n, v in versions.items()],
         }
     )
@@ -107,6 +116,7 @@
     'HOST',
     'KEY',
     'make_configuration',
+    'make_evacuation_key',
     'make_rollout_order',
     'make_target_row',
     'make_weights_announcement',
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -24,6 +24,7 @@
 from lentilrun.platform.engines import EngineReport
 from lentilrun.platform.node import NodeSettings
 from lentilrun.standins.configuration import make_configuration
+from lentilrun.standins.configuration import make_evacuation_key
 from lentilrun.standins.configuration import make_target_row
 from lentilrun.standins.configuration import make_weights_announcement
 from lentilrun.standins.configuration import MODEL
@@ -43,6 +44,7 @@
 
     from lentilrun.decisions.facts import Target
     from lentilrun.platform.engines import WeightsLoadOrder
+    from lentilrun.platform.node import Bounds
     from lentilrun.standins.rowstore import StoredRow
     from lentilrun.standins.timeloop import TimeLoop
     from lentilrun.web.client import Request
@@ -243,11 +245,19 @@
         monkeypatch: pytest.MonkeyPatch,
         data_centres: dict[str, int],
         engine_count: int = 8,
+        bounds: Bounds = BOUNDS,
+        log_file: int | None = None,
     ) -> None:
-        """Build a number of VMs by data centre."""
+        """Build a number of VMs by data centre.
+
+        They log to a file descriptor, which is closed on exit.
+        """
         monkeypatch.setattr(node_module, 'SystemClock', lambda: loop)
         self._loop = loop
-        self._log_file = os.open(os.devnull, os.O_WRONLY)
+        if log_file is None:
+            log_file = os.open(os.devnull, os.O_WRONLY)
+        self._log_file = log_file
+        self._bounds = bounds
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self.state = RowStoreState()
         self.engines = ModelledEngines(loop)
@@ -290,7 +300,7 @@
             address,
             port,
             address,
-            BOUNDS,
+            self._bounds,
         )
         node = self._make_node(settings)
         store = ModelledStore(self.state, self._loop)
@@ -351,10 +361,18 @@
         """Return the peers of a VM."""
         return self.nodes[name].peers
 
-    def configure(self, version: int) -> None:
-        """Write a configuration."""
-        value = msgspec.json.encode(make_configuration(version))
-        self.state.put('op', 'config', value)
+    def configure(self, version: int, **overrides: Any) -> None:
+        """Write a configuration; ``overrides`` replace top-level keys."""
+        configuration = make_configuration(version, **overrides)
+        self.state.put('op', 'config', msgspec.json.encode(configuration))
+
+    def evacuate(self, data_centre: str, body: bytes = b'{}') -> None:
+        """Write the row that evacuates a data centre."""
+        self.state.put('op', make_evacuation_key(data_centre), body)
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Delete the row that evacuates a data centre."""
+        self.state.put('op', make_evacuation_key(data_centre), None)
 
     def announce_weights(self, version: int) -> None:
         """Announce a version of the model's weights."""
@@ -362,14 +380,20 @@
         self.state.put('op', f'version/{MODEL}', value)
 
     def register(
-        self, name: str, state: str = 'ready', service: str = 'llm'
+        self,
+        name: str,
+        state: str = 'ready',
+        service: str = 'llm',
+        **row: Any,
     ) -> None:
         """Write the row of a target, an engine unless stated otherwise."""
         ports = {n: p for p, n in self.targets_by_port.items()}
         port = ports.get(name, _FIRST_TARGET_PORT + len(ports))
         self.targets_by_port[port] = name
         versions = {MODEL: 1} if service == 'llm' else {}
-        value = make_target_row(service, f'{_HOST}:{port}', versions, state)
+        value = make_target_row(
+            service, f'{_HOST}:{port}', versions, state, **row
+        )
         self.state.put('servers', name, value)
 
     def count_calls(self) -> collections.Counter[str]:
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -32,11 +32,15 @@
 
 
 class Arrival(NamedTuple):
-    """A request that reached a target from a VM; ``at`` in seconds."""
+    """A request that reached a target from a VM; ``at`` in seconds.
+
+    ``source`` is where the target is to fetch KV cache, empty for nowhere.
+    """
 
     at: float
     vm: str
     target: str
+    source: str = ''
 
 
 class Ending(NamedTuple):
@@ -114,7 +118,8 @@
             raise find_module(node, 'web.client').NotSentError('no connection')
         target = self._fleet.targets_by_port[address.port]
         await asyncio.sleep(_NETWORK_S)
-        arrival = Arrival(self._loop.time(), vm, target)
+        source = request.headers.get('X-Kv-Fetch-From', '')
+        arrival = Arrival(self._loop.time(), vm, target, source)
         self.arrivals.append(arrival)
         if self._in_flight[target] >= self.rooms.get(target, 1 << 30):
             self.rejections.append(arrival)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -116,3 +116,12 @@
     extra: dict[str, Any] = {'role': 5, 'seeds': '[1]'}
     lines = ''.join(f'{name} = {value}\n' for name, value in extra.items())
     _check(parse(lines + _TEXT))
+
+
+@pytest.mark.parametrize(
+    ('line', 'limit'),
+    [('', 2.0), ('evacuation-ms = 5000', 2.0), ('evacuation-ms = 1500', 1.5)],
+)
+def test_time_to_evacuate(line: str, limit: float) -> None:
+    """Guards against rows that are read later than an evacuation allows."""
+    assert parse(_TEXT + line).bounds.change_limit() == pytest.approx(limit)
