Count what a process holds in one budget, and limit its connections

Callers lost requests that ran, as a process was killed for its memory: bodies took up to 30 times their size, nothing bounded their sum, and nothing bounded connections.

A body was kept as chunks beside the joined bytes, in the copy for the target, and in reference cycles of calls until the garbage collector ran. It is now collected once, written without a copy, and released as soon as no attempt can need it; its holders keep an empty object.

All bodies and responses count in one budget sized from `memory-mb`. A body beyond the operators' limit (413) or without room (503, Retry-After) is refused before it is read; bodies that stall are ended for others; one address or workspace may hold a part only; small bodies and responses keep a share. Each port keeps a number of connections derived from `max-fds`; beyond it, idle and unfinished connections of the address that holds most are closed, and accepting stops until there is room. Closed connections were never removed from `CallerPort`, as `HTTPServer` does not pass on `on_close`; the new server does.

--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -6,11 +6,14 @@
 from typing import TYPE_CHECKING
 
 from ..platform import dialect
+from ..web.body import read_body
 from .call import Call
 from .call import Reason
 from .call import Refusal
 
 if TYPE_CHECKING:
+    from tornado.httputil import HTTPHeaders
+
     from ..decisions.facts import Configuration
     from ..decisions.facts import Route
     from ..decisions.facts import Workspace
@@ -27,6 +30,8 @@
 _TOO_MANY_REQUESTS = 429
 _UNAVAILABLE = 503
 _UNCONFIGURED_RETRY_AFTER_S = 0.5
+# Larger bodies are refused whatever the operators allow.
+_MAX_BODY_BYTES = 16 * 1024 * 1024
 # Timeout of a request if neither its route nor its caller sets one.
 _DEFAULT_TIMEOUT_S = 30.0
 
@@ -70,6 +75,23 @@
             self._charge(call)
         return call
 
+    def limit_body(self) -> int:
+        """Return the largest body that is admitted, in bytes."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return _MAX_BODY_BYTES
+        return min(_MAX_BODY_BYTES, configuration.limits.body_bytes)
+
+    def identify(self, headers: HTTPHeaders) -> str:
+        """Return the workspace of a request, empty if it has none."""
+        configuration = self._view.configuration
+        if configuration is None:
+            return ''
+        workspace = configuration.workspaces_by_key.get(
+            dialect.read_api_key(headers)
+        )
+        return workspace.name if workspace is not None else ''
+
     def _authorize(
         self,
         configuration: Configuration,
@@ -150,7 +172,7 @@
             f'{caller_headers.api_key}\n'
         ).encode()
     )
-    digest.update(incoming.body)
+    digest.update(read_body(incoming.body))
     return digest.digest()
 
 
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -12,6 +12,7 @@
 from ..metrics.registry import Timing
 from ..platform import dialect
 from ..platform.dialect import ForwardedHeaders
+from ..web.body import release_body
 from ..web.client import Request
 from .attemptlog import AttemptRecord
 from .attemptlog import write_attempt
@@ -125,6 +126,10 @@
             call, context.clock, progress, self._receiver
         )
 
+    def release(self) -> None:
+        """Drop what was received of the response."""
+        self._receiver.release()
+
     async def run(self) -> AttemptResult:
         """Send the request; deliver a complete response to the caller.
 
@@ -167,6 +172,7 @@
                 outcome = AttemptOutcome.CUT_OFF
         self._record_outcome(outcome)
         if outcome is AttemptOutcome.DELIVERED:
+            release_body(self._call.incoming.body)
             await receiver.deliver()
         return AttemptResult(outcome, receiver, self._patience.is_over)
 
@@ -213,6 +219,9 @@
         self._load.record_first_event()
         if self.first_event_at is None:
             self.first_event_at = self._context.clock.now()
+            if not self._call.route.is_idempotent():
+                # The stream has begun and can't be run again.
+                release_body(self._call.incoming.body)
         if not self._has_answered and not self._is_beginning():
             self._has_answered = True
             self._record_response(list_segments(self._call.prompt))
--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -15,6 +15,7 @@
     from ..decisions.facts import Prompt
     from ..decisions.facts import Route
     from ..decisions.facts import Workspace
+    from ..web.body import Body
 
 
 # Weight of a workspace's urgency, so that it takes precedence over the
@@ -25,13 +26,14 @@
 class IncomingRequest(NamedTuple):
     """A request as received; ``uri`` is the path with its query.
 
-    ``arrived_at`` is by the clock, in seconds.
+    ``arrived_at`` is by the clock, in seconds. The body is empty once it was
+    released, as no further attempt can need it.
     """
 
     method: str
     uri: str
     headers: HTTPHeaders
-    body: bytes
+    body: bytes | Body
     arrived_at: float
 
 
@@ -78,6 +80,9 @@
 
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    BODY_STALLED = 'body_stalled'
+    NO_MEMORY = 'no_memory'
+    NO_CONNECTION = 'no_connection'
     NOT_CONFIGURED = 'not_configured'
     UNKNOWN_ROUTE = 'unknown_route'
     KEY_REFUSED = 'key_refused'
@@ -131,9 +136,9 @@
         """Complete a streamed response."""
 
     async def send(
-        self, status: int, headers: HTTPHeaders, body: bytes
+        self, status: int, headers: HTTPHeaders, body: bytes | bytearray
     ) -> None:
-        """Send a whole response."""
+        """Send a whole response; a ``bytearray`` is not changed later."""
 
     def abort(self) -> None:
         """Close the connection, so that the response looks incomplete."""
--- a/src/lentilrun/gateway/exchange.py
+++ b/src/lentilrun/gateway/exchange.py
@@ -90,6 +90,18 @@
     error: LentilrunError | None = None
 
 
+def _without_frames(error: LentilrunError) -> LentilrunError:
+    """Return an error that is kept, without the frames that it refers to.
+
+    They refer to the attempt that keeps the error.
+    """
+    cause: BaseException | None = error
+    while cause is not None:
+        cause.__traceback__ = None
+        cause = cause.__cause__ or cause.__context__
+    return error
+
+
 async def run_exchange(
     client: Client,
     address: Address,
@@ -106,15 +118,16 @@
     try:
         await client.exchange(address, request, receiver, reuse)
     except NotSentError as error:
-        return ExchangeResult(AttemptOutcome.NOT_SENT, error)
+        return ExchangeResult(AttemptOutcome.NOT_SENT, _without_frames(error))
     except ExchangeTimeoutError as error:
-        return ExchangeResult(AttemptOutcome.TIMED_OUT, error)
+        return ExchangeResult(AttemptOutcome.TIMED_OUT, _without_frames(error))
     except InterruptedExchangeError as error:
         if receiver.caller_disconnected:
             raise StreamClosedError from error
+        kept = _without_frames(error)
         if patience.is_over:
-            return ExchangeResult(AttemptOutcome.TIMED_OUT, error)
-        return ExchangeResult(AttemptOutcome.BROKEN, error)
+            return ExchangeResult(AttemptOutcome.TIMED_OUT, kept)
+        return ExchangeResult(AttemptOutcome.BROKEN, kept)
     return ExchangeResult(_find_outcome(receiver))
 
 
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -73,6 +73,8 @@
         self._call = call
         self._writer = writer
         self._suspects = list_suspects(call)
+        # The last attempt, whose response may still be needed.
+        self._held_attempt: Attempt | ForwardedAttempt | None = None
         self._progress = StreamProgress(call.last_event_id)
         self._avoid: set[str] = set()
         self._sent_attempts = 0
@@ -106,7 +108,21 @@
             return time_left
         return min(time_left, call.patience_end() - self._context.clock.now())
 
+    def _hold_attempt(
+        self, attempt: Attempt | ForwardedAttempt | None
+    ) -> None:
+        """Keep the response of an attempt in place of the previous one."""
+        if self._held_attempt is not None:
+            self._held_attempt.release()
+        self._held_attempt = attempt
+
     async def run(self) -> None:
+        try:
+            await self._run()
+        finally:
+            self._hold_attempt(None)
+
+    async def _run(self) -> None:
         if not self._call.is_forwarded:
             self._budget.record_request(self._context.clock.now())
         while True:
@@ -146,6 +162,7 @@
             lambda: self._may_move(assignment),
             self._may_repeat_elsewhere(),
         )
+        self._hold_attempt(attempt)
         events_before = self._progress.last_event_id
         with AttemptWatch(
             self._context.rollouts,
@@ -177,6 +194,7 @@
             self._writer,
             self._record_forwarded_head,
         )
+        self._hold_attempt(attempt)
         with context.helpers.count(helper):
             result = await attempt.run(
                 context.peers.own_member.name, configuration.version
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from ..errors import LentilrunError
 from ..platform import dialect
 from ..records import PositionalRecord
+from ..web.body import release_body
 from ..web.client import Request
 from .attemptoutcome import AttemptOutcome
 from .call import Reason
@@ -168,6 +169,10 @@
         )
         self._receiver.on_head = on_head
 
+    def release(self) -> None:
+        """Drop what was received of the response."""
+        self._receiver.release()
+
     async def run(self, node: str, configuration: int) -> ForwardResult:
         """Forward the call as the VM ``node``; deliver a whole response.
 
@@ -214,6 +219,7 @@
         if head is not None and reason is not None and not head.is_signed:
             outcome, refusal = self._classify_refusal(reason)
         if outcome is AttemptOutcome.DELIVERED:
+            release_body(call.incoming.body)
             await receiver.deliver()
         return ForwardResult(outcome, receiver, patience.is_over, refusal)
 
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -101,6 +101,14 @@
     def record_end(self, call: Call, refusal: Refusal | None) -> None:
         """Record nothing: the VM that admitted the call does."""
 
+    def limit_body(self) -> int:
+        """Return the largest body that is admitted, in bytes."""
+        return self._admission.limit_body()
+
+    def identify(self, headers: HTTPHeaders) -> str:
+        """Return the workspace of a request, empty if it has none."""
+        return self._admission.identify(headers)
+
     def make_refusal_headers(
         self, request_id: str, refusal: Refusal
     ) -> HTTPHeaders:
--- /dev/null
+++ b/src/lentilrun/gateway/guard.py
@@ -0,0 +1,75 @@
+"""Ends connections and bodies that make no progress, on all ports."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..coordination.clock import Clock
+    from ..web.memory import ProcessMemory
+    from .limitedlog import LimitedLog
+    from .listener import GuardedServer
+    from .server import CallerPort
+
+_INTERVAL_S = 0.25
+# Longer than operators let connections idle (15 s, 30 s in tests), so that no
+# client inside their limits reaches it.
+_BODY_TIMEOUT_S = 40.0
+# A connection that holds more than this of an unfinished head is closed first
+# if the memory is used up.
+_LONG_HEAD_BYTES = 16 * 1024
+
+
+class Guard:
+    """Checks the connections of all servers at intervals."""
+
+    def __init__(
+        self,
+        memory: ProcessMemory,
+        clock: Clock,
+        ports: tuple[CallerPort, ...],
+        servers: tuple[GuardedServer, ...],
+        log: LimitedLog,
+    ) -> None:
+        self._memory = memory
+        self._clock = clock
+        self._ports = ports
+        self._servers = servers
+        self._log = log
+        self.closed_heads = 0
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await asyncio.sleep(_INTERVAL_S)
+            self.check()
+
+    def check(self) -> None:
+        """End what has stalled, and let servers accept again."""
+        now = self._clock.now()
+        for hold in self._memory.list_silent(now - _BODY_TIMEOUT_S):
+            hold.time_out()
+        for port in self._ports:
+            port.close_refused(now)
+        self._measure_connections()
+        for server in self._servers:
+            server.resume()
+
+    def _measure_connections(self) -> None:
+        memory = self._memory
+        memory.connection_bytes = sum(
+            s.count_buffered() for s in self._servers
+        )
+        excess = memory.used + memory.connection_bytes - memory.plan.total
+        if excess <= 0:
+            return
+        closed = 0
+        for server in self._servers:
+            closed += server.close_long_heads(_LONG_HEAD_BYTES, excess)
+        if closed:
+            self.closed_heads += closed
+            self._log.write('long_heads_closed', connections=closed)
+
+
+__all__ = ['Guard']
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -6,10 +6,13 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 
 from ..config.ini import Address
 from ..coordination.clock import SystemClock
+from ..decisions.connections import ConnectionTable
+from ..decisions.connections import plan_connections
+from ..decisions.memory import plan_memory
 from ..decisions.quota import QuotaTolerance
 from ..decisions.rollouts import ExposureLimits
 from ..decisions.topology import Member
@@ -20,6 +23,7 @@
 from ..platform.rows import RowStore
 from ..web.client import Client
 from ..web.memory import MemoryLimits
+from ..web.memory import ProcessMemory
 from .admission import Admission
 from .build import state_build
 from .builds import Builds
@@ -31,7 +35,10 @@
 from .follower import Follower
 from .forwardport import ForwardedCallHandler
 from .gossip import Gossip
+from .guard import Guard
 from .helpers import Helpers
+from .limitedlog import LimitedLog
+from .listener import GuardedServer
 from .logs import Log
 from .orderlease import OrderLease
 from .peers import Peers
@@ -46,6 +53,7 @@
 from .server import CallerPort
 from .server import CallHandler
 from .server import MetricsPort
+from .server import PortLimits
 from .server import ReadinessPort
 from .storedsegments import StoredSegments
 from .supervision import Runnable
@@ -59,6 +67,10 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
+    from tornado.httputil import HTTPHeaders
+    from tornado.httputil import HTTPServerConnectionDelegate
+
+    from ..coordination.clock import Clock
     from ..platform.node import NodeSettings
     from .call import Call
     from .call import IncomingRequest
@@ -73,11 +85,15 @@
 _RESPONSE_MEMORY_SHARE = 1.0 / 16.0
 _RESPONSES_MEMORY_SHARE = 1.0 / 6.0
 _MAX_HEADER_BYTES = 64 * 1024
-_MAX_BODY_BYTES = 16 * 1024 * 1024
+# Readiness and metrics are asked for without bodies, which are discarded.
+_MAX_SERVICE_HEADER_BYTES = 16 * 1024
+_MAX_SERVICE_BODY_BYTES = 64 * 1024
+_SERVICE_BODY_TIMEOUT_S = 10.0
 # Longer than any timeout that operators set, so that callers close idle
 # connections and the router does not.
 _CALLER_IDLE_TIMEOUT_S = 120.0
 _LISTEN_BACKLOG = 1024
+_SERVICE_BACKLOG = 128
 # A leaving VM reports that it is not ready for this time before it closes
 # its port, so that new callers go elsewhere.
 _LEAVING_NOTICE_S = 2.5
@@ -104,14 +120,19 @@
     )
 
 
-def _make_server(port: CallerPort) -> HTTPServer:
-    """Return the server of a port that takes calls."""
-    return HTTPServer(
+def _make_service_server(
+    port: HTTPServerConnectionDelegate, connections: int, clock: Clock
+) -> GuardedServer:
+    """Return the server of a port that takes no calls."""
+    return GuardedServer(
         port,
+        ConnectionTable(connections),
+        clock,
+        IOStream.close,
         idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
-        body_timeout=_CALLER_IDLE_TIMEOUT_S,
-        max_header_size=_MAX_HEADER_BYTES,
-        max_body_size=_MAX_BODY_BYTES,
+        body_timeout=_SERVICE_BODY_TIMEOUT_S,
+        max_header_size=_MAX_SERVICE_HEADER_BYTES,
+        max_body_size=_MAX_SERVICE_BODY_BYTES,
     )
 
 
@@ -133,6 +154,18 @@
         """Run a call; raises ``Refusal`` if no target answered it."""
         await self._node.dispatcher.run(call, writer)
 
+    def limit_body(self) -> int:
+        """Return the largest body that is admitted, in bytes."""
+        return self._node.admission.limit_body()
+
+    def identify(self, headers: HTTPHeaders) -> str:
+        """Return the workspace of a request, empty if it has none."""
+        return self._node.admission.identify(headers)
+
+    def record_unread(self, refusal: Refusal) -> None:
+        """Count a request that was refused before its body was read."""
+        self._node.metrics.add(Count.REFUSALS, refusal.reason)
+
     def record_end(self, call: Call, refusal: Refusal | None) -> None:
         """Record a finished call; refund its charge if it has not run."""
         metrics = self._node.metrics
@@ -159,16 +192,10 @@
         self.clock = SystemClock()
         self.log = Log(self.clock, settings.name, log_file)
         self.metrics = Metrics()
-        limits = _make_memory_limits(settings.memory_bytes)
-        self.target_client = Client(
-            _TARGET_CONNECT_S, _MAX_IDLE_CONNECTIONS, limits
-        )
-        self.store_client = Client(
-            _STORE_CONNECT_S, _MAX_IDLE_CONNECTIONS, limits
-        )
-        self.peer_client = Client(
-            _PEER_CONNECT_S, _MAX_IDLE_CONNECTIONS, limits
-        )
+        self.memory = ProcessMemory(plan_memory(settings.memory_bytes))
+        self.target_client = self._make_client(_TARGET_CONNECT_S)
+        self.store_client = self._make_client(_STORE_CONNECT_S)
+        self.peer_client = self._make_client(_PEER_CONNECT_S)
         self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
         self.reachability = Reachability(
@@ -187,6 +214,14 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
+    def _make_client(self, connect_timeout: float) -> Client:
+        return Client(
+            connect_timeout,
+            _MAX_IDLE_CONNECTIONS,
+            _make_memory_limits(self.settings.memory_bytes),
+            self.memory,
+        )
+
     def _build_fleet(self) -> None:
         settings = self.settings
         address = Address(settings.host, settings.peer_port)
@@ -294,25 +329,59 @@
                 self.log,
             )
         )
-        self.caller_port = CallerPort(
-            _NodeCallHandler(self), self.clock, self.log
+        limited_log = LimitedLog(self.log, self.clock)
+        plan = plan_connections(self.settings.descriptors)
+        self.caller_port, self.caller_server = self._make_port(
+            _NodeCallHandler(self), plan.callers, limited_log
         )
-        self.caller_server = _make_server(self.caller_port)
-        self._build_forward_server()
-        self.readiness_server = HTTPServer(ReadinessPort(self.is_ready))
-        self.metrics_server = HTTPServer(MetricsPort(self.metrics))
-        self._add_gauges()
-
-    def _build_forward_server(self) -> None:
-        handler = ForwardedCallHandler(
+        forwarded_call_handler = ForwardedCallHandler(
             self.admission,
             self.dispatcher,
             self.view,
             self.settings.power,
             self.log,
         )
-        self.forward_port = CallerPort(handler, self.clock, self.log)
-        self.forward_server = _make_server(self.forward_port)
+        self.forward_port, self.forward_server = self._make_port(
+            forwarded_call_handler, plan.forwarding, limited_log
+        )
+        self.readiness_server = _make_service_server(
+            ReadinessPort(self.is_ready), plan.service, self.clock
+        )
+        self.metrics_server = _make_service_server(
+            MetricsPort(self.metrics), plan.service, self.clock
+        )
+        self.servers = (
+            self.caller_server,
+            self.forward_server,
+            self.readiness_server,
+            self.metrics_server,
+        )
+        self.guard = Guard(
+            self.memory,
+            self.clock,
+            (self.caller_port, self.forward_port),
+            self.servers,
+            limited_log,
+        )
+        self._add_gauges()
+
+    def _make_port(
+        self, handler: CallHandler, connections: int, log: LimitedLog
+    ) -> tuple[CallerPort, GuardedServer]:
+        """Return a port that takes calls, with its server."""
+        table: ConnectionTable[IOStream] = ConnectionTable(connections)
+        port = CallerPort(
+            handler, self.clock, self.log, PortLimits(self.memory, table, log)
+        )
+        server = GuardedServer(
+            port,
+            table,
+            self.clock,
+            port.end_connection,
+            idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
+            max_header_size=_MAX_HEADER_BYTES,
+        )
+        return port, server
 
     def _add_gauges(self) -> None:
         add_gauge = self.metrics.add_gauge
@@ -323,6 +392,7 @@
             'peers_heard', lambda: float(len(self.peers.list_responsive()))
         )
         add_gauge('targets', lambda: float(len(self.targets.states)))
+        self._add_memory_gauges()
         add_gauge('targets_unreachable', self._count_unreachable)
         add_gauge('store_calls', lambda: float(self.store.call_count))
         add_gauge('configuration', self._configuration_version)
@@ -333,6 +403,30 @@
         add_gauge('log_lines_left_out', lambda: float(self.log.omitted_lines))
         self._add_build_gauges()
 
+    def _add_memory_gauges(self) -> None:
+        add_gauge = self.metrics.add_gauge
+        memory = self.memory
+        add_gauge('memory_budget_bytes', lambda: float(memory.plan.total))
+        add_gauge('memory_held_bytes', lambda: float(memory.used))
+        add_gauge(
+            'memory_connections_bytes', lambda: float(memory.connection_bytes)
+        )
+        add_gauge('bodies_refused', lambda: float(memory.refused_bodies))
+        add_gauge('bodies_ended', lambda: float(memory.ended_bodies))
+        add_gauge('long_heads_closed', lambda: float(self.guard.closed_heads))
+        add_gauge(
+            'connections',
+            lambda: float(sum(s.count_connections() for s in self.servers)),
+        )
+        add_gauge(
+            'connections_closed',
+            lambda: float(sum(s.closed_connections for s in self.servers)),
+        )
+        add_gauge(
+            'ports_not_accepting',
+            lambda: float(sum(s.is_paused for s in self.servers)),
+        )
+
     def _add_build_gauges(self) -> None:
         unreadable = self.peers.unreadable
         metrics = self.metrics
@@ -362,7 +456,7 @@
 
     def serve_metrics(self, address: Address) -> None:
         """Serve the metrics at an address; raises ``OSError``."""
-        self.metrics_server.listen(address.port, address.host)
+        self.metrics_server.serve(address, _SERVICE_BACKLOG)
 
     def _build_upgrades(self) -> None:
         settings = self.settings
@@ -420,15 +514,12 @@
         self._stack.enter_context(self.peer_client)
         await self._stack.enter_async_context(self.peers)
         entry, readiness = self.settings.entry, self.settings.readiness
-        self.caller_server.listen(
-            entry.port, entry.host, backlog=_LISTEN_BACKLOG
-        )
-        self.forward_server.listen(
-            self.settings.peer_port,
-            self.settings.host,
-            backlog=_LISTEN_BACKLOG,
+        self.caller_server.serve(entry, _LISTEN_BACKLOG)
+        self.forward_server.serve(
+            Address(self.settings.host, self.settings.peer_port),
+            _LISTEN_BACKLOG,
         )
-        self.readiness_server.listen(readiness.port, readiness.host)
+        self.readiness_server.serve(readiness, _SERVICE_BACKLOG)
         components: tuple[Runnable, ...] = (
             self.operator_rows,
             self.target_rows,
@@ -439,6 +530,7 @@
             self.rollout_driver,
             self.usage_checkpointer,
             self.reachability,
+            self.guard,
         )
         for component in components:
             task = asyncio.ensure_future(supervise(component, self.log))
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -216,8 +216,19 @@
             await self._writer.finish()
             return
         headers = dialect.make_response_headers(self.headers)
-        body = self.response().body
-        await self._writer.send(self.status, headers, body)
+        await self._writer.send(self.status, headers, self.take_body())
+
+    def end(self) -> None:
+        """Record that the exchange has ended; what it collected is kept."""
+
+    def release(self) -> None:
+        """Drop what was collected, as it was delivered or is not needed.
+
+        Receivers are parts of reference cycles, which may live longer.
+        """
+        self.take_body()
+        self._buffer.take_rest()
+        super().end()
 
 
 __all__ = ['ResponseReceiver', 'StreamTrace']
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 from http.client import responses
+import sys
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -17,8 +19,12 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from ..decisions.memory import Owner
 from ..platform import dialect
+from ..web.body import release_body
 from ..web.sockets import abort
+from .bodies import BodyCollector
+from .bodies import BodyRules
 from .call import IncomingRequest
 from .call import Reason
 from .call import Refusal
@@ -26,12 +32,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from tornado.iostream import IOStream
+
     from ..coordination.clock import Clock
+    from ..decisions.connections import ConnectionTable
     from ..metrics.registry import Metrics
+    from ..web.memory import ProcessMemory
     from .call import Call
     from .call import ResponseWriter
+    from .limitedlog import LimitedLog
     from .logs import Log
 
+_REQUEST_TIMEOUT = 408
 _INTERNAL_ERROR = 500
 _BAD_GATEWAY = 502
 _OK = 200
@@ -42,6 +54,15 @@
 _DELIVERY_GRACE_S = 1.0
 _NO_BODY = frozenset((204, 304))
 _HTTP_1_0 = 'HTTP/1.0'
+# Larger bodies are written apart from the head, as joining copies them.
+_JOINED_BODY_BYTES = 16 * 1024
+# A refused request's body is discarded for this long and up to this size, as
+# callers that send it would otherwise not read the response.
+_MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+_MAX_DISCARDING_S = 3.0
+# The largest body unless the owner of a port limits it.
+DEFAULT_BODY_BYTES = 16 * 1024 * 1024
+_STALLED_RETRY_S = 1.0
 
 
 class CallHandler:
@@ -59,6 +80,17 @@
         """Record how a call ended."""
         raise NotImplementedError
 
+    def limit_body(self) -> int:
+        """Return the largest body that is admitted, in bytes."""
+        return DEFAULT_BODY_BYTES
+
+    def identify(self, headers: HTTPHeaders) -> str:
+        """Return the workspace of a request, empty if it has none."""
+        return ''
+
+    def record_unread(self, refusal: Refusal) -> None:
+        """Record a request that was refused before its body was read."""
+
     def make_refusal_headers(
         self, request_id: str, refusal: Refusal
     ) -> HTTPHeaders:
@@ -87,14 +119,25 @@
         self.has_begun = False
 
     def _start_response(
-        self, status: int, headers: HTTPHeaders, body: bytes | None
+        self,
+        status: int,
+        headers: HTTPHeaders,
+        body: bytes | bytearray | None,
     ) -> asyncio.Future[None]:
         self.has_begun = True
         if self._is_leaving():
             headers['Connection'] = 'close'
         reason = responses.get(status, 'Unknown')
         line = ResponseStartLine('HTTP/1.1', status, reason)
-        return self._connection.write_headers(line, headers, body)
+        if (
+            body is None
+            or len(body) <= _JOINED_BODY_BYTES
+            or self._connection.stream.closed()
+        ):
+            joined = None if body is None else bytes(body)
+            return self._connection.write_headers(line, headers, joined)
+        self._connection.write_headers(line, headers)
+        return self._connection.write(memoryview(body))  # type: ignore
 
     async def begin(
         self, status: int, headers: HTTPHeaders, data: bytes
@@ -118,9 +161,9 @@
         self._finish_exchange()
 
     async def send(
-        self, status: int, headers: HTTPHeaders, body: bytes
+        self, status: int, headers: HTTPHeaders, body: bytes | bytearray
     ) -> None:
-        """Send a whole response."""
+        """Send a whole response; a ``bytearray`` is not changed later."""
         if status not in _NO_BODY:
             headers['Content-Length'] = str(len(body))
         written = self._start_response(
@@ -129,6 +172,18 @@
         self._finish_exchange()
         await written
 
+    def send_unread(
+        self, status: int, headers: HTTPHeaders, body: bytes
+    ) -> None:
+        """Send a whole response before the request was read.
+
+        The connection is to be closed once no more of it is discarded.
+        """
+        # States ``Connection: close`` too.
+        self._connection._disconnect_on_finish = True
+        headers['Content-Length'] = str(len(body))
+        self._start_response(status, headers, None if self._is_head else body)
+
     def abort(self) -> None:
         """Close the connection, so that the response is seen as incomplete.
 
@@ -154,9 +209,11 @@
         self._connection = connection
         self._line = RequestStartLine('', '', '')
         self._headers = HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._collector = BodyCollector(port.memory, port.clock)
         self._arrived_at = 0.0
         self._task: asyncio.Task[None] | None = None
+        self._is_refused = False
+        self._discarded_bytes = 0
         self.may_cancel = True
 
     def headers_received(
@@ -169,50 +226,142 @@
         self._line = start_line
         self._headers = headers
         self._arrived_at = self._port.clock.now()
+        # The collector limits the body; the connection's own limit would
+        # end the request with 400.
+        self._connection.set_max_body_size(sys.maxsize)
+        address = self._server_connection.context.remote_ip  # type: ignore
+        self._port.receivers[self._server_connection.stream] = self
+        try:
+            rules = self._port.make_rules(headers, address)
+            self._collector.start(headers, rules, self._end_unread)
+        except Refusal as refusal:
+            self._refuse(refusal)
+            if headers.get('Expect'):
+                # The caller waits before it sends the body.
+                self._connection.finish()
 
     def data_received(self, chunk: bytes) -> None:
-        self._chunks.append(chunk)
+        if self._is_refused:
+            self._discarded_bytes += len(chunk)
+            if self._discarded_bytes > _MAX_DISCARDED_BYTES:
+                self._connection.stream.close()
+            return
+        self._port.mark_progress(self._server_connection)
+        try:
+            self._collector.add(chunk)
+        except Refusal as refusal:
+            self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """Respond before the request was read, and discard the rest."""
+        self._is_refused = True
+        self._collector.abandon()
+        if not self._connection.stream.closed():
+            self._port.refuse_unread(
+                self._headers, self._make_writer(), refusal
+            )
+            self._port.refused[self] = self._port.clock.now()
+
+    def _end_unread(self, is_timeout: bool) -> None:
+        """Refuse a request whose body makes no progress, and close."""
+        if is_timeout:
+            self.end(Refusal(_REQUEST_TIMEOUT, Reason.BODY_STALLED))
+        else:
+            self.end(Refusal(_UNAVAILABLE, Reason.NO_MEMORY, _STALLED_RETRY_S))
+
+    def end(self, refusal: Refusal) -> None:
+        """Refuse the request, unless it was refused, and close."""
+        if not self._is_refused:
+            self._refuse(refusal)
+        self.close()
+
+    def close(self) -> None:
+        """Close the connection of a request that was not read."""
+        self._forget()
+        self._connection.stream.close()
+
+    def _forget(self) -> None:
+        self._port.receivers.pop(self._server_connection.stream, None)
+        self._port.refused.pop(self, None)
+
+    def _make_writer(self) -> _ConnectionWriter:
+        return _ConnectionWriter(
+            self._connection,
+            lambda: self._port.is_leaving,
+            self._line.method == 'HEAD',
+            self._line.version != _HTTP_1_0,
+        )
 
     def finish(self) -> None:
+        self._forget()
+        if self._is_refused:
+            self._connection.finish()
+            return
         incoming = IncomingRequest(
             self._line.method,
             self._line.path,
             self._headers,
-            b''.join(self._chunks),
+            self._collector.finish(),
             self._arrived_at,
         )
         if self._connection.stream.closed():
             # Bytes that arrived before are still read after a close.
+            release_body(incoming.body)
             self._port.log_caller_gone(incoming)
             return
-        writer = _ConnectionWriter(
-            self._connection,
-            lambda: self._port.is_leaving,
-            self._line.method == 'HEAD',
-            self._line.version != _HTTP_1_0,
-        )
-        coroutine = self._port.respond(incoming, writer, self)
-        self._task = asyncio.ensure_future(coroutine)
+        self._port.mark_received(self._server_connection)
+        coroutine = self._port.respond(incoming, self._make_writer(), self)
+        task = self._task = asyncio.ensure_future(coroutine)
         # After the request has been read, only this reports a close.
         self._connection.set_close_callback(self.on_connection_close)
-        self._port.in_flight.add(self._task)
-        self._task.add_done_callback(self._mark_done)
+        self._port.in_flight.add(task)
+        body = incoming.body
+
+        def mark_done(task: asyncio.Task[None]) -> None:
+            release_body(body)
+            self._mark_done(task)
+
+        task.add_done_callback(mark_done)
 
     def _mark_done(self, task: asyncio.Task[None]) -> None:
         self._port.in_flight.discard(task)
         self._port.mark_idle(self._server_connection)
 
     def on_connection_close(self) -> None:
-        if self._task is not None and self.may_cancel:
+        if self._task is None:
+            self._forget()
+            self._collector.abandon()
+        elif self.may_cancel:
             self._task.cancel()
 
 
+class PortLimits(NamedTuple):
+    """What the connections and requests of a port are counted in."""
+
+    memory: ProcessMemory
+    table: ConnectionTable[IOStream]
+    log: LimitedLog
+
+
 class CallerPort(HTTPServerConnectionDelegate):
     """Answers callers; ``in_flight`` are the tasks of open requests."""
 
-    def __init__(self, handler: CallHandler, clock: Clock, log: Log) -> None:
+    def __init__(
+        self,
+        handler: CallHandler,
+        clock: Clock,
+        log: Log,
+        limits: PortLimits,
+    ) -> None:
         self._handler = handler
         self._log = log
+        self._table = limits.table
+        self._limited_log = limits.log
+        self.memory = limits.memory
+        # Those of requests whose body is received, by connection.
+        self.receivers: dict[IOStream, _RequestReceiver] = {}
+        # Since when the bodies of refused requests are discarded.
+        self.refused: dict[_RequestReceiver, float] = {}
         self.clock = clock
         self.is_leaving = False
         self.is_closed = False
@@ -236,8 +385,71 @@
         """Mark a connection that has a request in flight."""
         self._idle.discard(server_connection)
 
+    def mark_progress(self, server_connection: HTTP1ServerConnection) -> None:
+        """Mark a connection over which a part of a request has arrived."""
+        self._table.mark_progress(server_connection.stream, self.clock.now())
+
+    def mark_received(self, server_connection: HTTP1ServerConnection) -> None:
+        """Mark a connection whose request has arrived, and may run."""
+        self._table.mark_busy(server_connection.stream)
+
+    def make_rules(self, headers: HTTPHeaders, address: str) -> BodyRules:
+        """Return what applies to a body from an address."""
+        owners = [Owner('address', address)]
+        workspace = self._handler.identify(headers)
+        if workspace:
+            owners.append(Owner('workspace', workspace))
+        return BodyRules(self._handler.limit_body(), tuple(owners))
+
+    def refuse_unread(
+        self,
+        headers: HTTPHeaders,
+        writer: _ConnectionWriter,
+        refusal: Refusal,
+    ) -> None:
+        """Refuse a request whose body was not read."""
+        self._handler.record_unread(refusal)
+        request_id = dialect.read_request_id(headers)
+        self._limited_log.write(
+            f'refused_{refusal.reason}',
+            id=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            held=self.memory.used,
+            connections=self.memory.connection_bytes,
+            budget=self.memory.plan.total,
+        )
+        response_headers = self._handler.make_refusal_headers(
+            request_id, refusal
+        )
+        body = msgspec.json.encode({'error': refusal.reason})
+        writer.send_unread(refusal.status, response_headers, body)
+
+    def end_connection(self, stream: IOStream) -> None:
+        """Close a connection whose request has not arrived in full."""
+        receiver = self.receivers.get(stream)
+        self._limited_log.write(
+            'connection_closed',
+            connections=len(self._table),
+            limit=self._table.limit,
+        )
+        if receiver is not None:
+            receiver.end(
+                Refusal(_UNAVAILABLE, Reason.NO_CONNECTION, _STALLED_RETRY_S)
+            )
+        stream.close()
+
+    def close_refused(self, now: float) -> None:
+        """Close connections whose bodies were discarded for long enough."""
+        for receiver, since in list(self.refused.items()):
+            if now - since > _MAX_DISCARDING_S:
+                receiver.close()
+
     def mark_idle(self, server_connection: HTTP1ServerConnection) -> None:
         """Mark a connection without a request, unless the port is closed."""
+        if server_connection.stream.closed():
+            return
+        self._table.mark_progress(server_connection.stream, self.clock.now())
         if self.is_closed:
             return
         self._idle.add(server_connection)
@@ -387,4 +599,11 @@
         )
 
 
-__all__ = ['CallerPort', 'CallHandler', 'MetricsPort', 'ReadinessPort']
+__all__ = [
+    'CallerPort',
+    'CallHandler',
+    'DEFAULT_BODY_BYTES',
+    'MetricsPort',
+    'PortLimits',
+    'ReadinessPort',
+]
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -187,6 +187,11 @@
     return headers.get(_REQUEST_ID, '')
 
 
+def read_api_key(headers: HTTPHeaders) -> str:
+    """Return the API key of a caller's request, empty if it has none."""
+    return headers.get(_API_KEY, '')
+
+
 def read_caller_headers(headers: HTTPHeaders) -> CallerHeaders:
     """Return the values of a caller's headers.
 
@@ -196,7 +201,7 @@
     return CallerHeaders(
         read_request_id(headers),
         headers.get('Host', '').lower(),
-        headers.get(_API_KEY, ''),
+        read_api_key(headers),
         None if timeout_ms is None else timeout_ms / 1e3,
         _read_prompt(headers),
         parse_number(headers.get(_LAST_EVENT_ID)) or 0,
@@ -320,6 +325,7 @@
     'make_peer_headers',
     'make_refusal_headers',
     'make_response_headers',
+    'read_api_key',
     'read_caller_headers',
     'read_request_id',
     'read_response_head',
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -18,6 +18,7 @@
 PATH_VARIABLE = 'LENTILRUN_CONFIG'
 _BYTES_PER_MB = 1_000_000
 _DEFAULT_MEMORY_MB = 128
+_DEFAULT_MAX_FDS = 4096
 _DEFAULT_EXPOSURE_SHARE = 0.1
 _DEFAULT_EXPOSURE_SLACK = 50.0
 
@@ -57,8 +58,8 @@
 class NodeSettings(NamedTuple):
     """The settings of a router process.
 
-    ``power`` is in processor cores, ``memory_bytes`` the most that the
-    process may use; ``host`` is the IP of the VM.
+    ``power`` is in processor cores, ``memory_bytes`` and ``descriptors`` the
+    most that the process may use; ``host`` is the IP of the VM.
     """
 
     name: str
@@ -71,6 +72,7 @@
     store: Address
     bounds: Bounds
     memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
+    descriptors: int = _DEFAULT_MAX_FDS
 
 
 class BadSettingsError(LentilrunError):
@@ -84,6 +86,7 @@
 
 _Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 _Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+_Descriptors = Annotated[int, msgspec.Meta(gt=0)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
@@ -97,6 +100,7 @@
     cpu_share: _Positive
     cores: _Positive
     memory_mb: _Positive = _DEFAULT_MEMORY_MB
+    max_fds: _Descriptors = _DEFAULT_MAX_FDS
 
 
 class _WirePlatform(msgspec.Struct):
@@ -168,6 +172,7 @@
         store=parse_address(wire.platform.address),
         bounds=_make_bounds(wire.bounds),
         memory_bytes=math.ceil(wire.limits.memory_mb * _BYTES_PER_MB),
+        descriptors=wire.limits.max_fds,
     )
 
 
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -22,6 +22,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..errors import LentilrunError
+from .body import read_body
 from .memory import DEFAULT_MEMORY_LIMITS
 from .memory import MemoryBudget
 from .sockets import abort
@@ -36,7 +37,9 @@
     from types import TracebackType
 
     from ..config.ini import Address
+    from .body import Body
     from .memory import MemoryLimits
+    from .memory import ProcessMemory
 
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_HEADER_BYTES = 64 * 1024
@@ -45,6 +48,8 @@
 _MAX_BUFFERED_BYTES = 1024 * 1024
 _MAX_IDLE_CONNECTIONS = 64
 _READ_CHUNK_BYTES = 64 * 1024
+# Larger bodies are written apart from the head, as joining copies them.
+_JOINED_BODY_BYTES = 16 * 1024
 _MAX_MISMATCHED_RESPONSES = 4
 # Servers state for how long they keep an idle connection open. The client
 # stops using it this much earlier, as a request may otherwise be sent while
@@ -84,7 +89,7 @@
     method: str
     path: str
     headers: dict[str, str] | HTTPHeaders
-    body: bytes
+    body: bytes | Body
     timeout: float
     ack_timeout: float = DEFAULT_ACK_TIMEOUT_S
     identity: str = ''
@@ -107,7 +112,7 @@
         self.is_stopped = False
         # Whether the request was sent over a connection that was open before.
         self.is_on_kept_connection = False
-        self._chunks: list[bytes] = []
+        self._body: bytes | bytearray = b''
         self._collected_bytes = 0
         self._close: Callable[[], None] | None = None
         self._memory: MemoryBudget | None = None
@@ -161,8 +166,15 @@
 
         A response that exceeds the memory limits ends the exchange.
         """
-        if self.hold(self._collected_bytes + len(chunk)):
-            self._chunks.append(chunk)
+        if not self.hold(self._collected_bytes + len(chunk)):
+            return None
+        if not self._body:
+            # Most responses arrive at once and are not copied.
+            self._body = chunk
+            return None
+        if isinstance(self._body, bytes):
+            self._body = bytearray(self._body)
+        self._body += chunk
         return None
 
     def hold(self, size: int) -> bool:
@@ -175,7 +187,7 @@
         if memory is not None and not memory.take(
             self._collected_bytes, added
         ):
-            self._chunks.clear()
+            self._body = b''
             self.stop()
             return False
         self._collected_bytes = size
@@ -183,7 +195,12 @@
 
     def response(self) -> Response:
         """Return the response that was collected."""
-        return Response(self.status, self.headers, b''.join(self._chunks))
+        return Response(self.status, self.headers, bytes(self._body))
+
+    def take_body(self) -> bytes | bytearray:
+        """Remove and return the body that was collected."""
+        body, self._body = self._body, b''
+        return body
 
 
 def is_framed(headers: HTTPHeaders) -> bool:
@@ -354,12 +371,14 @@
         connect_timeout: float = _CONNECT_TIMEOUT_S,
         max_idle: int = _MAX_IDLE_CONNECTIONS,
         memory_limits: MemoryLimits = DEFAULT_MEMORY_LIMITS,
+        memory: ProcessMemory | None = None,
     ) -> None:
         """Keep up to ``max_idle`` idle connections for each address.
 
-        ``connect_timeout`` is in seconds.
+        ``connect_timeout`` is in seconds. Responses count in the ``memory``
+        of the process, if there is one.
         """
-        self._memory = MemoryBudget(memory_limits)
+        self._memory = MemoryBudget(memory_limits, memory)
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
         self._idle: dict[Address, list[_IdleConnection]] = {}
@@ -559,10 +578,15 @@
     ) -> None:
         headers = HTTPHeaders(request.headers)
         headers.setdefault('Host', str(address))
-        if request.body or request.method not in ('GET', 'HEAD'):
-            headers['Content-Length'] = str(len(request.body))
+        body = read_body(request.body)
+        if body or request.method not in ('GET', 'HEAD'):
+            headers['Content-Length'] = str(len(body))
         start = RequestStartLine(request.method, request.path, 'HTTP/1.1')
-        connection.write_headers(start, headers, request.body or None)
+        if len(body) <= _JOINED_BODY_BYTES:
+            connection.write_headers(start, headers, bytes(body) or None)
+        else:
+            connection.write_headers(start, headers)
+            connection.write(memoryview(body))  # type: ignore[arg-type]
         connection.finish()
 
     async def fetch(
