Limit what all VMs send to a cold target

Callers got 502 and targets crashed as a data centre returned with empty caches: each VM sent it what an idle target could take, and a cold one tolerates a few requests a second from all of them.

A target now counts as cold while its row says so, for cold-start-s after a new start registers, and for as long after the evacuation of its data centre ends. Meanwhile the VMs take the turns of stated limits at it, as many as fit twice into the bound of one second. A turn is used only while a request still arrives in its period.

The test of cache sources that is added to test_evacuations.py fails if evacuated engines remain sources.

Without cold-per-s, cold-overage or cold-slack nothing changes.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -93,12 +93,16 @@
 class Service(NamedTuple):
     """A pool of targets; ``engine`` is set if they run models.
 
-    ``max_connections`` limits the connections of all VMs to one target.
+    ``max_connections`` limits the connections of all VMs to one target. A
+    target is cold for ``cold_start`` seconds after its start, and tolerates
+    ``cold_per_s`` requests a second meanwhile; 0 means no limit.
     """
 
     name: str
     max_connections: int
     engine: EngineSpec | None
+    cold_per_s: float = 0.0
+    cold_start: float = 0.0
 
 
 class Workspace(NamedTuple):
--- a/src/lentilrun/decisions/ratelimits.py
+++ b/src/lentilrun/decisions/ratelimits.py
@@ -32,6 +32,10 @@
 # shows that the limit has ended.
 _MIN_LIMIT_PER_S = 0.1
 
+# Requests for a turn must arrive in its period at targets that are limited
+# in each second. A new connection may take this long.
+_MAX_SEND_DELAY_S = 0.4
+
 # A target surely has room while it is used up to this share.
 _SURE_SHARE = 0.5
 _MAX_VMS_PER_SLOT = 2
@@ -111,6 +115,11 @@
     return (period + 1) * _PERIOD_S
 
 
+def is_early(now: float) -> bool:
+    """Return whether a request that is sent now arrives in this period."""
+    return compute_end(compute_period(now)) - now >= _MAX_SEND_DELAY_S
+
+
 def _first_turn(limit: float, period: int) -> int:
     return math.floor(max(limit, _MIN_LIMIT_PER_S) * _PERIOD_S * period)
 
@@ -155,6 +164,7 @@
     'count_turns',
     'find_turn',
     'has_sure_room',
+    'is_early',
     'list_turn_starts',
     'Place',
     'Room',
--- a/src/lentilrun/gateway/discovery.py
+++ b/src/lentilrun/gateway/discovery.py
@@ -66,6 +66,8 @@
         self._member = member
         self._address = address
         self._log = log
+        # Whether the VMs of the fleet have been read.
+        self.has_read = False
         self.on_read: list[Callable[[Rows], None]] = []
         self._restored = asyncio.Event()
         store.on_restored.append(self._restored.set)
@@ -91,6 +93,7 @@
                 await asyncio.sleep(_RETRY_PAUSE_S)
                 continue
             self._add_peers(table_rows)
+            self.has_read = True
             for callback in self.on_read:
                 callback(table_rows)
             if not has_joined:
--- a/src/lentilrun/gateway/evacuations.py
+++ b/src/lentilrun/gateway/evacuations.py
@@ -8,7 +8,6 @@
 from ..platform import documents
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Collection
 
     from ..coordination.clock import Clock
@@ -40,8 +39,6 @@
         self._targets = targets
         self._log = log
         self.by_data_centre: dict[str, Evacuation] = {}
-        # Called with a data centre after its evacuation has ended.
-        self.on_end: list[Callable[[str], None]] = []
 
     def apply(self, row: Row) -> None:
         """Apply a row; raises ``BadDocumentError`` if its key names none."""
@@ -79,9 +76,8 @@
                 row_version=row.version,
                 seconds=round(seconds, 3),
             )
+        self._targets.record_return(data_centre)
         self._targets.evacuate(frozenset(self.by_data_centre))
-        for callback in self.on_end:
-            callback(data_centre)
 
     def _count_targets(self, data_centre: str) -> int:
         states = self._targets.states.values()
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .messages import encode_returns
 from .messages import encode_sent_at
 from .messages import GossipMessage
 from .messages import LoadReport
@@ -142,6 +143,7 @@
             self._quotas.export(),
             {
                 **self._row_relay.export_progress(),
+                **encode_returns(self._targets.list_returns()),
                 SENT_AT: encode_sent_at(self._clock.now()),
             },
             self._stored_segments.recent.export(max_origin),
@@ -234,6 +236,7 @@
         self._apply_weights_reports(message)
         self._rate_limits.receive(message.rate_limits, message.node)
         self._targets.receive_leaving(message.leaving_targets)
+        self._targets.receive_returns(message.list_returns())
         self._view.receive_announcements(message.announcements)
         self._apply_crashes(message)
         self._apply_cache_reports(message)
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -28,6 +28,9 @@
 # known, and for how many microseconds later ones may be unknown.
 _COMPLETE = '/complete'
 _AGE = '/age'
+# Before the name of a data centre: for how many microseconds its evacuation
+# has ended.
+_RETURNED = '/returned/'
 _US_PER_S = 1e6
 
 # Sums of counts must fit into the 64 bits of an encoded integer.
@@ -174,7 +177,8 @@
     admitted in each second, newest first. ``unresponsive`` is the number
     of VMs that count as unresponsive for the sender. ``row_versions`` are
     the versions of the newest changes that it knows of, by table of the
-    store, further entries of ``encode_progress``, and under ``SENT_AT`` when
+    store, further entries of ``encode_progress`` and ``encode_returns``, and
+    under ``SENT_AT`` when
     the message was sent by the sender's clock, in microseconds. It
     ``has_lost_store`` while the store does not answer it, and
     ``has_lost_rows`` while it gets no rows from other VMs either. It
@@ -218,6 +222,14 @@
         sent_at = self.row_versions.get(SENT_AT)
         return None if sent_at is None else sent_at / _US_PER_S
 
+    def list_returns(self) -> dict[str, float]:
+        """Return for how long evacuations have ended, by data centre."""
+        return {
+            name.removeprefix(_RETURNED): max(0.0, age / _US_PER_S)
+            for name, age in self.row_versions.items()
+            if name.startswith(_RETURNED)
+        }
+
     def find_progress(self, table: str) -> TableProgress | None:
         """Return which changes of a table its sender knows.
 
@@ -250,17 +262,31 @@
     return versions
 
 
+def encode_returns(ages: dict[str, float]) -> dict[str, int]:
+    """Return the row versions that state how long evacuations have ended.
+
+    No table has such a name, so a VM that doesn't know it ignores it.
+    """
+    return {
+        _RETURNED + name: round(age * _US_PER_S) for name, age in ages.items()
+    }
+
+
 def delay_progress(
     row_versions: dict[str, int], delay: float
 ) -> dict[str, int]:
     """Return row versions that were ``delay`` seconds on their way."""
     added = round(delay * _US_PER_S)
     return {
-        name: value + added if name.endswith(_AGE) else value
+        name: value + added if _is_age(name) else value
         for name, value in row_versions.items()
     }
 
 
+def _is_age(name: str) -> bool:
+    return name.endswith(_AGE) or name.startswith(_RETURNED)
+
+
 class RelayedRow(PositionalRecord, frozen=True):
     """A row of the store as a hub read it."""
 
@@ -366,6 +392,7 @@
     'delay_progress',
     'encode',
     'encode_progress',
+    'encode_returns',
     'encode_sent_at',
     'GossipMessage',
     'LeavingReport',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -10,6 +10,7 @@
 
 from ..config.ini import Address
 from ..coordination.clock import SystemClock
+from ..decisions.coldtargets import ColdTolerance
 from ..decisions.quota import QuotaTolerance
 from ..decisions.rollouts import ExposureLimits
 from ..decisions.topology import Member
@@ -200,6 +201,12 @@
         self.targets.count_members = self.peers.count_members
         self.targets.report_lag = self.peers.report_lag
         self.targets.round_robin = FleetRoundRobin(self.peers, self.store)
+        self.targets.knows_targets = self._knows_targets
+        self.targets.knows_members = lambda: self.discovery.has_read
+        self.targets.awaits_reports = self._awaits_reports
+        self.targets.cold_tolerance = ColdTolerance(
+            settings.bounds.cold_overage, settings.bounds.cold_slack
+        )
         self.rate_limits = RateLimits(self.clock, self.targets, self.log)
         self.rate_limits.on_change.append(self.peers.request_send)
         self.quotas = Quotas(
@@ -328,6 +335,7 @@
             'evacuated_data_centres',
             lambda: float(len(self.view.evacuations.by_data_centre)),
         )
+        add_gauge('targets_cold', lambda: float(self.targets.count_cold()))
         add_gauge('targets_unreachable', self._count_unreachable)
         add_gauge('store_calls', lambda: float(self.store.call_count))
         add_gauge('configuration', self._configuration_version)
@@ -422,13 +430,24 @@
 
     def is_ready(self) -> bool:
         """Return whether this VM accepts new callers."""
+        return not self.caller_port.is_leaving and self._knows_targets()
+
+    def _knows_targets(self) -> bool:
+        """Return whether the rows of operators and targets were read."""
         return (
-            not self.caller_port.is_leaving
-            and self.view.configuration is not None
+            self.view.configuration is not None
             and self.operator_rows.has_been_read()
             and self.target_rows.has_been_read()
         )
 
+    def _awaits_reports(self) -> bool:
+        """Return whether this VM has started and heard from no other one."""
+        if not self.peers.is_starting():
+            return False
+        if not self.discovery.has_read:
+            return True
+        return bool(self.peers.by_name) and not self.peers.list_responsive()
+
     async def __aenter__(self) -> Node:
         self._stack.enter_context(self.target_client)
         self._stack.enter_context(self.version_reader)
--- a/src/lentilrun/gateway/ratelimits.py
+++ b/src/lentilrun/gateway/ratelimits.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import NamedTuple
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -10,6 +11,7 @@
 from ..decisions.ratelimits import compute_end
 from ..decisions.ratelimits import compute_period
 from ..decisions.ratelimits import count_turns
+from ..decisions.ratelimits import is_early
 from ..decisions.ratelimits import list_turn_starts
 from ..decisions.ratelimits import Place
 from .messages import RateLimitReport
@@ -81,11 +83,24 @@
         return Place((self._peers.rank() + offset) % members, members)
 
 
+class ColdLimit(NamedTuple):
+    """The requests a second that a target gets while it is cold.
+
+    It is cold for ``seconds_left``. A VM that does not know the others yet
+    has no turns.
+    """
+
+    per_s: float
+    seconds_left: float
+    knows_members: bool
+
+
 class TargetRateLimit:
-    """The limit that one start of a target states, in requests per second.
+    """The limit of one start of a target, in requests per second.
 
-    ``limit`` is nothing while it states none. ``stated_at`` is by the VM's
-    clock, in seconds: when the newest response arrived at any VM.
+    ``limit`` is what it states, nothing while it states none. ``stated_at``
+    is by the VM's clock, in seconds: when the newest response arrived at any
+    VM. While the target is cold, the lower of both limits is in force.
     """
 
     def __init__(self, incarnation: str, round_robin: RoundRobin) -> None:
@@ -94,6 +109,7 @@
         self._offset = zlib.crc32(incarnation.encode())
         self.limit: float | None = None
         self.stated_at = float('-inf')
+        self.find_cold_limit: Callable[[], ColdLimit | None] = lambda: None
         self._period = 0
         self._sent = 0
         # Until when turns of the current period may be used once more.
@@ -129,12 +145,27 @@
 
         The target takes ``spare`` requests a second beyond its limit.
         """
-        if self.limit is None:
+        cold = self.find_cold_limit()
+        limit = self._pick_limit(cold)
+        if limit is None:
             return True
-        period = compute_period(self._round_robin.now())
+        now = self._round_robin.now()
+        if cold is not None and not (cold.knows_members and is_early(now)):
+            return False
+        period = compute_period(now)
         sent = self._sent if self._is_current(period) else 0
-        limit = self.limit + spare
-        return sent < count_turns(limit, self._find_place(), period)
+        return sent < count_turns(limit + spare, self._find_place(), period)
+
+    def is_limited(self) -> bool:
+        """Return whether a request to the target needs a turn."""
+        return self._pick_limit(self.find_cold_limit()) is not None
+
+    def _pick_limit(self, cold: ColdLimit | None) -> float | None:
+        if cold is None:
+            return self.limit
+        return (
+            cold.per_s if self.limit is None else min(cold.per_s, self.limit)
+        )
 
     def _is_current(self, period: int) -> bool:
         """Return whether requests of a period count with those before it.
@@ -149,7 +180,7 @@
 
     def record_sent(self) -> None:
         """Count a request that is sent now."""
-        if self.limit is None:
+        if not self.is_limited():
             return
         period = compute_period(self._round_robin.now())
         if not self._is_current(period):
@@ -183,12 +214,20 @@
 
     def list_turn_delays(self) -> Iterator[float]:
         """Yield the time until each later turn of this VM, in seconds."""
-        assert self.limit is not None
+        cold = self.find_cold_limit()
+        limit = self._pick_limit(cold)
+        assert limit is not None
         now = self._round_robin.now()
         starts = list_turn_starts(
-            self.limit, self._find_place(), compute_period(now)
+            limit, self._find_place(), compute_period(now)
         )
-        return (s - now for s in starts)
+        delays = (s - now for s in starts)
+        if cold is None or self.limit is not None:
+            return delays
+        # Once it is warm, no request needs a turn.
+        left = cold.seconds_left
+        cold_delays = itertools.takewhile(lambda d: d < left, delays)
+        return itertools.chain(cold_delays, itertools.repeat(left))
 
     def _find_place(self) -> Place:
         return self._round_robin.find_place(self._offset)
@@ -296,6 +335,7 @@
 
 
 __all__ = [
+    'ColdLimit',
     'FleetRoundRobin',
     'RateLimits',
     'RoundRobin',
--- a/src/lentilrun/gateway/statements.py
+++ b/src/lentilrun/gateway/statements.py
@@ -33,7 +33,9 @@
 
     A target that ``is_leaving`` gets no more requests, from any VM. One that
     rests gets none from this VM before ``rest_until``, by the VM's clock in
-    seconds. The limits are those of requests and of rejections.
+    seconds. The limits are those of requests and of rejections. The target
+    registered this start at ``started_at``, by the VM's clock, if the VM
+    served before.
     """
 
     def __init__(self, incarnation: str, round_robin: RoundRobin) -> None:
@@ -41,6 +43,7 @@
         self.rejection_limit = TargetRateLimit(incarnation, round_robin)
         self.is_leaving = False
         self.rest_until = float('-inf')
+        self.started_at = float('-inf')
 
     def record_rest(self, now: float, seconds: float) -> None:
         """Record that the target wants no requests for a time."""
@@ -62,6 +65,11 @@
     def __init__(self) -> None:
         self._by_start: dict[TargetStart, TargetStatements] = {}
 
+    def knows(self, target: Target) -> bool:
+        """Return whether this start of a target registered before."""
+        start = TargetStart(target.incarnation, target.started_at_ms)
+        return start in self._by_start
+
     def find(
         self, target: Target, round_robin: RoundRobin
     ) -> TargetStatements:
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -6,6 +6,11 @@
 import math
 from typing import TYPE_CHECKING
 
+from ..decisions.coldtargets import Coldness
+from ..decisions.coldtargets import ColdTimes
+from ..decisions.coldtargets import ColdTolerance
+from ..decisions.coldtargets import compute_slot_rate
+from ..decisions.coldtargets import find_coldness
 from ..decisions.placement import Candidate
 from ..decisions.places import EVERYWHERE
 from ..decisions.places import Places
@@ -18,6 +23,7 @@
 from ..decisions.speeds import SpeedEstimator
 from .messages import LeavingReport
 from .messages import PrefillReport
+from .ratelimits import ColdLimit
 from .ratelimits import RoundRobin
 from .ratelimits import SingleVm
 from .recent import Origin
@@ -38,6 +44,10 @@
 
 _MIN_BACKOFF_S = 0.15
 _MAX_BACKOFF_S = 2.5
+# Rows that state the same end of a time differ by how late they are read.
+_MIN_COLD_CHANGE_S = 1.0
+# A VM that has started hears from others within about this time.
+_REPORT_WAIT_S = 0.25
 
 
 class Targets:
@@ -63,9 +73,30 @@
         self.report_lag: Callable[[], float] = lambda: 0.0
         # The data centres without the evacuated ones.
         self.places = EVERYWHERE
+        self.cold_tolerance = ColdTolerance()
+        # By service, the turns a second of a cold target, and for how long
+        # targets are cold after a start, in seconds.
+        self._cold_rates: dict[str, float] = {}
+        self._cold_starts: dict[str, float] = {}
+        # When the evacuations of data centres ended.
+        self._returned_at: dict[str, float] = {}
+        # Whether this VM knows all targets, and the other VMs.
+        self.knows_targets: Callable[[], bool] = lambda: False
+        self.knows_members: Callable[[], bool] = lambda: True
+        # Whether other VMs may know of cold targets what this one does not.
+        self.awaits_reports: Callable[[], bool] = lambda: False
+        # Called if a target becomes cold, or remains so for longer.
+        self.on_cold: list[Callable[[TargetState, Coldness], None]] = []
 
     def configure(self, configuration: Configuration) -> None:
-        """Apply the sizes of the engines."""
+        """Apply the sizes of the engines, and the limits of cold targets."""
+        services = configuration.services.values()
+        rates = {
+            s.name: compute_slot_rate(s.cold_per_s, self.cold_tolerance)
+            for s in services
+        }
+        self._cold_rates = {n: r for n, r in rates.items() if r is not None}
+        self._cold_starts = {s.name: s.cold_start for s in services}
         engines = {
             n: s.engine
             for n, s in configuration.services.items()
@@ -92,19 +123,76 @@
     def register(self, target: Target) -> None:
         """Add or update a target from its registration."""
         state = self.states.get(target.incarnation)
+        coldness = None
         if state is None or state.target.started_at_ms != target.started_at_ms:
-            self.states[target.incarnation] = TargetState(
-                target,
-                self._estimators[target.service],
-                self._statements.find(target, self.round_robin),
-            )
+            self.states[target.incarnation] = self._make_state(target)
         else:
+            coldness = self.find_coldness(state)
             state.target = target
             for model, version in target.weights_versions.items():
                 state.record_weights_version(model, version)
-        self.states[target.incarnation].record_cold(self._clock.now())
+        state = self.states[target.incarnation]
+        state.record_cold(self._clock.now())
+        self._notify_cold(state, coldness)
         self.notify_changed()
 
+    def _make_state(self, target: Target) -> TargetState:
+        is_new = self.knows_targets() and not self._statements.knows(target)
+        statements = self._statements.find(target, self.round_robin)
+        if is_new:
+            statements.started_at = self._clock.now()
+        state = TargetState(
+            target, self._estimators[target.service], statements
+        )
+        state.rate_limit.find_cold_limit = lambda: self._find_cold_limit(state)
+        return state
+
+    def _notify_cold(
+        self, state: TargetState, before: Coldness | None
+    ) -> None:
+        coldness = self.find_coldness(state)
+        if coldness is None:
+            return
+        if before and coldness.until - before.until < _MIN_COLD_CHANGE_S:
+            return
+        for callback in self.on_cold:
+            callback(state, coldness)
+
+    def find_coldness(self, state: TargetState) -> Coldness | None:
+        """Return until when a target is limited as it is cold, and why.
+
+        Return nothing if it is warm, or if cold targets of its service have
+        no limit.
+        """
+        target = state.target
+        if target.service not in self._cold_rates:
+            return None
+        times = ColdTimes(
+            state.cold_until,
+            state.statements.started_at,
+            self._returned_at.get(target.data_centre, float('-inf')),
+        )
+        cold_start = self._cold_starts[target.service]
+        return find_coldness(times, cold_start, self._clock.now())
+
+    def _find_cold_limit(self, state: TargetState) -> ColdLimit | None:
+        rate = self._cold_rates.get(state.target.service)
+        if rate is None:
+            return None
+        coldness = self.find_coldness(state)
+        if coldness is not None:
+            seconds_left = coldness.until - self._clock.now()
+        elif self.awaits_reports():
+            seconds_left = _REPORT_WAIT_S
+        else:
+            return None
+        return ColdLimit(rate, seconds_left, self.knows_members())
+
+    def count_cold(self) -> int:
+        """Return the number of targets that are limited as they are cold."""
+        states = self.states.values()
+        return sum(self.find_coldness(s) is not None for s in states)
+
     def remove(self, incarnation: str) -> TargetState | None:
         """Remove a target; return its state if it was known."""
         return self.states.pop(incarnation, None)
@@ -114,6 +202,48 @@
         self.places = Places(data_centres)
         self.notify_changed()
 
+    def record_return(self, data_centre: str, age: float = 0.0) -> None:
+        """Record that the evacuation of a data centre has ended.
+
+        It did so ``age`` seconds ago.
+        """
+        states = [
+            s
+            for s in self.states.values()
+            if s.target.data_centre == data_centre
+        ]
+        before = [self.find_coldness(s) for s in states]
+        self._returned_at[data_centre] = self._clock.now() - age
+        for state, coldness in zip(states, before, strict=True):
+            self._notify_cold(state, coldness)
+
+    def list_returns(self) -> dict[str, float]:
+        """Return how long ago evacuations ended, while it matters.
+
+        Targets may be cold as long after that as after a start.
+        """
+        now = self._clock.now()
+        limit = max(
+            (self._cold_starts[n] for n in self._cold_rates), default=0.0
+        )
+        return {
+            name: now - at
+            for name, at in self._returned_at.items()
+            if now - at < limit
+        }
+
+    def receive_returns(self, ages: dict[str, float]) -> None:
+        """Apply the ends of evacuations that another VM knows.
+
+        A VM that starts later finds no row of them. Times that differ less
+        than messages take are the same.
+        """
+        now = self._clock.now()
+        for data_centre, age in ages.items():
+            known = self._returned_at.get(data_centre, float('-inf'))
+            if now - age > known + _MIN_COLD_CHANGE_S:
+                self.record_return(data_centre, age)
+
     def has_target_left(self, service: str) -> bool:
         """Return whether a target may get requests, if not now.
 
@@ -188,12 +318,12 @@
             state.rejection_limit.return_turn(seconds)
 
     def list_if_all_limited(self, service: str) -> list[TargetState]:
-        """Return the targets of a service if all of them state rate limits.
+        """Return the targets of a service if all of them are limited.
 
         Otherwise some may take requests without a turn, if not now.
         """
         states = [s for s in self.list_included(service) if not s.is_leaving()]
-        if any(s.rate_limit.limit is None for s in states):
+        if not all(s.rate_limit.is_limited() for s in states):
             return []
         return states
 
--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -96,7 +96,8 @@
         self.peer_loads: dict[str, PeerLoad] = {}
         self.connect_failures = 0
         self.blocked_until = float('-inf')
-        self._cold_until = float('-inf')
+        # By its row, by the clock in seconds.
+        self.cold_until = float('-inf')
         self.weights_loading_until = float('-inf')
         self.is_loading_by_this_vm = False
         # The VM that reported that the target loads weights, if any.
@@ -131,11 +132,11 @@
 
     def record_cold(self, now: float) -> None:
         """Record how long the target stays slow, as it registered."""
-        self._cold_until = now + self.target.cold_remaining
+        self.cold_until = now + self.target.cold_remaining
 
     def is_cold(self, now: float) -> bool:
         """Return whether the target is still slow after its start."""
-        return self._cold_until > now
+        return self.cold_until > now
 
     def is_cordoned(self, now: float) -> bool:
         """Return whether the target is out of service to load weights."""
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -17,12 +17,14 @@
     from collections.abc import Callable
 
     from ..coordination.clock import Clock
+    from ..decisions.coldtargets import Coldness
     from ..decisions.facts import Configuration
     from ..decisions.facts import Target
     from ..platform.rollouts import RolloutOrder
     from ..platform.rows import Row
     from .logs import Log
     from .targets import Targets
+    from .targetstate import TargetState
 
 
 # Number of announcements that are kept for a model.
@@ -112,6 +114,7 @@
         self._clock = clock
         self._log = log
         self.targets = targets
+        targets.on_cold.append(self._log_cold)
         self.evacuations = Evacuations(clock, targets, log)
         self.configuration: Configuration | None = None
         self.announced: dict[str, AnnouncedWeights] = {}
@@ -122,6 +125,14 @@
         self.on_weights: list[Callable[[], None]] = []
         self.on_rollout_order: list[Callable[[RolloutOrder], None]] = []
 
+    def _log_cold(self, state: TargetState, coldness: Coldness) -> None:
+        self._log.write(
+            'target_cold',
+            target=state.target.incarnation,
+            seconds=round(coldness.until - self._clock.now(), 3),
+            reason=coldness.reason,
+        )
+
     def mark_operator_rows_read(self) -> None:
         """Record that all rows that operators had written were applied."""
         self._has_operator_rows = True
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Annotated
 from typing import NamedTuple
 
@@ -36,6 +37,7 @@
 
 # Versions and counts; messages between VMs carry up to 64 bits.
 Number = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+_Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 
 
 class BadDocumentError(LentilrunError):
@@ -90,6 +92,8 @@
     name: str
     max_connections: int = 100
     engine: _WireEngine | None = None
+    cold_start_s: _Amount = 0.0
+    cold_per_s: _Amount = 0.0
     # The zone is the data centre of the KV cache store.
     kv_store_addr: str = ''
     zone: str = ''
@@ -186,7 +190,16 @@
         engine = EngineSpec(
             wire_service.engine.slots, wire_service.engine.kv_capacity, models
         )
-    return Service(wire_service.name, wire_service.max_connections, engine)
+    cold_per_s, cold_start = wire_service.cold_per_s, wire_service.cold_start_s
+    if not (math.isfinite(cold_per_s) and math.isfinite(cold_start)):
+        raise ValueError('a number of a service is not finite')
+    return Service(
+        wire_service.name,
+        wire_service.max_connections,
+        engine,
+        cold_per_s,
+        cold_start,
+    )
 
 
 def _make_workspace(tenant: _WireTenant) -> Workspace:
@@ -215,6 +228,7 @@
     try:
         document = _configuration_decoder.decode(value)
         routes = [_make_route(r) for r in document.routes]
+        services = [_make_service(s) for s in document.services]
         stores = tuple(
             KvCacheStore(parse_address(s.kv_store_addr), s.zone)
             for s in document.services
@@ -222,7 +236,6 @@
         )
     except _DECODE_ERRORS as error:
         raise BadDocumentError(f'malformed configuration: {error}') from error
-    services = [_make_service(s) for s in document.services]
     workspaces = {t.name: _make_workspace(t) for t in document.tenants}
     keys = {
         k: workspaces[t.name] for t in document.tenants for k in t.api_keys
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -34,7 +34,9 @@
     ``retry_window``. ``quota_overage`` is a share of a workspace's rate and
     burst, ``quota_slack`` is in tokens. Of the requests during a roll-out,
     a bad version may get ``exposure_share`` and ``exposure_slack`` more. An
-    evacuation must be in force within ``evacuation_limit``.
+    evacuation must be in force within ``evacuation_limit``. A cold target may
+    get ``cold_overage`` times its rate and ``cold_slack`` requests in a
+    second; it is not limited where both are 0.
     """
 
     drain: float
@@ -51,6 +53,8 @@
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
     evacuation_limit: float = _DEFAULT_EVACUATION_MS * _S_PER_MS
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
     def change_limit(self) -> float:
         """Return the time in which any row must be in force, in seconds."""
@@ -123,6 +127,8 @@
     exposure_share: _Amount = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: _Amount = _DEFAULT_EXPOSURE_SLACK
     evacuation_ms: _Amount = _DEFAULT_EVACUATION_MS
+    cold_overage: _Amount = 0.0
+    cold_slack: _Amount = 0.0
 
 
 class _WireSettings(msgspec.Struct, rename='kebab'):
@@ -152,6 +158,8 @@
         exposure_share=float(wire.exposure_share),
         exposure_slack=float(wire.exposure_slack),
         evacuation_limit=wire.evacuation_ms * _S_PER_MS,
+        cold_overage=float(wire.cold_overage),
+        cold_slack=float(wire.cold_slack),
     )
     if not all(map(math.isfinite, bounds)):
         raise ValueError('a bound is not finite')
--- a/tests/gateway/test_evacuations.py
+++ b/tests/gateway/test_evacuations.py
@@ -121,6 +121,25 @@
     _play(monkeypatch, vms, main)
 
 
+@_SMALL_AND_LARGE
+def test_cache_is_not_fetched_from_there(
+    vms: dict[str, int], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against evacuated engines that others fetch cache from."""
+
+    async def main(play: _Play) -> None:
+        await play.send(1.0, RESUMABLE_PATH)
+        holder = play.targets.arrivals[-1].target[0]
+        play.fleet.evacuate(holder)
+        await asyncio.sleep(_LIMIT_S)
+        since = play.loop.time()
+        await play.send(1.0, RESUMABLE_PATH)
+        assert not play.list_arrivals(holder, since)
+        assert holder not in play.list_sources(since)
+
+    _play(monkeypatch, vms, main)
+
+
 @_SMALL_AND_LARGE
 def test_calls_are_refused_at_once_without_targets(
     vms: dict[str, int], monkeypatch: pytest.MonkeyPatch
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -246,3 +246,40 @@
     """Another response is not taken for the report of an engine."""
     with pytest.raises((msgspec.MsgspecError, RecursionError)):
         engines._report_decoder.decode(body)
+
+
+@pytest.mark.parametrize('name', ['cold-per-s', 'cold-start-s'])
+@pytest.mark.parametrize('value', ['-1', '1e999', '"8"', '[]', 'null'])
+def test_odd_limit_of_cold_targets(
+    name: str, value: str, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a configuration that replaces the last valid one."""
+    service = f'{{"name":"app","{name}":{value}}}'
+    spoiled = f'{{"version":2,"services":[{service}]}}'.encode()
+
+    def apply(view: View) -> None:
+        sound = json.dumps(_CONFIGURATION).encode()
+        view.apply_operator_row(Row('config', sound, 1))
+        view.apply_operator_row(Row('config', spoiled, 2))
+        assert view.configuration is not None
+        assert view.configuration.version == 1
+
+    _apply(apply, tmp_path / 'log')
+    assert 'row_unreadable' in (tmp_path / 'log').read_text()
+
+
+@pytest.mark.parametrize('body', [b'{}', b'{"a":1}', b'', b'[', b'7'])
+@pytest.mark.parametrize('zone', ['a', 'a/b', '\u20ac\n', 'x' * 300, ''])
+def test_any_evacuation(
+    zone: str, body: bytes, tmp_path: pathlib.Path
+) -> None:
+    """Guards against a row that ends serving, or isn't in force."""
+
+    def apply(view: View) -> None:
+        view.apply_operator_row(Row(f'evacuate/{zone}', body, 1))
+        names = set(view.evacuations.by_data_centre)
+        assert names == ({zone} if zone else set())
+        view.apply_operator_row(Row(f'evacuate/{zone}', b'', 2, True))
+        assert not view.evacuations.by_data_centre
+
+    _apply(apply, tmp_path / 'log')
