Keep calls to the regions that their route and workspace allow

Callers whose data must not leave a region had their requests run in any data centre, forwarded through any VM, and their cached prompts fetched from and saved to any place: nothing stated where a request may be.

Routes and workspaces now have allowed-regions, and the settings' table zones the region of each data centre. A call carries the data centres that both lists leave. They narrow the candidates in the place where evacuated data centres are excluded, so that retries, moved streams and waiting calls keep to them, and a call without any is refused at once. The salt of a restricted call has a suffix, as other calls could otherwise fetch the cache of its prompt into any region. A restricted call is forwarded with another header, which older builds refuse.

Without zones or allowed-regions nothing changes.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -41,6 +41,7 @@
     ``target_latency`` is the longest time to the response, or to the first
     event of a stream, that counts as on time; ``target_event_gap`` is the
     same for the time between events. ``urgency`` is 0 for the most urgent.
+    Requests stay in ``allowed_regions``; if it is empty, all are allowed.
     """
 
     name: str
@@ -55,6 +56,7 @@
     is_auth_exempt: bool
     resumable: bool
     target_event_gap: float
+    allowed_regions: tuple[str, ...] = ()
 
     def abandon_timeout(self) -> float:
         """Return the time without events until callers stop waiting, in s."""
@@ -110,6 +112,7 @@
 
     A rate of 0 means no limit. ``default_tokens`` is the charge for a
     request that states no tokens. ``urgency`` is 0 for the most urgent.
+    Requests stay in ``allowed_regions``; if it is empty, all are allowed.
     """
 
     name: str
@@ -118,6 +121,7 @@
     rate: float
     burst: float
     default_tokens: int
+    allowed_regions: tuple[str, ...] = ()
 
 
 class RequestLimits(NamedTuple):
--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -18,6 +18,7 @@
     from .call import IncomingRequest
     from .logs import Log
     from .quotas import Quotas
+    from .regions import Regions
     from .view import View
 
 _BAD_REQUEST = 400
@@ -34,8 +35,11 @@
 class Admission:
     """Checks requests and makes calls of those that it admits."""
 
-    def __init__(self, view: View, quotas: Quotas, log: Log) -> None:
+    def __init__(
+        self, view: View, quotas: Quotas, regions: Regions, log: Log
+    ) -> None:
         self._view = view
+        self._regions = regions
         self._log = log
         self._quotas = quotas
 
@@ -107,6 +111,7 @@
             incoming.arrived_at + timeout,
             _compute_charge(workspace, caller_headers),
             _compute_fingerprint(incoming, caller_headers),
+            restriction=self._regions.find(route, workspace),
         )
 
     def _charge(self, call: Call) -> None:
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -25,6 +25,7 @@
 from .exchange import run_exchange
 from .loads import LoadReservation
 from .messages import PrefillReport
+from .prefillplans import list_allowed_stores
 from .recent import Origin
 from .relay import ResponseReceiver
 from .streammoves import StreamMove
@@ -316,7 +317,9 @@
         stored_segments = self._context.stored_segments
         if not stored_segments.needs_save(assignment.salt, prompt):
             return None
-        store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
+        store = pick_kv_cache_store(
+            prompt, list_allowed_stores(self._call, configuration)
+        )
         if store is None:
             return None
         stored_segments.record_save(assignment.salt, prompt)
--- a/src/lentilrun/gateway/call.py
+++ b/src/lentilrun/gateway/call.py
@@ -15,6 +15,7 @@
     from ..decisions.facts import Prompt
     from ..decisions.facts import Route
     from ..decisions.facts import Workspace
+    from ..decisions.regions import Restriction
 
 
 # Weight of a workspace's urgency, so that it takes precedence over the
@@ -41,6 +42,7 @@
     ``fingerprint`` is the same for repetitions of a request. A call that
     ``is_forwarded`` was admitted by another VM, which alone may repeat it; it
     ``is_continued`` if its caller has received events of the stream there.
+    It goes only where its ``restriction`` allows it, if it has one.
     """
 
     request_id: str
@@ -54,6 +56,11 @@
     fingerprint: bytes
     is_forwarded: bool = False
     is_continued: bool = False
+    restriction: Restriction | None = None
+
+    def allowed_targets(self) -> frozenset[str] | None:
+        """Return the data centres to which it may go; nothing means all."""
+        return None if self.restriction is None else self.restriction.targets
 
     def patience_end(self) -> float:
         """Return until when the caller waits for a stream's first event."""
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -69,6 +69,7 @@
         self._planner = PrefillPlanner(call, context)
         self._bounds = context.bounds
         self._rollouts = context.rollouts
+        self._allowed = call.allowed_targets()
 
     def select(self, avoid: set[str]) -> Assignment | None:
         """Return a target that can run the call now, if there is one.
@@ -117,7 +118,9 @@
         The time is in seconds, infinite if not all targets limit their
         requests.
         """
-        states = self._targets.list_if_all_limited(self._service)
+        states = self._targets.list_if_all_limited(
+            self._service, self._allowed
+        )
         return find_turn(
             (s.rate_limit.list_turn_delays() for s in states), number
         )
@@ -204,7 +207,8 @@
 
     def _list_service(self) -> list[TargetState]:
         return self._rollouts.list_regular(
-            self._service, self._targets.list_usable(self._service)
+            self._service,
+            self._targets.list_usable(self._service, (), self._allowed),
         )
 
     def _pick_sample(self, cached_tokens: list[float]) -> list[int]:
@@ -232,9 +236,10 @@
     def _list_usable(
         self, service: Service, avoid: set[str]
     ) -> list[TargetState]:
-        states = self._targets.list_usable(service.name, avoid)
+        allowed = self._allowed
+        states = self._targets.list_usable(service.name, avoid, allowed)
         if not states and avoid:
-            states = self._targets.list_usable(service.name)
+            states = self._targets.list_usable(service.name, (), allowed)
         states = [
             s for s in states if self._is_below_connection_limit(s, service)
         ]
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -198,10 +198,12 @@
 
     def _handle_refusal(self, helper: Peer, refusal: HelperRefusal) -> None:
         """Raise ``Refusal`` unless the call may go elsewhere."""
-        if refusal.is_of_helper():
+        if refusal.is_of_helper(self._call):
             self._context.helpers.record_unfit(helper)
         elif refusal.reason is Reason.NO_TARGET:
-            self._context.helpers.record_no_target(self._service)
+            self._context.helpers.record_no_target(
+                self._service, self._call.restriction
+            )
         else:
             retry_after = refusal.retry_after
             if retry_after is None:
@@ -337,7 +339,9 @@
                 raise self._make_refusal(
                     Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
                 )
-            if not self._context.targets.has_target_left(self._service):
+            if not self._context.targets.has_target_left(
+                self._service, self._call.allowed_targets()
+            ):
                 raise self._make_refusal(Reason.NO_TARGET, _LEAVING_RETRY_S)
             helper = self._find_helper()
             if helper is not None:
@@ -357,7 +361,9 @@
         now = self._context.clock.now()
         if now >= until:
             raise self._make_refusal(Reason.NO_TARGET)
-        wait = self._context.targets.estimate_return(self._service)
+        wait = self._context.targets.estimate_return(
+            self._service, self._call.allowed_targets()
+        )
         if now + wait > until:
             retry_after = wait if math.isfinite(wait) else _LEAVING_RETRY_S
             raise self._make_refusal(Reason.NO_TARGET, retry_after)
@@ -369,13 +375,17 @@
 
         Raises ``Refusal`` if another VM forwarded the call to this one.
         """
-        if self._context.reachability.reaches(self._service):
+        if self._context.reachability.reaches(
+            self._service, self._call.allowed_targets()
+        ):
             return None
         if self._call.is_forwarded:
             raise self._make_refusal(Reason.NO_PATH)
         if self._tried_helpers >= _MAX_HELPERS:
             return None
-        return self._context.helpers.pick(self._service)
+        return self._context.helpers.pick(
+            self._service, self._call.restriction
+        )
 
     def _has_begun(self) -> bool:
         """Return whether the caller has received events of a stream."""
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -38,6 +38,9 @@
     from .peers import Peer
 
 _CALL_HEADER = 'Lentilrun-Forwarded'
+# Instead of the one above: a build that does not know of restrictions finds no
+# header of a forwarded call, and refuses it.
+_RESTRICTED_CALL_HEADER = 'Lentilrun-Restricted'
 _REFUSAL_HEADER = 'Lentilrun-Refusal'
 _UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -69,6 +72,13 @@
     is_continued: bool
 
 
+class RestrictedCall(PositionalRecord, frozen=True):
+    """A forwarded call that goes only to targets of some data centres."""
+
+    call: ForwardedCall
+    data_centres: list[str]
+
+
 class UnknownFormError(LentilrunError):
     """A VM states a call in a form that this build does not know."""
 
@@ -79,8 +89,14 @@
     reason: Reason
     retry_after: float | None
 
-    def is_of_helper(self) -> bool:
-        """Return whether another helper may take the call."""
+    def is_of_helper(self, call: Call) -> bool:
+        """Return whether another helper may take the call.
+
+        A build that does not know of restrictions refuses such a call as a
+        bad request.
+        """
+        if call.restriction is not None and self.reason is Reason.BAD_REQUEST:
+            return True
         return self.reason in _REASONS_OF_HELPER
 
 
@@ -95,6 +111,7 @@
 
 _encoder = msgspec.json.Encoder()
 _decoder = msgspec.json.Decoder(ForwardedCall)
+_restricted_decoder = msgspec.json.Decoder(RestrictedCall)
 _array_decoder = msgspec.json.Decoder(list[msgspec.Raw])
 
 
@@ -114,6 +131,20 @@
         return None
 
 
+def take_restricted_call(headers: HTTPHeaders) -> RestrictedCall | None:
+    """Remove what a VM states of a restricted call; return it if readable.
+
+    Raises ``UnknownFormError`` if a VM of another build seems to state it.
+    """
+    text = headers.pop(_RESTRICTED_CALL_HEADER, None)
+    if text is None:
+        return None
+    try:
+        return _restricted_decoder.decode(text)
+    except msgspec.MsgspecError as error:
+        raise UnknownFormError(str(error)) from error
+
+
 def _is_array(text: str) -> bool:
     try:
         _array_decoder.decode(text)
@@ -219,7 +250,16 @@
 
     def _make_headers(self, stated: ForwardedCall) -> HTTPHeaders:
         headers = dialect.make_peer_headers(self._call.incoming.headers)
-        headers[_CALL_HEADER] = _encoder.encode(stated).decode()
+        restriction = self._call.restriction
+        # A caller's own headers of these names must not reach the helper.
+        for name in (_CALL_HEADER, _RESTRICTED_CALL_HEADER):
+            headers.pop(name, None)
+        if restriction is None:
+            headers[_CALL_HEADER] = _encoder.encode(stated).decode()
+        else:
+            restricted = RestrictedCall(stated, sorted(restriction.targets))
+            text = _encoder.encode(restricted).decode()
+            headers[_RESTRICTED_CALL_HEADER] = text
         if self._progress.last_event_id > self._call.last_event_id:
             dialect.resume_after(headers, self._progress.last_event_id)
         return headers
@@ -248,6 +288,8 @@
     'ForwardResult',
     'HelperRefusal',
     'mark_refusal',
+    'RestrictedCall',
     'take_forwarded_call',
+    'take_restricted_call',
     'UnknownFormError',
 ]
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from ..decisions.regions import make_restriction
 from .call import Reason
 from .call import Refusal
 from .forwarding import mark_refusal
 from .forwarding import take_forwarded_call
+from .forwarding import take_restricted_call
 from .forwarding import UnknownFormError
 from .server import CallHandler
 
@@ -56,12 +58,15 @@
         """
         try:
             stated = take_forwarded_call(incoming.headers)
+            restricted = take_restricted_call(incoming.headers)
         except UnknownFormError as error:
             self._log.write('forwarded_call_unreadable', error=error)
             # A reason for which all builds ask another VM.
             raise Refusal(
                 _UNAVAILABLE, Reason.NOT_CONFIGURED, _RETRY_AFTER_S
             ) from error
+        if restricted is not None:
+            stated = restricted.call
         if stated is None:
             raise Refusal(_BAD_REQUEST, Reason.BAD_REQUEST)
         if self._open >= self._max_open:
@@ -86,6 +91,8 @@
             configuration=stated.configuration,
             open=self._open,
         )
+        if restricted is not None:
+            call = _restrict(call, frozenset(restricted.data_centres))
         return call._replace(
             is_forwarded=True, is_continued=stated.is_continued
         )
@@ -110,4 +117,11 @@
         return headers
 
 
+def _restrict(call: Call, data_centres: frozenset[str]) -> Call:
+    """Return a call that keeps to the restrictions of both VMs."""
+    own = call.allowed_targets()
+    targets = data_centres if own is None else data_centres & own
+    return call._replace(restriction=make_restriction(targets, targets))
+
+
 __all__ = ['ForwardedCallHandler']
--- a/src/lentilrun/gateway/helpers.py
+++ b/src/lentilrun/gateway/helpers.py
@@ -14,6 +14,7 @@
     from collections.abc import Iterator
 
     from ..coordination.clock import Clock
+    from ..decisions.regions import Restriction
     from .peers import Peer
     from .peers import Peers
 
@@ -33,16 +34,26 @@
         self._peers = peers
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._unfit_until: dict[str, float] = {}
-        self._no_target_until: dict[str, float] = {}
+        # By service, and the restriction of the call that was refused.
+        self._no_target_until: dict[tuple[str, Restriction | None], float] = {}
 
-    def pick(self, service: str) -> Peer | None:
-        """Return a VM that may reach a target of a service, if any."""
+    def pick(
+        self, service: str, restriction: Restriction | None
+    ) -> Peer | None:
+        """Return a VM that may reach a target of a service, if any.
+
+        A call with a ``restriction`` goes to no other VMs.
+        """
         now = self._clock.now()
-        if self._no_target_until.get(service, now) > now:
+        if self._no_target_until.get((service, restriction), now) > now:
             return None
         peers = self._peers.by_name
         name = pick_helper(
-            self._list_candidates(),
+            [
+                c
+                for c in self._list_candidates()
+                if restriction is None or c.data_centre in restriction.vms
+            ],
             self._peers.own_member.data_centre,
             self._list_refused(now),
             _random,
@@ -78,9 +89,17 @@
         """Record that a VM can't pass calls on now."""
         self._unfit_until[peer.member.name] = self._clock.now() + _UNFIT_S
 
-    def record_no_target(self, service: str) -> None:
+    def record_no_target(
+        self, service: str, restriction: Restriction | None
+    ) -> None:
         """Record that another VM has no target of a service either."""
-        self._no_target_until[service] = self._clock.now() + _NO_TARGET_S
+        now = self._clock.now()
+        self._no_target_until = {
+            key: until
+            for key, until in self._no_target_until.items()
+            if until > now
+        }
+        self._no_target_until[service, restriction] = now + _NO_TARGET_S
 
 
 __all__ = ['Helpers']
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -40,6 +40,7 @@
 from .ratelimits import FleetRoundRobin
 from .ratelimits import RateLimits
 from .reachability import Reachability
+from .regions import Regions
 from .responseends import ResponseEnds
 from .rolloutdriver import RolloutDriver
 from .rollouts import Rollouts
@@ -280,7 +281,9 @@
         )
 
     def _build_entry(self) -> None:
-        self.admission = Admission(self.view, self.quotas, self.log)
+        regions = Regions(self.settings.regions, self.log)
+        self.view.on_configuration.append(regions.configure)
+        self.admission = Admission(self.view, self.quotas, regions, self.log)
         self.dispatcher = Dispatcher(
             DispatchContext(
                 self.clock,
--- a/src/lentilrun/gateway/prefillplans.py
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -13,6 +13,7 @@
 
 if TYPE_CHECKING:
     from ..decisions.facts import Configuration
+    from ..decisions.facts import KvCacheStore
     from ..decisions.facts import Prompt
     from ..decisions.facts import Service
     from ..decisions.sources import PrefillPlan
@@ -21,6 +22,18 @@
     from .targetstate import TargetState
 
 
+def list_allowed_stores(
+    call: Call, configuration: Configuration
+) -> list[KvCacheStore]:
+    """Return the stores that may hold KV cache of a call's prompt."""
+    allowed = call.allowed_targets()
+    return [
+        s
+        for s in configuration.kv_cache_stores
+        if allowed is None or s.data_centre in allowed
+    ]
+
+
 class PrefillPlanner:
     """Plans the prefill of one call's prompt at targets of a service."""
 
@@ -45,10 +58,13 @@
         weights_version = self.find_weights_version(state)
         if weights_version is None:
             return ''
-        workspace = self._call.workspace
-        if workspace is not None and workspace.is_isolated:
-            return f'{weights_version}/{workspace.name}'
-        return str(weights_version)
+        call = self._call
+        salt = str(weights_version)
+        if call.workspace is not None and call.workspace.is_isolated:
+            salt += f'/{call.workspace.name}'
+        if call.restriction is not None:
+            salt += f'@{call.restriction.tag}'
+        return salt
 
     def count_cached_tokens(
         self, states: list[TargetState], service: Service
@@ -80,7 +96,8 @@
         if prompt is None or service.engine is None:
             return [NO_CACHE] * len(states)
         salts = [self.make_salt(s) for s in states]
-        store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
+        stores = list_allowed_stores(self._call, configuration)
+        store = pick_kv_cache_store(prompt, stores)
         stored_salts = {
             s for s in set(salts) if self._stored_segments.has_all(s, prompt)
         }
@@ -108,7 +125,8 @@
         if not salts:
             return {}
         by_salt: dict[str, list[CacheHolder]] = {salt: [] for salt in salts}
-        for state in self._targets.list_cache_sources(service.name):
+        allowed = self._call.allowed_targets()
+        for state in self._targets.list_cache_sources(service.name, allowed):
             salt = self.make_salt(state)
             tokens = state.prefix_cache.count_cached_tokens(salt, prompt)
             if tokens and salt in by_salt:
@@ -122,4 +140,4 @@
         }
 
 
-__all__ = ['PrefillPlanner']
+__all__ = ['list_allowed_stores', 'PrefillPlanner']
--- a/src/lentilrun/gateway/reachability.py
+++ b/src/lentilrun/gateway/reachability.py
@@ -96,12 +96,17 @@
         """Return whether this VM reaches no target at all."""
         return self._cut_off_since is not None
 
-    def reaches(self, service: str) -> bool:
-        """Return whether this VM may reach some target of a service."""
+    def reaches(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether this VM may reach some target of a service.
+
+        Only those in data centres that are ``allowed`` count, if it is set.
+        """
         if self.is_cut_off():
             return False
         now = self._clock.now()
-        states = self._targets.list_included(service)
+        states = self._targets.list_included(service, allowed)
         return not states or not all(s.is_unreachable(now) for s in states)
 
     def watch(self, stop: Callable[[], None] | None) -> AttemptWatch:
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -244,35 +244,47 @@
             if now - age > known + _MIN_COLD_CHANGE_S:
                 self.record_return(data_centre, age)
 
-    def has_target_left(self, service: str) -> bool:
-        """Return whether a target may get requests, if not now.
+    def has_target_left(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> bool:
+        """Return whether a target may get a request, if not now.
 
-        It is so too if no data centre is excluded.
+        It is so too if no data centre is excluded. Only those that are
+        ``allowed`` count, all without it; the same holds below.
         """
-        return self.places.has_any(
+        return self._find_places(allowed).has_any(
             s.target.data_centre for s in self.list_of_service(service)
         )
 
-    def list_included(self, service: str) -> list[TargetState]:
+    def list_included(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> list[TargetState]:
         """Return a service's targets in data centres that may be used."""
+        places = self._find_places(allowed)
         return [
             s
             for s in self.list_of_service(service)
-            if self.places.includes(s.target.data_centre)
+            if places.includes(s.target.data_centre)
         ]
 
+    def _find_places(self, allowed: frozenset[str] | None) -> Places:
+        return self.places._replace(allowed=allowed)
+
     def list_of_service(self, service: str) -> list[TargetState]:
         """Return the targets of a service."""
         states = self.states.values()
         return [s for s in states if s.target.service == service]
 
     def list_usable(
-        self, service: str, avoid: Iterable[str] = ()
+        self,
+        service: str,
+        avoid: Iterable[str] = (),
+        allowed: frozenset[str] | None = None,
     ) -> list[TargetState]:
         """Return the targets of a service that may get requests now."""
         return [
             s
-            for s in self._list_in_service(service)
+            for s in self._list_in_service(service, allowed)
             if s.target.incarnation not in avoid
             and s.rate_limit.has_turn()
             and self._may_reject(s)
@@ -317,21 +329,29 @@
         if not sees_room(self.count_members(), slots):
             state.rejection_limit.return_turn(seconds)
 
-    def list_if_all_limited(self, service: str) -> list[TargetState]:
+    def list_if_all_limited(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> list[TargetState]:
         """Return the targets of a service if all of them are limited.
 
         Otherwise some may take requests without a turn, if not now.
         """
-        states = [s for s in self.list_included(service) if not s.is_leaving()]
+        states = [
+            s
+            for s in self.list_included(service, allowed)
+            if not s.is_leaving()
+        ]
         if not all(s.rate_limit.is_limited() for s in states):
             return []
         return states
 
-    def _list_in_service(self, service: str) -> list[TargetState]:
+    def _list_in_service(
+        self, service: str, allowed: frozenset[str] | None
+    ) -> list[TargetState]:
         now = self._clock.now()
         return [
             s
-            for s in self.list_included(service)
+            for s in self.list_included(service, allowed)
             if not s.is_leaving()
             and not s.statements.is_resting(now)
             and s.blocked_until <= now
@@ -365,12 +385,14 @@
             ):
                 self.record_leaving(report.incarnation)
 
-    def estimate_return(self, service: str) -> float:
+    def estimate_return(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> float:
         """Return when a target of a service takes requests again, in s.
 
         It is 0 unless all of them rest or leave, and infinite if all leave.
         """
-        states = self.list_included(service)
+        states = self.list_included(service, allowed)
         now = self._clock.now()
         staying = [s for s in states if not s.is_leaving()]
         if not states or any(
@@ -380,12 +402,14 @@
         ends = [s.statements.rest_until for s in staying]
         return min(ends, default=math.inf) - now
 
-    def list_cache_sources(self, service: str) -> list[TargetState]:
+    def list_cache_sources(
+        self, service: str, allowed: frozenset[str] | None = None
+    ) -> list[TargetState]:
         """Return the engines that others may fetch cached segments from."""
         now = self._clock.now()
         return [
             s
-            for s in self.list_included(service)
+            for s in self.list_included(service, allowed)
             if s.blocked_until <= now and not s.is_cordoned(now)
         ]
 
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -75,6 +75,7 @@
     auth_exempt: bool = False
     resumable: bool = False
     gap_target_ms: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _WireModel(msgspec.Struct):
@@ -114,6 +115,7 @@
     # The rate is in tokens a second, 0 for no limit; the burst in tokens.
     rate_per_s: float = 0.0
     burst: float = 0.0
+    allowed_regions: list[str] = []
 
 
 class _WireConfiguration(msgspec.Struct):
@@ -180,6 +182,7 @@
         wire_route.auth_exempt,
         wire_route.resumable,
         wire_route.gap_target_ms * _S_PER_MS,
+        tuple(wire_route.allowed_regions),
     )
 
 
@@ -210,6 +213,7 @@
         tenant.rate_per_s,
         tenant.burst,
         tenant.plain_tokens,
+        tuple(tenant.allowed_regions),
     )
 
 
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -12,6 +12,8 @@
 
 from ..config.ini import Address
 from ..config.ini import parse_address
+from ..decisions.regions import NO_REGIONS
+from ..decisions.regions import RegionMap
 from ..errors import Code
 from ..errors import LentilrunError
 
@@ -70,7 +72,8 @@
     """The settings of a router process.
 
     ``power`` is in processor cores, ``memory_bytes`` the most that the
-    process may use; ``host`` is the IP of the VM.
+    process may use; ``host`` is the IP of the VM. ``regions`` holds the
+    region of each data centre, its own one included.
     """
 
     name: str
@@ -83,6 +86,7 @@
     store: Address
     bounds: Bounds
     memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
+    regions: RegionMap = NO_REGIONS
 
 
 class BadSettingsError(LentilrunError):
@@ -140,6 +144,8 @@
     limits: _WireLimits
     platform: _WirePlatform
     bounds: _WireBounds
+    region: str = ''
+    zones: dict[str, str] = {}
 
 
 def _make_bounds(wire: _WireBounds) -> Bounds:
@@ -183,6 +189,9 @@
         store=parse_address(wire.platform.address),
         bounds=_make_bounds(wire.bounds),
         memory_bytes=math.ceil(wire.limits.memory_mb * _BYTES_PER_MB),
+        regions=RegionMap(
+            wire.zones, wire.region or wire.zones.get(wire.zone, '')
+        ),
     )
 
 
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -17,6 +17,7 @@
 
 from deployments import BOUNDS
 from lentilrun.config.ini import Address
+from lentilrun.decisions.regions import RegionMap
 from lentilrun.gateway import node as node_module
 from lentilrun.gateway.node import Node
 from lentilrun.gateway.peers import Peers
@@ -247,10 +248,12 @@
         engine_count: int = 8,
         bounds: Bounds = BOUNDS,
         log_file: int | None = None,
+        regions: dict[str, str] | None = None,
     ) -> None:
         """Build a number of VMs by data centre.
 
-        They log to a file descriptor, which is closed on exit.
+        They log to a file descriptor, which is closed on exit. ``regions``
+        holds the region of each data centre.
         """
         monkeypatch.setattr(node_module, 'SystemClock', lambda: loop)
         self._loop = loop
@@ -258,6 +261,7 @@
             log_file = os.open(os.devnull, os.O_WRONLY)
         self._log_file = log_file
         self._bounds = bounds
+        self._regions = regions or {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self.state = RowStoreState()
         self.engines = ModelledEngines(loop)
@@ -301,6 +305,9 @@
             port,
             address,
             self._bounds,
+            regions=RegionMap(
+                self._regions, self._regions.get(data_centre, '')
+            ),
         )
         node = self._make_node(settings)
         store = ModelledStore(self.state, self._loop)
--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -34,13 +34,16 @@
 class Arrival(NamedTuple):
     """A request that reached a target from a VM; ``at`` in seconds.
 
-    ``source`` is where the target is to fetch KV cache, empty for nowhere.
+    ``source`` is where the target is to fetch KV cache, ``store`` where it is
+    to save it, and ``salt`` what keeps it apart; each may be empty.
     """
 
     at: float
     vm: str
     target: str
     source: str = ''
+    store: str = ''
+    salt: str = ''
 
 
 class Ending(NamedTuple):
@@ -118,8 +121,14 @@
             raise find_module(node, 'web.client').NotSentError('no connection')
         target = self._fleet.targets_by_port[address.port]
         await asyncio.sleep(_NETWORK_S)
-        source = request.headers.get('X-Kv-Fetch-From', '')
-        arrival = Arrival(self._loop.time(), vm, target, source)
+        arrival = Arrival(
+            self._loop.time(),
+            vm,
+            target,
+            request.headers.get('X-Kv-Fetch-From', ''),
+            request.headers.get('X-Kv-Save-To', ''),
+            request.headers.get('X-Cache-Salt', ''),
+        )
         self.arrivals.append(arrival)
         if self._in_flight[target] >= self.rooms.get(target, 1 << 30):
             self.rejections.append(arrival)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -125,3 +125,27 @@
 def test_time_to_evacuate(line: str, limit: float) -> None:
     """Guards against rows that are read later than an evacuation allows."""
     assert parse(_TEXT + line).bounds.change_limit() == pytest.approx(limit)
+
+
+@pytest.mark.parametrize(
+    ('head', 'tail', 'regions', 'own'),
+    [
+        ('', '', {}, ''),
+        ('region = "eu"', '[zones]\na = "eu"', {'a': 'eu'}, 'eu'),
+        ('', '[zones]\na = "eu"\nb = "us"', {'a': 'eu', 'b': 'us'}, 'eu'),
+    ],
+)
+def test_regions(
+    head: str, tail: str, regions: dict[str, str], own: str
+) -> None:
+    """Guards against VMs that don't know where data centres are."""
+    found = parse(f'{head}\n{_TEXT}\n{tail}').regions
+    assert found.by_data_centre == regions
+    assert found.own == own
+
+
+def test_limits_of_cold_targets() -> None:
+    """Guards against a limit that is lost, or that nobody has set."""
+    assert parse(_TEXT).bounds[-2:] == (0.0, 0.0)
+    bounds = parse(_TEXT + 'cold-overage = 1.5\ncold-slack = 5').bounds
+    assert (bounds.cold_overage, bounds.cold_slack) == (1.5, 5.0)
