Don't take targets as cold again when the store is restored

Callers would get 503 for cold-start-s after a restoration of the store: all rows are read anew, and each VM counted the time that a target is cold from there, though the row was written long before.

A row of a new era that says of the same start what was known before no longer begins that time anew. One that is written later does, also with the same figure.

--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -120,8 +120,12 @@
         for callback in self.on_change:
             callback()
 
-    def register(self, target: Target) -> None:
-        """Add or update a target from its registration."""
+    def register(self, target: Target, is_copy: bool = False) -> None:
+        """Add or update a target from its registration.
+
+        For how long it is cold counts from now, unless the row ``is_copy``:
+        one that was read before the store was restored.
+        """
         state = self.states.get(target.incarnation)
         coldness = None
         if state is None or state.target.started_at_ms != target.started_at_ms:
@@ -132,7 +136,8 @@
             for model, version in target.weights_versions.items():
                 state.record_weights_version(model, version)
         state = self.states[target.incarnation]
-        state.record_cold(self._clock.now())
+        if not is_copy:
+            state.record_cold(self._clock.now())
         self._notify_cold(state, coldness)
         self.notify_changed()
 
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -280,6 +280,12 @@
         state = self.targets.states.get(row.key)
         before = state.target if state is not None else None
         row_era = find_era(row.version)
+        is_copy = (
+            state is not None
+            and row_era > state.row_era
+            and target.started_at_ms == state.target.started_at_ms
+            and target.cold_remaining == state.target.cold_remaining
+        )
         if state is not None and row_era > state.row_era:
             if target.started_at_ms < state.target.started_at_ms:
                 # The copy has it from before the target's last start.
@@ -298,7 +304,7 @@
                 software=target.software_version,
                 row_version=row.version,
             )
-        self.targets.register(target)
+        self.targets.register(target, is_copy)
         self.targets.states[row.key].row_era = row_era
 
 
--- a/tests/gateway/test_cold_targets.py
+++ b/tests/gateway/test_cold_targets.py
@@ -304,6 +304,32 @@
     _play(monkeypatch, SMALL_FLEET, main)
 
 
+def test_store_is_restored(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against targets that count as cold since a copy is read.
+
+    The rows state for how long they were cold as they were written.
+    """
+
+    async def main(play: _Play) -> None:
+        for data_centre in 'ab':
+            for number in range(_TARGETS):
+                name = f'{data_centre}-app{number}'
+                cold_ms = _COLD_START_S * 1e3
+                _register(play.fleet, name, cold_remaining_ms=cold_ms)
+        await asyncio.sleep(_COLD_START_S + _KNOWN_S)
+        nodes = list(play.fleet)
+        assert not [n for n in nodes if n.targets.count_cold()]
+        play.fleet.state.restore(play.fleet.state.copy())
+        await asyncio.sleep(_KNOWN_S)
+        assert not [n for n in nodes if n.targets.count_cold()]
+        # A row that is written later is believed.
+        _state_cold(play)
+        await asyncio.sleep(_KNOWN_S)
+        assert {n.targets.count_cold() for n in nodes} == {1}
+
+    _play(monkeypatch, SMALL_FLEET, main)
+
+
 @pytest.mark.parametrize('per_s', [0.0, 8.0])
 def test_events_and_gauge(
     per_s: float, tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
