--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -12,6 +12,8 @@
 
 from ..config.ini import Address
 from ..config.ini import parse_address
+from ..decisions.regions import NO_REGIONS
+from ..decisions.regions import RegionMap
 from ..errors import Code
 from ..errors import LentilrunError
 
@@ -35,7 +37,9 @@
     ``retry_window``. ``quota_overage`` is a share of a workspace's rate and
     burst, ``quota_slack`` is in tokens. Of the requests during a roll-out,
     a bad version may get ``exposure_share`` and ``exposure_slack`` more. An
-    evacuation must be in force within ``evacuation_limit``.
+    evacuation must be in force within ``evacuation_limit``. A cold target may
+    get ``cold_overage`` times its rate and ``cold_slack`` requests in a
+    second; it is not limited where both are 0.
     """
 
     drain: float
@@ -52,6 +56,8 @@
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
     evacuation_limit: float = _DEFAULT_EVACUATION_MS * _S_PER_MS
+    cold_overage: float = 0.0
+    cold_slack: float = 0.0
 
     def change_limit(self) -> float:
         """Return the time in which any row must be in force, in seconds."""
@@ -67,7 +73,8 @@
     """The settings of a router process.
 
     ``power`` is in processor cores, ``memory_bytes`` and ``descriptors`` the
-    most that the process may use; ``host`` is the IP of the VM.
+    most that the process may use; ``host`` is the IP of the VM. ``regions``
+    holds the region of each data centre, its own one included.
     """
 
     name: str
@@ -81,6 +88,7 @@
     bounds: Bounds
     memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
     descriptors: int = _DEFAULT_MAX_FDS
+    regions: RegionMap = NO_REGIONS
 
 
 class BadSettingsError(LentilrunError):
@@ -127,6 +135,8 @@
     exposure_share: _Amount = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: _Amount = _DEFAULT_EXPOSURE_SLACK
     evacuation_ms: _Amount = _DEFAULT_EVACUATION_MS
+    cold_overage: _Amount = 0.0
+    cold_slack: _Amount = 0.0
 
 
 class _WireSettings(msgspec.Struct, rename='kebab'):
@@ -138,6 +148,8 @@
     limits: _WireLimits
     platform: _WirePlatform
     bounds: _WireBounds
+    region: str = ''
+    zones: dict[str, str] = {}
 
 
 def _make_bounds(wire: _WireBounds) -> Bounds:
@@ -156,6 +168,8 @@
         exposure_share=float(wire.exposure_share),
         exposure_slack=float(wire.exposure_slack),
         evacuation_limit=wire.evacuation_ms * _S_PER_MS,
+        cold_overage=float(wire.cold_overage),
+        cold_slack=float(wire.cold_slack),
     )
     if not all(map(math.isfinite, bounds)):
         raise ValueError('a bound is not finite')
@@ -180,6 +194,9 @@
         bounds=_make_bounds(wire.bounds),
         memory_bytes=math.ceil(wire.limits.memory_mb * _BYTES_PER_MB),
         descriptors=wire.limits.max_fds,
+        regions=RegionMap(
+            wire.zones, wire.region or wire.zones.get(wire.zone, '')
+        ),
     )
 
 
