--- a/src/lentilrun/decisions/connections.py
+++ b/src/lentilrun/decisions/connections.py
@@ -35,6 +35,10 @@
     forwarding: int
     service: int
 
+    def is_minimal(self) -> bool:
+        """Return whether the descriptors allow hardly any calls."""
+        return self.callers <= _MIN_CONNECTIONS
+
 
 def plan_connections(descriptors: int) -> ConnectionPlan:
     """Return the plan for a process with so many descriptors.
--- a/src/lentilrun/decisions/memory.py
+++ b/src/lentilrun/decisions/memory.py
@@ -57,9 +57,14 @@
 
 
 class MemoryPlan(NamedTuple):
-    """The budget of a process, in bytes."""
+    """The budget of a process, in bytes.
+
+    It ``is_minimal`` if the process hardly has memory beyond its own: one
+    body of the largest size then takes most of it.
+    """
 
     total: int
+    is_minimal: bool = False
 
     def limit(self, kind: Kind) -> int:
         """Return how much may be in use with an addition of this kind."""
@@ -73,7 +78,8 @@
 def plan_memory(memory_bytes: int) -> MemoryPlan:
     """Return the budget of a process that may use ``memory_bytes``."""
     spare = int((memory_bytes - _OWN_BYTES) * _BUDGET_SHARE)
-    return MemoryPlan(max(spare, int(memory_bytes * _MIN_BUDGET_SHARE)))
+    least = int(memory_bytes * _MIN_BUDGET_SHARE)
+    return MemoryPlan(max(spare, least), spare < least)
 
 
 def classify_body(size: int) -> Kind:
--- a/src/lentilrun/gateway/bodies.py
+++ b/src/lentilrun/gateway/bodies.py
@@ -23,6 +23,8 @@
 _UNAVAILABLE = 503
 # Memory is released as requests end; stalled bodies are ended after 1 s.
 _RETRY_AFTER_S = 1.0
+# Longer numbers are invalid as lengths, as they are for the connection.
+_MAX_LENGTH_DIGITS = 18
 # A body without a length is counted in steps of this size.
 _STEP_BYTES = 64 * 1024
 
@@ -44,7 +46,10 @@
         return None
     # Repeated headers are joined by commas; they must be equal.
     text = headers.get('Content-Length', '0').partition(',')[0].strip()
-    return int(text) if text.isascii() and text.isdecimal() else None
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > _MAX_LENGTH_DIGITS:
+        return None
+    return int(text)
 
 
 class BodyCollector:
--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -48,6 +48,8 @@
     (
         Reason.NO_PATH,
         Reason.BUSY,
+        Reason.NO_MEMORY,
+        Reason.NO_CONNECTION,
         Reason.LEAVING,
         Reason.NOT_CONFIGURED,
         Reason.UNKNOWN_ROUTE,
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream
@@ -120,6 +121,14 @@
     )
 
 
+def _limit_descriptors(descriptors: int) -> int:
+    """Return how many descriptors the process may use, as the system says."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return descriptors
+    return min(descriptors, soft_limit)
+
+
 def _make_service_server(
     port: HTTPServerConnectionDelegate, connections: int, clock: Clock
 ) -> GuardedServer:
@@ -330,7 +339,9 @@
             )
         )
         limited_log = LimitedLog(self.log, self.clock)
-        plan = plan_connections(self.settings.descriptors)
+        plan = self.connection_plan = plan_connections(
+            _limit_descriptors(self.settings.descriptors)
+        )
         self.caller_port, self.caller_server = self._make_port(
             _NodeCallHandler(self), plan.callers, limited_log
         )
@@ -541,8 +552,21 @@
             build=self.build.build,
             formats=self.build.formats,
         )
+        self._log_limits()
         return self
 
+    def _log_limits(self) -> None:
+        """Log what the process may use, and whether it is very little."""
+        plan = self.connection_plan
+        self.log.write(
+            'limits',
+            memory=self.settings.memory_bytes,
+            budget=self.memory.plan.total,
+            callers=plan.callers,
+            forwarding=plan.forwarding,
+            is_minimal=plan.is_minimal() or self.memory.plan.is_minimal,
+        )
+
     async def leave(self) -> None:
         """Stop accepting callers; finish calls within ``shutdown_grace``.
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,6 +42,7 @@
     assert node_settings.power > 0
     assert 0 < node_settings.peer_port < 65536
     assert node_settings.memory_bytes > 0
+    assert node_settings.descriptors > 0
     for value in node_settings.bounds:
         assert isinstance(value, float)
         assert 0.0 <= value < float('inf')
@@ -85,6 +86,9 @@
         ('cores = 2', 'cores = 0'),
         ('memory-mb = 128', 'memory-mb = inf'),
         ('memory-mb = 128', 'memory-mb = 0'),
+        ('memory-mb = 128', 'max-fds = 0'),
+        ('memory-mb = 128', 'max-fds = 4100.5'),
+        ('memory-mb = 128', 'max-fds = "4100"'),
         ('grace-s = 6', 'grace-s = nan'),
         ('drain-ms = 2000', 'drain-ms = "2000"'),
         ('drain-ms = 2000', 'drain-ms = -1'),
@@ -99,6 +103,13 @@
         parse(_TEXT.replace(old, new))
 
 
+def test_descriptors() -> None:
+    """The number of descriptors is read, and has a default without it."""
+    text = _TEXT.replace('memory-mb = 128', 'max-fds = 300')
+    assert parse(text).descriptors == 300
+    assert parse(_TEXT).descriptors > 300
+
+
 @settings(
     deadline=None, suppress_health_check=[HealthCheck.function_scoped_fixture]
 )
