Count unread bytes of connections as they arrive, and drop them at a close

Buffers were counted at intervals, while thousands of connections may be read before anything else runs. Closed streams kept their buffers until the garbage collector ran, and each refused request whose body was discarded kept the last part of it.

The stream counts its buffer as it reads, and closes a long unfinished head if the budget is used up; buffers are dropped at the close; at most 32 refused bodies are discarded at a time.

--- a/src/lentilrun/gateway/bodies.py
+++ b/src/lentilrun/gateway/bodies.py
@@ -79,7 +79,10 @@
             return
         if length is not None and length > self._limit:
             raise Refusal(_CONTENT_TOO_LARGE, Reason.BODY_TOO_LARGE)
-        size = min(_STEP_BYTES, self._limit) if length is None else length
+        size = _STEP_BYTES if length is None else length
+        if size > _STEP_BYTES:
+            # The connection holds the last part of the body as well.
+            size += _STEP_BYTES
         self._hold = self._memory.open_body(
             rules.owners, size, end, self._clock.now()
         )
@@ -94,7 +97,7 @@
         hold = self._hold
         assert hold is not None
         now = self._clock.now()
-        if size > hold.size and not hold.grow(size + _STEP_BYTES, now):
+        if size > hold.size and not hold.grow(size + 2 * _STEP_BYTES, now):
             raise Refusal(_UNAVAILABLE, Reason.NO_MEMORY, _RETRY_AFTER_S)
         hold.record_progress(len(chunk), now)
         if not self._data:
--- a/src/lentilrun/gateway/guard.py
+++ b/src/lentilrun/gateway/guard.py
@@ -16,9 +16,6 @@
 # Longer than operators let connections idle (15 s, 30 s in tests), so that no
 # client inside their limits reaches it.
 _BODY_TIMEOUT_S = 40.0
-# A connection that holds more than this of an unfinished head is closed first
-# if the memory is used up.
-_LONG_HEAD_BYTES = 16 * 1024
 
 
 class Guard:
@@ -37,7 +34,7 @@
         self._ports = ports
         self._servers = servers
         self._log = log
-        self.closed_heads = 0
+        self._logged_heads = 0
 
     async def run(self) -> None:
         """Check until cancelled."""
@@ -52,23 +49,12 @@
             hold.time_out()
         for port in self._ports:
             port.close_refused(now)
-        self._measure_connections()
         for server in self._servers:
+            server.count_buffers()
             server.resume()
-
-    def _measure_connections(self) -> None:
-        memory = self._memory
-        memory.connection_bytes = sum(
-            s.count_buffered() for s in self._servers
-        )
-        excess = memory.used + memory.connection_bytes - memory.plan.total
-        if excess <= 0:
-            return
-        closed = 0
-        for server in self._servers:
-            closed += server.close_long_heads(_LONG_HEAD_BYTES, excess)
+        closed = self._memory.closed_heads - self._logged_heads
         if closed:
-            self.closed_heads += closed
+            self._logged_heads += closed
             self._log.write('long_heads_closed', connections=closed)
 
 
--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -9,6 +9,7 @@
 from tornado.http1connection import HTTP1ServerConnection
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
+from tornado.iostream import UnsatisfiableReadError
 from tornado.netutil import add_accept_handler
 from tornado.netutil import bind_sockets
 
@@ -20,15 +21,60 @@
     from ..config.ini import Address
     from ..coordination.clock import Clock
     from ..decisions.connections import ConnectionTable
+    from ..web.memory import ProcessMemory
 
 # What a connection's objects use: 9 KB measured for one without a request.
 _CONNECTION_BYTES = 10_000
+# Heads up to this size, and so usual ones, are kept whatever the memory.
+_LONG_HEAD_BYTES = 16 * 1024
 # What the system keeps of a connection before it is read. Without a limit it
 # grows to 6 MB. Half of it is usable, which lets a distant caller (120 ms)
 # send 1 MB a second.
 _RECEIVE_BUFFER_BYTES = 128 * 1024
 
 
+class GuardedStream(IOStream):
+    """A connection whose unread bytes count in the memory of the process."""
+
+    def __init__(self, connection: socket.socket, memory: ProcessMemory):
+        super().__init__(connection)
+        self._memory = memory
+        self._counted_bytes = 0
+
+    def _read_to_buffer(self) -> int | None:
+        """Read; raises ``UnsatisfiableReadError`` if there is no room.
+
+        Only heads collect in the buffer. Thousands of connections may be
+        read before anything else runs, so that the check belongs here.
+        """
+        count = super()._read_to_buffer()
+        self.count_buffer()
+        is_long_head = (
+            self._read_regex is not None
+            and self._read_buffer_size > _LONG_HEAD_BYTES
+        )
+        if is_long_head and self._memory.is_exhausted():
+            self._memory.closed_heads += 1
+            self.drop_buffer()
+            raise UnsatisfiableReadError('no memory for a long head')
+        return count
+
+    def drop_buffer(self) -> None:
+        """Release what was not read, as the connection is closed.
+
+        Closed streams are parts of reference cycles, which live longer.
+        """
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
+        self.count_buffer()
+
+    def count_buffer(self) -> None:
+        """Count what the buffer holds now."""
+        size = self._read_buffer_size
+        self._memory.connection_bytes += size - self._counted_bytes
+        self._counted_bytes = size
+
+
 class GuardedServer(HTTPServer):
     """Closes connections of the address that holds most, or stops accepting.
 
@@ -42,6 +88,7 @@
         table: ConnectionTable[IOStream],
         clock: Clock,
         end_connection: Callable[[IOStream], None],
+        memory: ProcessMemory,
         **parameters: Any,
     ) -> None:
         """Serve a port with the parameters of ``HTTPServer``."""
@@ -50,6 +97,7 @@
         self._table = table
         self._clock = clock
         self._end_connection = end_connection
+        self._memory = memory
         self.is_paused = False
         self.closed_connections = 0
 
@@ -63,10 +111,17 @@
             )
         self.add_sockets(sockets)
 
+    def _handle_connection(
+        self, connection: socket.socket, address: Any
+    ) -> None:
+        """Serve an accepted connection as a stream that is counted."""
+        self.handle_stream(GuardedStream(connection, self._memory), address)
+
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a new connection; make room for it if there is none."""
         while self._table.is_full() and self._close_one():
             pass
+        self._memory.connection_bytes += _CONNECTION_BYTES
         self._table.add(stream, str(address[0]), self._clock.now())
         super().handle_stream(stream, address)
         if self._table.is_full() and not self._has_closable():
@@ -76,7 +131,11 @@
         """Forget a closed connection, and tell the port."""
         super().on_close(server_conn)
         assert isinstance(server_conn, HTTP1ServerConnection)
-        self._table.remove(server_conn.stream)
+        stream = server_conn.stream
+        assert isinstance(stream, GuardedStream)
+        stream.drop_buffer()
+        self._memory.connection_bytes -= _CONNECTION_BYTES
+        self._table.remove(stream)
         self._port.on_close(server_conn)
         self.resume()
 
@@ -114,30 +173,11 @@
         """Return the number of open connections."""
         return len(self._table)
 
-    def count_buffered(self) -> int:
-        """Return the bytes that connections use apart from calls."""
-        buffered = sum(s._read_buffer_size for s in self._table)
-        return buffered + _CONNECTION_BYTES * len(self._table)
-
-    def close_long_heads(self, size: int, excess: int) -> int:
-        """Close connections with an unfinished head of ``size`` or more.
-
-        Stop after ``excess`` bytes; return how many were closed.
-        """
-        long_heads = [
-            s
-            for s in self._table
-            if s._read_buffer_size >= size and self._table.is_closable(s)
-        ]
-        count = 0
-        for stream in long_heads:
-            if excess <= 0:
-                break
-            excess -= stream._read_buffer_size
-            self._table.remove(stream)
-            stream.close()
-            count += 1
-        return count
+    def count_buffers(self) -> None:
+        """Count what the connections hold now, as some was consumed."""
+        for stream in self._table:
+            assert isinstance(stream, GuardedStream)
+            stream.count_buffer()
 
 
-__all__ = ['GuardedServer']
+__all__ = ['GuardedServer', 'GuardedStream']
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -130,7 +130,10 @@
 
 
 def _make_service_server(
-    port: HTTPServerConnectionDelegate, connections: int, clock: Clock
+    port: HTTPServerConnectionDelegate,
+    connections: int,
+    clock: Clock,
+    memory: ProcessMemory,
 ) -> GuardedServer:
     """Return the server of a port that takes no calls."""
     return GuardedServer(
@@ -138,6 +141,7 @@
         ConnectionTable(connections),
         clock,
         IOStream.close,
+        memory,
         idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
         body_timeout=_SERVICE_BODY_TIMEOUT_S,
         max_header_size=_MAX_SERVICE_HEADER_BYTES,
@@ -356,10 +360,16 @@
             forwarded_call_handler, plan.forwarding, limited_log
         )
         self.readiness_server = _make_service_server(
-            ReadinessPort(self.is_ready), plan.service, self.clock
+            ReadinessPort(self.is_ready),
+            plan.service,
+            self.clock,
+            self.memory,
         )
         self.metrics_server = _make_service_server(
-            MetricsPort(self.metrics), plan.service, self.clock
+            MetricsPort(self.metrics),
+            plan.service,
+            self.clock,
+            self.memory,
         )
         self.servers = (
             self.caller_server,
@@ -389,6 +399,7 @@
             table,
             self.clock,
             port.end_connection,
+            self.memory,
             idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
         )
@@ -424,7 +435,7 @@
         )
         add_gauge('bodies_refused', lambda: float(memory.refused_bodies))
         add_gauge('bodies_ended', lambda: float(memory.ended_bodies))
-        add_gauge('long_heads_closed', lambda: float(self.guard.closed_heads))
+        add_gauge('long_heads_closed', lambda: float(memory.closed_heads))
         add_gauge(
             'connections',
             lambda: float(sum(s.count_connections() for s in self.servers)),
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -60,6 +60,9 @@
 # callers that send it would otherwise not read the response.
 _MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 _MAX_DISCARDING_S = 3.0
+# Beyond this number the earliest of them are closed: each connection whose
+# body is read holds the last 64 KiB of it.
+_MAX_DISCARDING = 32
 # The largest body unless the owner of a port limits it.
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 _STALLED_RETRY_S = 1.0
@@ -261,6 +264,7 @@
                 self._headers, self._make_writer(), refusal
             )
             self._port.refused[self] = self._port.clock.now()
+            self._port.limit_refused()
 
     def _end_unread(self, is_timeout: bool) -> None:
         """Refuse a request whose body makes no progress, and close."""
@@ -439,6 +443,11 @@
             )
         stream.close()
 
+    def limit_refused(self) -> None:
+        """Close the earliest refused requests if there are too many."""
+        while len(self.refused) > _MAX_DISCARDING:
+            next(iter(self.refused)).close()
+
     def close_refused(self, now: float) -> None:
         """Close connections whose bodies were discarded for long enough."""
         for receiver, since in list(self.refused.items()):
--- a/src/lentilrun/web/memory.py
+++ b/src/lentilrun/web/memory.py
@@ -96,6 +96,7 @@
         self.used = 0
         # What connections hold: unfinished heads and requests not yet read.
         self.connection_bytes = 0
+        self.closed_heads = 0
         self.ended_bodies = 0
         self.refused_bodies = 0
         self._owned: collections.Counter[Owner] = collections.Counter()
@@ -200,6 +201,10 @@
         self._receiving.pop(hold.key, None)
         self._resize(hold, 0)
 
+    def is_exhausted(self) -> bool:
+        """Return whether more is held than the budget allows."""
+        return self.used + self.connection_bytes > self.plan.total
+
     def list_silent(self, since: float) -> list[BodyHold]:
         """Return the bodies without progress since a time."""
         return [h for h in self._receiving.values() if h.progressed_at < since]
