--- a/src/lentilrun/decisions/memory.py
+++ b/src/lentilrun/decisions/memory.py
@@ -28,12 +28,15 @@
     """What bytes are held for; the value is the share of the budget.
 
     An addition is refused if more than that share were in use with it, so
-    that large bodies leave room for small ones, and all bodies for responses.
+    that large bodies leave room for small ones, all bodies for responses, and
+    all of these for what the store sends.
     """
 
     LARGE_BODY = 0.6
     SMALL_BODY = 0.75
     RESPONSE = 1.0
+    # Rows must be read whatever callers and targets do.
+    STORE_RESPONSE = 1.15
 
 
 # The shares of the budget that bodies of one address, or of one workspace, may
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -13,6 +13,7 @@
 from ..coordination.clock import SystemClock
 from ..decisions.connections import ConnectionTable
 from ..decisions.connections import plan_connections
+from ..decisions.memory import Kind
 from ..decisions.memory import plan_memory
 from ..decisions.quota import QuotaTolerance
 from ..decisions.rollouts import ExposureLimits
@@ -207,7 +208,9 @@
         self.metrics = Metrics()
         self.memory = ProcessMemory(plan_memory(settings.memory_bytes))
         self.target_client = self._make_client(_TARGET_CONNECT_S)
-        self.store_client = self._make_client(_STORE_CONNECT_S)
+        self.store_client = self._make_client(
+            _STORE_CONNECT_S, Kind.STORE_RESPONSE
+        )
         self.peer_client = self._make_client(_PEER_CONNECT_S)
         self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
@@ -227,12 +230,15 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
-    def _make_client(self, connect_timeout: float) -> Client:
+    def _make_client(
+        self, connect_timeout: float, kind: Kind = Kind.RESPONSE
+    ) -> Client:
         return Client(
             connect_timeout,
             _MAX_IDLE_CONNECTIONS,
             _make_memory_limits(self.settings.memory_bytes),
             self.memory,
+            kind,
         )
 
     def _build_fleet(self) -> None:
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -29,7 +29,7 @@
 _NO_CONTENT = 204
 _SUCCESS_STATUS_END = 300
 _MAX_EVENT_BYTES = 4 * 1024 * 1024
-# Of an event that is not complete yet, this much does not count in the memory
+# Of the events that are held, this much does not count in the memory
 # of all responses, so that usual streams go on while others exhaust it.
 _UNCOUNTED_EVENT_BYTES = 64 * 1024
 
@@ -125,7 +125,9 @@
             return None
         events = self._buffer.add(chunk)
         size = len(self._buffer)
-        counted_bytes = max(0, size - _UNCOUNTED_EVENT_BYTES)
+        # Complete events are held until the caller has taken them.
+        held_bytes = size + len(events)
+        counted_bytes = max(0, held_bytes - _UNCOUNTED_EVENT_BYTES)
         if size > _MAX_EVENT_BYTES or not self.hold(counted_bytes):
             self._buffer.take_rest()
             self.stop()
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -21,6 +21,7 @@
 from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
+from ..decisions.memory import Kind
 from ..errors import LentilrunError
 from .body import read_body
 from .memory import DEFAULT_MEMORY_LIMITS
@@ -372,13 +373,14 @@
         max_idle: int = _MAX_IDLE_CONNECTIONS,
         memory_limits: MemoryLimits = DEFAULT_MEMORY_LIMITS,
         memory: ProcessMemory | None = None,
+        kind: Kind = Kind.RESPONSE,
     ) -> None:
         """Keep up to ``max_idle`` idle connections for each address.
 
         ``connect_timeout`` is in seconds. Responses count in the ``memory``
-        of the process, if there is one.
+        of the process, if there is one, as this ``kind``.
         """
-        self._memory = MemoryBudget(memory_limits, memory)
+        self._memory = MemoryBudget(memory_limits, memory, kind)
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
         self._idle: dict[Address, list[_IdleConnection]] = {}
--- a/src/lentilrun/web/memory.py
+++ b/src/lentilrun/web/memory.py
@@ -209,12 +209,10 @@
         """Return the bodies without progress since a time."""
         return [h for h in self._receiving.values() if h.progressed_at < since]
 
-    def take_response(self, added: int) -> bool:
+    def take_response(self, added: int, kind: Kind = Kind.RESPONSE) -> bool:
         """Count bytes of a response; return whether they fit."""
         used = self.used + self.connection_bytes
-        if added > 0 and compute_shortfall(
-            self.plan, used, Kind.RESPONSE, added
-        ):
+        if added > 0 and compute_shortfall(self.plan, used, kind, added):
             return False
         self.used += added
         return True
@@ -228,10 +226,14 @@
     """Counts the bytes of the responses that a client collects."""
 
     def __init__(
-        self, limits: MemoryLimits, process: ProcessMemory | None = None
+        self,
+        limits: MemoryLimits,
+        process: ProcessMemory | None = None,
+        kind: Kind = Kind.RESPONSE,
     ) -> None:
         """Count them in the memory of the ``process`` as well."""
         self._limits = limits
+        self._kind = kind
         self._process = process or ProcessMemory()
         self._used = 0
 
@@ -245,7 +247,7 @@
             return False
         if self._used + added > self._limits.total:
             return False
-        if not self._process.take_response(added):
+        if not self._process.take_response(added, self._kind):
             return False
         self._used += added
         return True
--- a/tests/gateway/test_body_limits.py
+++ b/tests/gateway/test_body_limits.py
@@ -290,3 +290,24 @@
         assert node.memory.connection_bytes == 0
 
     _run(check)
+
+
+def test_response_that_is_not_read() -> None:
+    """A response counts as held until its caller has taken it."""
+
+    async def check(deployment: Deployment, node: Node) -> None:
+        size = 7_000_000
+        deployment.replicas['a1'].plan.body = b'y' * size
+        request = deployment.make_request('/once/x', b'x', '', {})
+        reader, writer = await asyncio.open_connection(
+            *node.settings.entry, limit=1000
+        )
+        writer.write(request)
+        await deployments.wait_until(lambda: node.memory.used >= size)
+        await asyncio.sleep(0.2)
+        assert node.memory.used >= size
+        response = await deployments.read_response(reader)
+        assert response.body == b'y' * size
+        writer.close()
+
+    _run(check)
