--- a/src/lentilrun/decisions/memory.py
+++ b/src/lentilrun/decisions/memory.py
@@ -28,12 +28,15 @@
     """What bytes are held for; the value is the share of the budget.
 
     An addition is refused if more than that share were in use with it, so
-    that large bodies leave room for small ones, and all bodies for responses.
+    that large bodies leave room for small ones, all bodies for responses, and
+    all of these for what the store sends.
     """
 
     LARGE_BODY = 0.6
     SMALL_BODY = 0.75
     RESPONSE = 1.0
+    # Rows must be read whatever callers and targets do.
+    STORE_RESPONSE = 1.15
 
 
 # The shares of the budget that bodies of one address, or of one workspace, may
@@ -57,9 +60,14 @@
 
 
 class MemoryPlan(NamedTuple):
-    """The budget of a process, in bytes."""
+    """The budget of a process, in bytes.
+
+    It ``is_minimal`` if the process hardly has memory beyond its own: one
+    body of the largest size then takes most of it.
+    """
 
     total: int
+    is_minimal: bool = False
 
     def limit(self, kind: Kind) -> int:
         """Return how much may be in use with an addition of this kind."""
@@ -73,7 +81,8 @@
 def plan_memory(memory_bytes: int) -> MemoryPlan:
     """Return the budget of a process that may use ``memory_bytes``."""
     spare = int((memory_bytes - _OWN_BYTES) * _BUDGET_SHARE)
-    return MemoryPlan(max(spare, int(memory_bytes * _MIN_BUDGET_SHARE)))
+    least = int(memory_bytes * _MIN_BUDGET_SHARE)
+    return MemoryPlan(max(spare, least), spare < least)
 
 
 def classify_body(size: int) -> Kind:
--- a/src/lentilrun/gateway/bodies.py
+++ b/src/lentilrun/gateway/bodies.py
@@ -23,6 +23,8 @@
 _UNAVAILABLE = 503
 # Memory is released as requests end; stalled bodies are ended after 1 s.
 _RETRY_AFTER_S = 1.0
+# Longer numbers are invalid as lengths, as they are for the connection.
+_MAX_LENGTH_DIGITS = 18
 # A body without a length is counted in steps of this size.
 _STEP_BYTES = 64 * 1024
 
@@ -44,7 +46,10 @@
         return None
     # Repeated headers are joined by commas; they must be equal.
     text = headers.get('Content-Length', '0').partition(',')[0].strip()
-    return int(text) if text.isascii() and text.isdecimal() else None
+    is_number = text.isascii() and text.isdecimal()
+    if not is_number or len(text) > _MAX_LENGTH_DIGITS:
+        return None
+    return int(text)
 
 
 class BodyCollector:
@@ -74,7 +79,10 @@
             return
         if length is not None and length > self._limit:
             raise Refusal(_CONTENT_TOO_LARGE, Reason.BODY_TOO_LARGE)
-        size = min(_STEP_BYTES, self._limit) if length is None else length
+        size = _STEP_BYTES if length is None else length
+        if size > _STEP_BYTES:
+            # The connection holds the last part of the body as well.
+            size += _STEP_BYTES
         self._hold = self._memory.open_body(
             rules.owners, size, end, self._clock.now()
         )
@@ -89,7 +97,7 @@
         hold = self._hold
         assert hold is not None
         now = self._clock.now()
-        if size > hold.size and not hold.grow(size + _STEP_BYTES, now):
+        if size > hold.size and not hold.grow(size + 2 * _STEP_BYTES, now):
             raise Refusal(_UNAVAILABLE, Reason.NO_MEMORY, _RETRY_AFTER_S)
         hold.record_progress(len(chunk), now)
         if not self._data:
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream
@@ -13,6 +14,7 @@
 from ..decisions.coldtargets import ColdTolerance
 from ..decisions.connections import ConnectionTable
 from ..decisions.connections import plan_connections
+from ..decisions.memory import Kind
 from ..decisions.memory import plan_memory
 from ..decisions.quota import QuotaTolerance
 from ..decisions.rollouts import ExposureLimits
@@ -123,8 +125,19 @@
     )
 
 
+def _limit_descriptors(descriptors: int) -> int:
+    """Return how many descriptors the process may use, as the system says."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return descriptors
+    return min(descriptors, soft_limit)
+
+
 def _make_service_server(
-    port: HTTPServerConnectionDelegate, connections: int, clock: Clock
+    port: HTTPServerConnectionDelegate,
+    connections: int,
+    clock: Clock,
+    memory: ProcessMemory,
 ) -> GuardedServer:
     """Return the server of a port that takes no calls."""
     return GuardedServer(
@@ -132,6 +145,7 @@
         ConnectionTable(connections),
         clock,
         IOStream.close,
+        memory,
         idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
         body_timeout=_SERVICE_BODY_TIMEOUT_S,
         max_header_size=_MAX_SERVICE_HEADER_BYTES,
@@ -199,7 +213,9 @@
         self.metrics = Metrics()
         self.memory = ProcessMemory(plan_memory(settings.memory_bytes))
         self.target_client = self._make_client(_TARGET_CONNECT_S)
-        self.store_client = self._make_client(_STORE_CONNECT_S)
+        self.store_client = self._make_client(
+            _STORE_CONNECT_S, Kind.STORE_RESPONSE
+        )
         self.peer_client = self._make_client(_PEER_CONNECT_S)
         self.store = RowStore(self.store_client, settings.store, self.clock)
         self.targets = Targets(self.clock, settings.data_centre)
@@ -219,12 +235,15 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._stack = contextlib.AsyncExitStack()
 
-    def _make_client(self, connect_timeout: float) -> Client:
+    def _make_client(
+        self, connect_timeout: float, kind: Kind = Kind.RESPONSE
+    ) -> Client:
         return Client(
             connect_timeout,
             _MAX_IDLE_CONNECTIONS,
             _make_memory_limits(self.settings.memory_bytes),
             self.memory,
+            kind,
         )
 
     def _build_fleet(self) -> None:
@@ -344,7 +363,9 @@
             )
         )
         limited_log = LimitedLog(self.log, self.clock)
-        plan = plan_connections(self.settings.descriptors)
+        plan = self.connection_plan = plan_connections(
+            _limit_descriptors(self.settings.descriptors)
+        )
         self.caller_port, self.caller_server = self._make_port(
             _NodeCallHandler(self), plan.callers, limited_log
         )
@@ -359,10 +380,16 @@
             forwarded_call_handler, plan.forwarding, limited_log
         )
         self.readiness_server = _make_service_server(
-            ReadinessPort(self.is_ready), plan.service, self.clock
+            ReadinessPort(self.is_ready),
+            plan.service,
+            self.clock,
+            self.memory,
         )
         self.metrics_server = _make_service_server(
-            MetricsPort(self.metrics), plan.service, self.clock
+            MetricsPort(self.metrics),
+            plan.service,
+            self.clock,
+            self.memory,
         )
         self.servers = (
             self.caller_server,
@@ -392,6 +419,7 @@
             table,
             self.clock,
             port.end_connection,
+            self.memory,
             idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
         )
@@ -432,7 +460,7 @@
         )
         add_gauge('bodies_refused', lambda: float(memory.refused_bodies))
         add_gauge('bodies_ended', lambda: float(memory.ended_bodies))
-        add_gauge('long_heads_closed', lambda: float(self.guard.closed_heads))
+        add_gauge('long_heads_closed', lambda: float(memory.closed_heads))
         add_gauge(
             'connections',
             lambda: float(sum(s.count_connections() for s in self.servers)),
@@ -582,8 +610,21 @@
             build=self.build.build,
             formats=self.build.formats,
         )
+        self._log_limits()
         return self
 
+    def _log_limits(self) -> None:
+        """Log what the process may use, and whether it is very little."""
+        plan = self.connection_plan
+        self.log.write(
+            'limits',
+            memory=self.settings.memory_bytes,
+            budget=self.memory.plan.total,
+            callers=plan.callers,
+            forwarding=plan.forwarding,
+            is_minimal=plan.is_minimal() or self.memory.plan.is_minimal,
+        )
+
     async def leave(self) -> None:
         """Stop accepting callers; finish calls within ``shutdown_grace``.
 
