Explain where a request would be routed now (lentilrun explain --vm)

What operators saw: the command line explained requests that had ended, from their log lines. Where a request would go now, and why, could only be inferred from metrics and logs of several VMs.

What is added: lentilrun explain --vm IP:PORT asks one VM over its metrics port (POST /explain) about a request in a file, or described by path, workspace, model, prefix and tokens. Exit 8: the request would be refused; exit 9: the query is wrong.

Design: the router's own code decides. CallExecution.preview is the step that a waiting call repeats; RecordedSelector extends TargetSelector and notes what is left after each step, without a change of gateway/choice.py or decisions/placement.py. Outcome counts decay on copies of the targets' states; Rollouts.preview undoes what a choice refills; the quota is checked without a charge. Callers' ports have no such path.

--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -70,6 +70,20 @@
             self._charge(call)
         return call
 
+    def preview(self, incoming: IncomingRequest) -> Call:
+        """Return the call that a request would become, without a charge.
+
+        Raises ``Refusal`` if the request would not be admitted.
+        """
+        call = self.admit(incoming, is_charged=False)
+        if call.workspace is not None and call.workspace.rate:
+            delay = self._quotas.compute_delay(
+                call.workspace, call.charged_tokens
+            )
+            if delay:
+                raise Refusal(_TOO_MANY_REQUESTS, Reason.QUOTA, delay)
+        return call
+
     def _authorize(
         self,
         configuration: Configuration,
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -338,29 +338,54 @@
         with TurnPlace(waiting, self._service) as place:
             return await self._wait_for_way(place)
 
+    def preview(self) -> Assignment | Peer | None:
+        """Return how the call would be sent now, nothing if it would wait.
+
+        Raises ``Refusal`` if it would be refused.
+        """
+        waiting = self._dispatcher.waiting_for_turns.copy()
+        place = TurnPlace(waiting, self._service)
+        return self._find_way(place, self._find_wait_end())
+
+    def _find_wait_end(self) -> float:
+        """Return until when the call may wait for a usable target."""
+        now = self._context.clock.now()
+        return now + _MAX_WAIT_SHARE * self._waiting_time_left()
+
     async def _wait_for_way(self, place: TurnPlace) -> Assignment | Peer:
-        clock = self._context.clock
-        until = clock.now() + _MAX_WAIT_SHARE * self._waiting_time_left()
+        until = self._find_wait_end()
         while True:
-            if self._waiting_time_left() <= MIN_ATTEMPT_TIME_S:
-                raise self._make_refusal(Reason.DEADLINE)
-            if self._is_quarantined():
-                raise self._make_refusal(
-                    Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
-                )
-            helper = self._find_helper()
-            if helper is not None:
-                return helper
-            assignment = self._selector.select(self._avoid)
-            if assignment is not None:
-                if self._decide(assignment) is Decision.SEND:
-                    return assignment
-            else:
-                self._check_wait(place, until)
+            way = self._find_way(place, until)
+            if way is not None:
+                return way
             await self._dispatcher.wait_for_change(
                 random.uniform(*_QUEUE_POLL_RANGE_S)
             )
 
+    def _find_way(
+        self, place: TurnPlace, until: float
+    ) -> Assignment | Peer | None:
+        """Return how the call is to be sent now, nothing if it waits.
+
+        Raises ``Refusal`` if it is not to wait.
+        """
+        if self._waiting_time_left() <= MIN_ATTEMPT_TIME_S:
+            raise self._make_refusal(Reason.DEADLINE)
+        if self._is_quarantined():
+            raise self._make_refusal(
+                Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
+            )
+        helper = self._find_helper()
+        if helper is not None:
+            return helper
+        assignment = self._selector.select(self._avoid)
+        if assignment is None:
+            self._check_wait(place, until)
+            return None
+        if self._decide(assignment) is Decision.SEND:
+            return assignment
+        return None
+
     def _check_wait(self, place: TurnPlace, until: float) -> None:
         """Refuse the call if no target will take it until a time."""
         now = self._context.clock.now()
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -28,6 +28,7 @@
 from .crashes import CrashTracker
 from .discovery import Discovery
 from .dispatch import Dispatcher
+from .explanations import RoutingExplainer
 from .follower import Follower
 from .forwardport import ForwardedCallHandler
 from .gossip import Gossip
@@ -75,6 +76,8 @@
 _RESPONSES_MEMORY_SHARE = 1.0 / 6.0
 _MAX_HEADER_BYTES = 64 * 1024
 _MAX_BODY_BYTES = 16 * 1024 * 1024
+# A query holds a body of the longest legal size in Base64.
+_MAX_QUERY_BYTES = 6 * 1024 * 1024
 # Longer than any timeout that operators set, so that callers close idle
 # connections and the router does not.
 _CALLER_IDLE_TIMEOUT_S = 120.0
@@ -276,34 +279,40 @@
 
     def _build_entry(self) -> None:
         self.admission = Admission(self.view, self.quotas, self.log)
-        self.dispatcher = Dispatcher(
-            DispatchContext(
-                self.clock,
-                self.settings.bounds,
-                self.target_client,
-                self.peer_client,
-                self.view,
-                self.targets,
-                self.reachability,
-                self.helpers,
-                self.rate_limits,
-                self.peers,
-                self.crashes,
-                self.rollouts,
-                self.stored_segments,
-                self.version_reader,
-                ResponseEnds(self.clock, self.target_client, self.log),
-                self.metrics,
-                self.log,
-            )
+        context = DispatchContext(
+            self.clock,
+            self.settings.bounds,
+            self.target_client,
+            self.peer_client,
+            self.view,
+            self.targets,
+            self.reachability,
+            self.helpers,
+            self.rate_limits,
+            self.peers,
+            self.crashes,
+            self.rollouts,
+            self.stored_segments,
+            self.version_reader,
+            ResponseEnds(self.clock, self.target_client, self.log),
+            self.metrics,
+            self.log,
         )
+        self.dispatcher = Dispatcher(context)
         self.caller_port = CallerPort(
             _NodeCallHandler(self), self.clock, self.log
         )
         self.caller_server = _make_server(self.caller_port)
         self._build_forward_server()
         self.readiness_server = HTTPServer(ReadinessPort(self.is_ready))
-        self.metrics_server = HTTPServer(MetricsPort(self.metrics))
+        self.explainer = RoutingExplainer(
+            context, self.admission, self.dispatcher, self.caller_port
+        )
+        self.metrics_server = HTTPServer(
+            MetricsPort(self.metrics, self.explainer.respond),
+            max_header_size=_MAX_HEADER_BYTES,
+            max_body_size=_MAX_QUERY_BYTES,
+        )
         self._add_gauges()
 
     def _build_forward_server(self) -> None:
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -70,7 +70,14 @@
 
     def charge(self, workspace: Workspace, tokens: float) -> float:
         """Charge a request and return 0, or the delay until it fits, in s."""
-        delay = self._windows[workspace.name].compute_delay(
+        delay = self.compute_delay(workspace, tokens)
+        if not delay:
+            self._add_use(workspace.name, tokens)
+        return delay
+
+    def compute_delay(self, workspace: Workspace, tokens: float) -> float:
+        """Return the delay until a request fits, in seconds; 0 if now."""
+        return self._windows[workspace.name].compute_delay(
             tokens,
             self._peers.count_members(),
             self._peers.count_unresponsive(),
@@ -78,9 +85,6 @@
             self._peers.report_lag(),
             random.random(),
         )
-        if not delay:
-            self._add_use(workspace.name, tokens)
-        return delay
 
     def refund(self, workspace: Workspace, tokens: float) -> None:
         """Refund the charge of a request that has not run."""
--- /dev/null
+++ b/src/lentilrun/gateway/recordedchoice.py
@@ -0,0 +1,148 @@
+"""The choice of a target, with a record of the steps that led to it."""
+
+from __future__ import annotations
+
+import copy
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from ..decisions.placement import estimate_cost
+from .choice import TargetSelector
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from ..decisions.facts import Service
+    from ..decisions.placement import Candidate
+    from ..decisions.placement import TargetChoice
+    from ..decisions.placement import TokenDemand
+    from ..decisions.retries import RetryBudget
+    from ..decisions.sources import PrefillPlan
+    from .call import Call
+    from .context import DispatchContext
+    from .targetstate import TargetState
+
+
+class ComparedTarget(NamedTuple):
+    """A target that was compared, and its cost in seconds."""
+
+    candidate: Candidate
+    cost: float
+
+
+class RecordedSelector(TargetSelector):
+    """Selects a target as for a call that is sent, and changes nothing.
+
+    ``compared`` holds the targets of the last selection that were compared,
+    by incarnation.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        service: str,
+        context: DispatchContext,
+        budget: RetryBudget,
+    ) -> None:
+        """Get the rate of requests from the service's ``budget``."""
+        super().__init__(call, service, context, budget)
+        self.compared: dict[str, ComparedTarget] = {}
+        self._chosen_cost = float('inf')
+        # Targets that are left after each step of the selection.
+        self._usable: set[str] = set()
+        self._allowed: set[str] = set()
+        self._preferred: set[str] = set()
+
+    def _list_usable(
+        self, service: Service, avoid: set[str]
+    ) -> list[TargetState]:
+        states = super()._list_usable(service, avoid)
+        self._usable = _list_names(states)
+        return states
+
+    def _prefer_doubtful(self, states: list[TargetState]) -> list[TargetState]:
+        preferred = super()._prefer_doubtful(states)
+        self._allowed = _list_names(states)
+        self._preferred = _list_names(preferred)
+        return preferred
+
+    def _make_candidates(
+        self,
+        states: list[TargetState],
+        plans: list[PrefillPlan],
+        service: Service,
+    ) -> list[Candidate]:
+        # The counts of outcomes decay as a candidate is made.
+        copies = [copy.copy(s) for s in states]
+        return super()._make_candidates(copies, plans, service)
+
+    def _choose(
+        self, candidates: list[Candidate], demand: TokenDemand
+    ) -> TargetChoice | None:
+        speeds = self._targets.get_estimator(self._service).speeds()
+        self.compared = {
+            c.name: ComparedTarget(c, estimate_cost(c, demand, speeds))
+            for c in candidates
+        }
+        choice = super()._choose(candidates, demand)
+        if choice is not None:
+            self._chosen_cost = self.compared[choice.name].cost
+        return choice
+
+    def find_exclusion(self, state: TargetState) -> str:
+        """Return why the last selection left a target out, empty if not."""
+        name = state.target.incarnation
+        if name in self.compared:
+            is_passed_over = self.compared[name].cost < self._chosen_cost
+            return 'begins_too_late' if is_passed_over else ''
+        if name in self._preferred:
+            return 'not_sampled'
+        if name in self._allowed:
+            return 'limit_of_another_is_checked'
+        if name in self._usable:
+            return 'rollout'
+        return next(self._list_obstacles(state), 'other')
+
+    def _list_obstacles(self, state: TargetState) -> Iterator[str]:
+        """Yield why a target is not usable, in the order of the selection."""
+        now = self._clock.now()
+        yield from _list_states(state, now)
+        if not state.rate_limit.has_turn():
+            yield 'no_turn'
+        usable = self._targets.list_usable(self._service)
+        if state not in usable and state.rejection_limit.limit is not None:
+            yield 'no_room'
+        configuration = self._view.configuration
+        if configuration is None:
+            return
+        service = configuration.services[self._service]
+        if not self._is_below_connection_limit(state, service):
+            yield 'connection_limit'
+        prompt = self._call.prompt
+        if service.engine is None or prompt is None:
+            return
+        if prompt.model not in state.weights_versions:
+            yield 'no_weights'
+        elif not self._may_begin_in_time(state):
+            yield 'old_weights'
+
+
+def _list_states(state: TargetState, now: float) -> Iterator[str]:
+    """Yield the states of a target in which it gets no requests."""
+    if state.is_leaving():
+        yield 'leaves'
+    if state.statements.is_resting(now):
+        yield 'rests'
+    if state.is_unreachable(now):
+        yield 'unreachable'
+    if state.blocked_until > now:
+        yield 'was_full'
+    if state.is_cordoned(now):
+        yield 'loads_weights'
+
+
+def _list_names(states: list[TargetState]) -> set[str]:
+    return {s.target.incarnation for s in states}
+
+
+__all__ = ['ComparedTarget', 'RecordedSelector']
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import statistics
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Container
+    from collections.abc import Iterator
     from collections.abc import Sequence
 
     from ..coordination.clock import Clock
@@ -314,6 +316,21 @@
         rollout.refilled_at = now
         return exposure._replace(tokens=rollout.tokens)
 
+    @contextlib.contextmanager
+    def preview(self, service: str) -> Iterator[None]:
+        """Undo what ``select`` changes meanwhile, as nothing is sent."""
+        first_seen = self._first_seen.copy()
+        rollout = self.by_service.get(service)
+        if rollout is not None:
+            tokens, refilled_at = rollout.tokens, rollout.refilled_at
+        try:
+            yield
+        finally:
+            self._first_seen = first_seen
+            if rollout is not None:
+                rollout.tokens = tokens
+                rollout.refilled_at = refilled_at
+
     def _pick_canary(
         self,
         rollout: Rollout,
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -18,6 +18,7 @@
 from tornado.iostream import StreamClosedError
 
 from ..platform import dialect
+from ..platform.routingquery import EXPLAIN_PATH
 from ..web.sockets import abort
 from .call import Cancellation
 from .call import IncomingRequest
@@ -273,9 +274,13 @@
         if call_refusal is not None:
             await self._refuse(incoming, writer, call_refusal)
 
-    def _admit(self, incoming: IncomingRequest) -> Call:
+    def check_open(self) -> None:
+        """Raise ``Refusal`` if the port takes no more requests."""
         if self.is_closed:
             raise Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
+
+    def _admit(self, incoming: IncomingRequest) -> Call:
+        self.check_open()
         try:
             return self._handler.admit(incoming)
         except Refusal:
@@ -374,17 +379,59 @@
         return (_OK if self._is_ready() else _UNAVAILABLE), b''
 
 
+class _OperatorResponder(_PlainResponder):
+    """Answers queries for where a request would be routed, or ``respond``."""
+
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        respond: Callable[[], tuple[int, bytes]],
+        explain: Callable[[bytes], tuple[int, bytes]],
+    ) -> None:
+        super().__init__(connection, respond)
+        self._explain = explain
+        self._is_query = False
+        self._chunks: list[bytes] = []
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        path = start_line.path.partition('?')[0]
+        self._is_query = path == EXPLAIN_PATH and start_line.method == 'POST'
+
+    def data_received(self, chunk: bytes) -> None:
+        if self._is_query:
+            self._chunks.append(chunk)
+
+    def finish(self) -> None:
+        if self._is_query:
+            body = b''.join(self._chunks)
+            self._respond = lambda: self._explain(body)
+        super().finish()
+
+
 class MetricsPort(HTTPServerConnectionDelegate):
-    """Serves the metrics of this process."""
+    """Serves operators: the metrics of this process, and explanations."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        explain: Callable[[bytes], tuple[int, bytes]],
+    ) -> None:
+        """Answer a query with the status and body that ``explain`` returns."""
         self._metrics = metrics
+        self._explain = explain
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        return _PlainResponder(
-            request_conn, lambda: (_OK, self._metrics.render())
+        return _OperatorResponder(
+            request_conn,
+            lambda: (_OK, self._metrics.render()),
+            self._explain,
         )
 
 
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -203,6 +203,25 @@
     )
 
 
+def make_caller_headers(
+    request_id: str, host: str, model: str, tokens: str, segments: str
+) -> HTTPHeaders:
+    """Return the headers of a caller's request; empty values are left out."""
+    values = {
+        _REQUEST_ID: request_id,
+        'Host': host,
+        _MODEL: model,
+        _TOKEN_USAGE: tokens,
+        _PREFIX_SEGMENTS: segments,
+    }
+    return HTTPHeaders({n: v for n, v in values.items() if v})
+
+
+def set_api_key(headers: HTTPHeaders, key: str) -> None:
+    """Set the API key in the headers of a caller's request."""
+    headers[_API_KEY] = key
+
+
 def _copy_headers(
     headers: HTTPHeaders, excluded: frozenset[str]
 ) -> HTTPHeaders:
@@ -316,6 +335,7 @@
     'ForwardedHeaders',
     'has_request_id',
     'is_response_to',
+    'make_caller_headers',
     'make_forwarded_headers',
     'make_peer_headers',
     'make_refusal_headers',
@@ -326,4 +346,5 @@
     'read_retry_after',
     'ResponseHead',
     'resume_after',
+    'set_api_key',
 ]
--- a/src/lentilrun/session/cmd/queries/explain.py
+++ b/src/lentilrun/session/cmd/queries/explain.py
@@ -11,6 +11,12 @@
 
 from ... import output
 from ...exits import Exit
+from ...reasons import REFUSALS
+from ...routing import describe_request
+from ...routing import explain_routing
+from ...routing import InvalidQueryError
+from ...routing import PromptDescription
+from ...routing import read_request
 
 _OBJECT = re.compile(r'\{.*\}')
 # The cause of how a request ended, by the event of a log line.
@@ -20,24 +26,6 @@
     'quota_exceeded': 'the workspace is over its rate and burst',
     'request_error': 'the router itself failed',
 }
-_REASONS = {
-    'bad_request': 'the request has no id, or a path beyond ASCII',
-    'body_too_large': 'the body is larger than the configuration allows',
-    'not_configured': 'the VM had read no configuration yet',
-    'unknown_route': 'no route has this host and path',
-    'key_refused': 'no workspace holds the key',
-    'quota': 'the workspace is over its rate and burst',
-    'no_target': 'no target could take it in time',
-    'rate_limited': 'all targets limit their requests, and no turn was left',
-    'overloaded': 'every target would answer after the deadline',
-    'quarantined': 'targets crashed under it too often',
-    'retries_spent': 'a target turned it away, and no retry was left',
-    'leaving': 'the VM was stopping',
-    'deadline': 'the deadline passed',
-    'target_failed': 'the target broke off, and it must not run again',
-    'old_weights': 'it waited too long at an engine with old weights',
-    'internal': 'the router itself failed',
-}
 _OUTCOMES = {
     'delivered': 'the answer was delivered',
     'failed': 'the target answered with a failure',
@@ -83,7 +71,7 @@
         name = event['event']
         if name == 'refused':
             reason = event.get('reason', '')
-            causes.append(_REASONS.get(reason, reason))
+            causes.append(REFUSALS.get(reason, reason))
         elif name == 'attempt':
             outcome = _OUTCOMES.get(event.get('fate', ''), '')
             causes.append(f'{outcome} ({event.get("target")})')
@@ -92,8 +80,23 @@
     return '; then '.join(causes)
 
 
-def explain(request_id: str, *logs: str, json: bool = False) -> int:
-    """Explain from log lines how a request ended, and why.
+def explain(
+    request_id: str = '',
+    *logs: str,
+    vm: str = '',
+    request: str = '',
+    path: str = '',
+    host: str = '',
+    model: str = '',
+    prefix: str = '',
+    tokens: str = '',
+    workspace: str = '',
+    json: bool = False,
+) -> int:
+    """Explain how a request ended, or where one would be routed now.
+
+    Without ``--vm``, the log lines of a request that was sent are read. With
+    it, the VM states where the described request would go; it is not sent.
 
     Parameters
     ----------
@@ -101,15 +104,56 @@
         The id that the caller sent.
     logs
         Log files of the VMs; by default, standard input is read.
+    vm
+        A VM's address for metrics, as IP:PORT.
+    request
+        A file with an HTTP/1.1 request, or - for standard input.
+    path
+        The path; by default, that of a route for the model.
+    host
+        The host of the route.
+    model
+        The model.
+    prefix
+        The segments of the prompt, as ID:TOKENS,ID:TOKENS.
+    tokens
+        The tokens of the prompt and of the response, as IN,OUT.
+    workspace
+        The workspace, in place of an API key.
     json
         Print JSON.
     """
+    if not vm:
+        return _explain_ended(request_id, logs, json)
+    try:
+        if request_id:
+            raise InvalidQueryError(
+                'a VM knows no request ids: leave --vm out'
+            )
+        if request:
+            query = read_request(request, workspace)
+        else:
+            description = PromptDescription(path, host, model, prefix, tokens)
+            query = describe_request(description, workspace)
+    except (OSError, InvalidQueryError) as error:
+        output.show_failure(str(error))
+        return Exit.INVALID_QUERY
+    return explain_routing(vm, query, json)
+
+
+def _explain_ended(
+    request_id: str, logs: tuple[str, ...], as_json: bool
+) -> int:
+    """Explain from log lines how a request ended."""
+    if not request_id:
+        output.show_failure('state the id of a request, or --vm')
+        return Exit.INVALID_QUERY
     try:
         events = find_events(_read_lines(logs), request_id)
     except (OSError, UnicodeDecodeError) as error:
         output.show_failure(str(error))
         return Exit.INVALID_FILE
-    if json:
+    if as_json:
         output.show_json({'cause': find_cause(events), 'events': events})
     elif events:
         for event in events:
--- a/src/lentilrun/session/exits.py
+++ b/src/lentilrun/session/exits.py
@@ -16,6 +16,9 @@
     UNKNOWN = 5
     MAJORITY_MISSING = 6
     REFUSED = 7
+    # A request that was explained would be refused.
+    WOULD_REFUSE = 8
+    INVALID_QUERY = 9
 
 
 __all__ = ['Exit']
