Explain calls whose outcome does not depend on targets

What operators saw: targets of a call that is forwarded, or refused before targets are compared, were shown as excluded for another reason ("other"). A fault of the explanation itself closed the connection without a response.

Cause: the reasons were found from the steps of a selection that had not run.

--- a/src/lentilrun/gateway/recordedchoice.py
+++ b/src/lentilrun/gateway/recordedchoice.py
@@ -48,6 +48,7 @@
         super().__init__(call, service, context, budget)
         self.compared: dict[str, ComparedTarget] = {}
         self._chosen_cost = float('inf')
+        self._has_run = False
         # Targets that are left after each step of the selection.
         self._usable: set[str] = set()
         self._allowed: set[str] = set()
@@ -56,6 +57,7 @@
     def _list_usable(
         self, service: Service, avoid: set[str]
     ) -> list[TargetState]:
+        self._has_run = True
         states = super()._list_usable(service, avoid)
         self._usable = _list_names(states)
         return states
@@ -90,7 +92,10 @@
         return choice
 
     def find_exclusion(self, state: TargetState) -> str:
-        """Return why the last selection left a target out, empty if not."""
+        """Return why the last selection left a target out, empty if not.
+
+        A call may also be refused, or forwarded, before any selection.
+        """
         name = state.target.incarnation
         if name in self.compared:
             is_passed_over = self.compared[name].cost < self._chosen_cost
@@ -101,7 +106,8 @@
             return 'limit_of_another_is_checked'
         if name in self._usable:
             return 'rollout'
-        return next(self._list_obstacles(state), 'other')
+        default = 'other' if self._has_run else 'not_compared'
+        return next(self._list_obstacles(state), default)
 
     def _list_obstacles(self, state: TargetState) -> Iterator[str]:
         """Yield why a target is not usable, in the order of the selection."""
@@ -115,7 +121,10 @@
         configuration = self._view.configuration
         if configuration is None:
             return
-        service = configuration.services[self._service]
+        service = configuration.services.get(self._service)
+        if service is None:
+            yield 'no_service'
+            return
         if not self._is_below_connection_limit(state, service):
             yield 'connection_limit'
         prompt = self._call.prompt
