Let calls of other VMs run without a cancellation

What callers saw: nothing; the servers always pass one. The tests of modelled fleets run ForwardedCallHandler as the build in production has it, with the call and its writer only.

Cause: the parameter that the cancellation of unsafe calls added was required.

Why it works: it is optional at all handlers, as it is at the dispatcher; without it the caller is taken to stay.

--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -92,7 +92,10 @@
         )
 
     async def run(
-        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
     ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         self._open += 1
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -134,7 +134,10 @@
             raise
 
     async def run(
-        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
     ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         await self._node.dispatcher.run(call, writer, cancellation)
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -54,7 +54,10 @@
         raise NotImplementedError
 
     async def run(
-        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
     ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         raise NotImplementedError
