--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -48,7 +48,8 @@
 _MAX_WAIT_SHARE = 0.6
 _RETRY_AFTER_S = 0.25
 _QUARANTINE_RETRY_AFTER_S = 1.0
-# Retry-After while all targets of a service leave and none has replaced them.
+# Retry-After while all targets of a service leave, or are excluded, and none
+# has replaced them.
 _LEAVING_RETRY_S = 1.0
 # A waiting call looks for a target at intervals in this range; they differ so
 # that the VMs do not send their calls at the same time.
@@ -76,6 +77,8 @@
         self._writer = writer
         self._cancellation = cancellation
         self._suspects = list_suspects(call)
+        # The last attempt, whose response may still be needed.
+        self._held_attempt: Attempt | ForwardedAttempt | None = None
         self._progress = StreamProgress(call.last_event_id)
         self._avoid: set[str] = set()
         self._sent_attempts = 0
@@ -109,7 +112,21 @@
             return time_left
         return min(time_left, call.patience_end() - self._context.clock.now())
 
+    def _hold_attempt(
+        self, attempt: Attempt | ForwardedAttempt | None
+    ) -> None:
+        """Keep the response of an attempt in place of the previous one."""
+        if self._held_attempt is not None:
+            self._held_attempt.release()
+        self._held_attempt = attempt
+
     async def run(self) -> None:
+        try:
+            await self._run()
+        finally:
+            self._hold_attempt(None)
+
+    async def _run(self) -> None:
         if not self._call.is_forwarded:
             self._budget.record_request(self._context.clock.now())
         while True:
@@ -152,6 +169,7 @@
             self._may_repeat_elsewhere(),
             self._forbid_cancellation,
         )
+        self._hold_attempt(attempt)
         events_before = self._progress.last_event_id
         with AttemptWatch(
             self._context.rollouts,
@@ -184,6 +202,7 @@
             self._record_forwarded_head,
             self._forbid_cancellation,
         )
+        self._hold_attempt(attempt)
         with context.helpers.count(helper):
             result = await attempt.run(
                 context.peers.own_member.name, configuration.version
@@ -375,6 +394,8 @@
             raise self._make_refusal(
                 Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
             )
+        if not self._context.targets.has_target_left(self._service):
+            raise self._make_refusal(Reason.NO_TARGET, _LEAVING_RETRY_S)
         helper = self._find_helper()
         if helper is not None:
             return helper
--- a/src/lentilrun/gateway/recordedchoice.py
+++ b/src/lentilrun/gateway/recordedchoice.py
@@ -112,6 +112,8 @@
     def _list_obstacles(self, state: TargetState) -> Iterator[str]:
         """Yield why a target is not usable, in the order of the selection."""
         now = self._clock.now()
+        if not self._targets.places.includes(state.target.data_centre):
+            yield 'evacuated'
         yield from _list_states(state, now)
         if not state.rate_limit.has_turn():
             yield 'no_turn'
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -16,10 +16,14 @@
 from ..errors import LentilrunError
 
 PATH_VARIABLE = 'LENTILRUN_CONFIG'
+_S_PER_MS = 1e-3
 _BYTES_PER_MB = 1_000_000
 _DEFAULT_MEMORY_MB = 128
+_DEFAULT_MAX_FDS = 4096
 _DEFAULT_EXPOSURE_SHARE = 0.1
 _DEFAULT_EXPOSURE_SLACK = 50.0
+# A day is longer than the other limits, so that it changes none of them.
+_DEFAULT_EVACUATION_MS = 86_400_000.0
 
 
 class Bounds(NamedTuple):
@@ -30,7 +34,8 @@
     ``retry_slack`` limit the retries of all VMs together in
     ``retry_window``. ``quota_overage`` is a share of a workspace's rate and
     burst, ``quota_slack`` is in tokens. Of the requests during a roll-out,
-    a bad version may get ``exposure_share`` and ``exposure_slack`` more.
+    a bad version may get ``exposure_share`` and ``exposure_slack`` more. An
+    evacuation must be in force within ``evacuation_limit``.
     """
 
     drain: float
@@ -46,19 +51,23 @@
     stale_weights_limit: float
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
+    evacuation_limit: float = _DEFAULT_EVACUATION_MS * _S_PER_MS
 
     def change_limit(self) -> float:
         """Return the time in which any row must be in force, in seconds."""
         return min(
-            self.configuration_limit, self.drain, self.stale_weights_limit
+            self.configuration_limit,
+            self.drain,
+            self.stale_weights_limit,
+            self.evacuation_limit,
         )
 
 
 class NodeSettings(NamedTuple):
     """The settings of a router process.
 
-    ``power`` is in processor cores, ``memory_bytes`` the most that the
-    process may use; ``host`` is the IP of the VM.
+    ``power`` is in processor cores, ``memory_bytes`` and ``descriptors`` the
+    most that the process may use; ``host`` is the IP of the VM.
     """
 
     name: str
@@ -71,6 +80,7 @@
     store: Address
     bounds: Bounds
     memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
+    descriptors: int = _DEFAULT_MAX_FDS
 
 
 class BadSettingsError(LentilrunError):
@@ -79,11 +89,9 @@
     code = Code.INVALID_FILE
 
 
-_S_PER_MS = 1e-3
-
-
 _Amount = Annotated[float, msgspec.Meta(ge=0.0)]
 _Positive = Annotated[float, msgspec.Meta(gt=0.0)]
+_Descriptors = Annotated[int, msgspec.Meta(gt=0)]
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
 _Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 
@@ -97,6 +105,7 @@
     cpu_share: _Positive
     cores: _Positive
     memory_mb: _Positive = _DEFAULT_MEMORY_MB
+    max_fds: _Descriptors = _DEFAULT_MAX_FDS
 
 
 class _WirePlatform(msgspec.Struct):
@@ -117,6 +126,7 @@
     version_ms: _Amount
     exposure_share: _Amount = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: _Amount = _DEFAULT_EXPOSURE_SLACK
+    evacuation_ms: _Amount = _DEFAULT_EVACUATION_MS
 
 
 class _WireSettings(msgspec.Struct, rename='kebab'):
@@ -145,6 +155,7 @@
         stale_weights_limit=wire.version_ms * _S_PER_MS,
         exposure_share=float(wire.exposure_share),
         exposure_slack=float(wire.exposure_slack),
+        evacuation_limit=wire.evacuation_ms * _S_PER_MS,
     )
     if not all(map(math.isfinite, bounds)):
         raise ValueError('a bound is not finite')
@@ -168,6 +179,7 @@
         store=parse_address(wire.platform.address),
         bounds=_make_bounds(wire.bounds),
         memory_bytes=math.ceil(wire.limits.memory_mb * _BYTES_PER_MB),
+        descriptors=wire.limits.max_fds,
     )
 
 
--- a/src/lentilrun/session/reasons.py
+++ b/src/lentilrun/session/reasons.py
@@ -6,6 +6,9 @@
 REFUSALS = {
     'bad_request': 'the request has no id, or a path beyond ASCII',
     'body_too_large': 'the body is larger than the configuration allows',
+    'body_stalled': 'the caller ceased to send the body',
+    'no_memory': 'the process had no memory left for the body',
+    'no_connection': 'the VM had too many open connections',
     'not_configured': 'the VM had read no configuration yet',
     'unknown_route': 'no route has this host and path',
     'key_refused': 'no workspace holds the key',
@@ -28,6 +31,7 @@
 EXCLUSIONS = {
     'begins_too_late': 'its weights would be too old once the call begins',
     'connection_limit': 'it has all connections that the VM may open',
+    'evacuated': 'its data centre is evacuated',
     'leaves': 'it is draining, or said that it leaves',
     'limit_of_another_is_checked': 'another may have ended its rate limit',
     'loads_weights': 'it is out of service to load weights',
--- a/tests/gateway/test_routing_explanations.py
+++ b/tests/gateway/test_routing_explanations.py
@@ -183,6 +183,10 @@
     play.node.caller_port.is_closed = True
 
 
+def _evacuate(play: _Play) -> None:
+    play.node.targets.evacuate(frozenset(('a',)))
+
+
 _SITUATIONS: dict[str, Callable[[_Play], None]] = {
     'usual': lambda play: None,
     'limited rates': _limit_rates,
@@ -195,6 +199,7 @@
     'cut off': _cut_off,
     'quarantine': _quarantine,
     'leaving': _leave,
+    'evacuation': _evacuate,
 }
 
 
@@ -257,6 +262,7 @@
         ('unreachable', 'unreachable'),
         ('doubtful limit', 'limit_of_another_is_checked'),
         ('rollout', 'rollout'),
+        ('evacuation', 'evacuated'),
     ],
 )
 def test_excluded_targets(
@@ -287,6 +293,7 @@
         ('overload', 'refuse', 'overloaded'),
         ('quarantine', 'refuse', 'quarantined'),
         ('cut off', 'forward', ''),
+        ('evacuation', 'refuse', 'no_target'),
         ('blocked', 'wait', ''),
     ],
 )
@@ -576,8 +583,36 @@
     assert KEY not in log.read_text(encoding='utf-8')
 
 
-async def _post(address: Address) -> CallerResponse:
-    body = msgspec.json.encode(_make_query('/chat/x'))
+def test_queries_count_in_the_memory_of_the_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One with a legal body fits, and it is released with its response."""
+
+    async def main() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('e1', 'llm')
+            node = await deployment.start_node('vm1')
+            await wait_until(lambda: bool(node.targets.states))
+            metrics = deployment._ports.reserve_address()
+            node.serve_metrics(metrics)
+            before = node.memory.used
+            response = await _post(metrics, b'x' * (1 << 20))
+            assert response.status == 200
+            assert node.memory.used == before
+            monkeypatch.setattr(node.memory, 'open_body', lambda *_: None)
+            response = await _post(metrics)
+            assert response.status == 503
+            error = msgspec.json.decode(response.body)['error']
+            assert error['code'] == 'no_memory'
+            node.metrics_server.stop()
+
+    asyncio.run(main())
+
+
+async def _post(address: Address, data: bytes = b'{}') -> CallerResponse:
+    query = _make_query('/chat/x')
+    query['body'] = data
+    body = msgspec.json.encode(query)
     head = (
         f'POST /explain HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: asked\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
