--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -35,6 +35,7 @@
 from .crashes import CrashTracker
 from .discovery import Discovery
 from .dispatch import Dispatcher
+from .explanations import RoutingExplainer
 from .follower import Follower
 from .forwardport import ForwardedCallHandler
 from .gossip import Gossip
@@ -90,7 +91,7 @@
 _RESPONSE_MEMORY_SHARE = 1.0 / 16.0
 _RESPONSES_MEMORY_SHARE = 1.0 / 6.0
 _MAX_HEADER_BYTES = 64 * 1024
-# Readiness and metrics are asked for without bodies, which are discarded.
+# Other bodies than queries are discarded.
 _MAX_SERVICE_HEADER_BYTES = 16 * 1024
 _MAX_SERVICE_BODY_BYTES = 64 * 1024
 _SERVICE_BODY_TIMEOUT_S = 10.0
@@ -168,7 +169,10 @@
             raise
 
     async def run(
-        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
     ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         await self._node.dispatcher.run(call, writer, cancellation)
@@ -343,27 +347,26 @@
         regions = Regions(self.settings.regions, self.log)
         self.view.on_configuration.append(regions.configure)
         self.admission = Admission(self.view, self.quotas, regions, self.log)
-        self.dispatcher = Dispatcher(
-            DispatchContext(
-                self.clock,
-                self.settings.bounds,
-                self.target_client,
-                self.peer_client,
-                self.view,
-                self.targets,
-                self.reachability,
-                self.helpers,
-                self.rate_limits,
-                self.peers,
-                self.crashes,
-                self.rollouts,
-                self.stored_segments,
-                self.version_reader,
-                ResponseEnds(self.clock, self.target_client, self.log),
-                self.metrics,
-                self.log,
-            )
+        context = DispatchContext(
+            self.clock,
+            self.settings.bounds,
+            self.target_client,
+            self.peer_client,
+            self.view,
+            self.targets,
+            self.reachability,
+            self.helpers,
+            self.rate_limits,
+            self.peers,
+            self.crashes,
+            self.rollouts,
+            self.stored_segments,
+            self.version_reader,
+            ResponseEnds(self.clock, self.target_client, self.log),
+            self.metrics,
+            self.log,
         )
+        self.dispatcher = Dispatcher(context)
         limited_log = LimitedLog(self.log, self.clock)
         plan = self.connection_plan = plan_connections(
             _limit_descriptors(self.settings.descriptors)
@@ -371,6 +374,9 @@
         self.caller_port, self.caller_server = self._make_port(
             _NodeCallHandler(self), plan.callers, limited_log
         )
+        self.explainer = RoutingExplainer(
+            context, self.admission, self.dispatcher, self.caller_port
+        )
         forwarded_call_handler = ForwardedCallHandler(
             self.admission,
             self.dispatcher,
@@ -388,7 +394,9 @@
             self.memory,
         )
         self.metrics_server = _make_service_server(
-            MetricsPort(self.metrics),
+            MetricsPort(
+                self.metrics, self.explainer.respond, self.memory, self.clock
+            ),
             plan.service,
             self.clock,
             self.memory,
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -21,6 +21,7 @@
 
 from ..decisions.memory import Owner
 from ..platform import dialect
+from ..platform.routingquery import EXPLAIN_PATH
 from ..web.body import release_body
 from ..web.sockets import abort
 from .bodies import BodyCollector
@@ -55,6 +56,8 @@
 _DELIVERY_GRACE_S = 1.0
 _NO_BODY = frozenset((204, 304))
 _HTTP_1_0 = 'HTTP/1.0'
+# A query holds a body of up to 4 MiB, the usual limit, in Base64.
+_MAX_QUERY_BYTES = 6 * 1024 * 1024
 # Larger bodies are written apart from the head, as joining copies them.
 _JOINED_BODY_BYTES = 16 * 1024
 # A refused request's body is discarded for this long and up to this size, as
@@ -77,7 +80,10 @@
         raise NotImplementedError
 
     async def run(
-        self, call: Call, writer: ResponseWriter, cancellation: Cancellation
+        self,
+        call: Call,
+        writer: ResponseWriter,
+        cancellation: Cancellation | None = None,
     ) -> None:
         """Run a call; raises ``Refusal`` if no target answered it."""
         raise NotImplementedError
@@ -498,9 +504,13 @@
         if call_refusal is not None:
             await self._refuse(incoming, writer, call_refusal)
 
-    def _admit(self, incoming: IncomingRequest) -> Call:
+    def check_open(self) -> None:
+        """Raise ``Refusal`` if the port takes no more requests."""
         if self.is_closed:
             raise Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
+
+    def _admit(self, incoming: IncomingRequest) -> Call:
+        self.check_open()
         try:
             return self._handler.admit(incoming)
         except Refusal:
@@ -599,17 +609,109 @@
         return (_OK if self._is_ready() else _UNAVAILABLE), b''
 
 
+class _OperatorResponder(_PlainResponder):
+    """Answers queries for where a request would be routed, or ``respond``."""
+
+    def __init__(
+        self,
+        connection: HTTPConnection,
+        respond: Callable[[], tuple[int, bytes]],
+        explain: Callable[[bytes], tuple[int, bytes]],
+        collector: BodyCollector,
+        address: str,
+    ) -> None:
+        """Collect a query that an ``address`` sends."""
+        super().__init__(connection, respond)
+        self._explain = explain
+        self._collector = collector
+        self._address = address
+        self._is_query = False
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, RequestStartLine)
+        path = start_line.path.partition('?')[0]
+        self._is_query = path == EXPLAIN_PATH and start_line.method == 'POST'
+        if not self._is_query:
+            return
+        assert isinstance(self._connection, HTTP1Connection)
+        self._connection.set_max_body_size(_MAX_QUERY_BYTES)
+        owners = (Owner('address', self._address),)
+        rules = BodyRules(_MAX_QUERY_BYTES, owners)
+        try:
+            self._collector.start(headers, rules, self._end_unread)
+        except Refusal as refusal:
+            self._refuse(refusal)
+
+    def data_received(self, chunk: bytes) -> None:
+        if not self._is_query:
+            return
+        try:
+            self._collector.add(chunk)
+        except Refusal as refusal:
+            self._refuse(refusal)
+
+    def _refuse(self, refusal: Refusal) -> None:
+        """Discard a query that does not fit into the memory."""
+        self._is_query = False
+        self._collector.abandon()
+        error = {'code': refusal.reason, 'message': 'no memory for the query'}
+        body = msgspec.json.encode({'error': error})
+        self._respond = lambda: (refusal.status, body)
+
+    def _end_unread(self, is_timeout: bool) -> None:
+        """Close the connection of a query that makes no progress."""
+        self._collector.abandon()
+        assert isinstance(self._connection, HTTP1Connection)
+        self._connection.stream.close()
+
+    def on_connection_close(self) -> None:
+        self._collector.abandon()
+
+    def finish(self) -> None:
+        if not self._is_query:
+            super().finish()
+            return
+        body = self._collector.finish()
+        self._respond = lambda: self._explain(bytes(body.data))
+        try:
+            super().finish()
+        finally:
+            body.release()
+
+
 class MetricsPort(HTTPServerConnectionDelegate):
-    """Serves the metrics of this process."""
+    """Serves operators: the metrics of this process, and explanations."""
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        explain: Callable[[bytes], tuple[int, bytes]],
+        memory: ProcessMemory,
+        clock: Clock,
+    ) -> None:
+        """Answer a query with the status and body that ``explain`` returns.
+
+        Queries count in the ``memory`` of the process.
+        """
         self._metrics = metrics
+        self._explain = explain
+        self._memory = memory
+        self._clock = clock
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
-        return _PlainResponder(
-            request_conn, lambda: (_OK, self._metrics.render())
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        return _OperatorResponder(
+            request_conn,
+            lambda: (_OK, self._metrics.render()),
+            self._explain,
+            BodyCollector(self._memory, self._clock),
+            server_conn.context.remote_ip,  # type: ignore[attr-defined]
         )
 
 
