Load targets evenly in large fleets with old reports

In a fleet with hubs, prompts waited behind targets to which all VMs had sent at the same moment: with load reports 200 ms old, 80 VMs and 16 targets at 0.8 of their load, the first token took 0.22 s on average and 0.84 s at the 99th percentile. With 195 VMs and 39 targets it was 1.1 and 3.1 s, and 0.26 of the prefixes were prefilled again.

Each VM picked the lowest cost of a sample. The target with the lowest reported cost got as many of the unreported requests as there were samples with it.

decisions/evenload.py assumes that the unreported requests fill the targets with the lowest costs up to a common level, and picks one of these by chance, weighted by what it lacks of the level. A holder of the cached prefix is preferred while its cost, with what may be unreported, is below the level; the prefix is replicated if the holders can't take the requests with it that are expected within a second. It is used where the VMs times the age of reports in seconds are at least 2, so not in a mesh.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -108,7 +108,8 @@
     requests. ``expected_time`` is the time to the first token or to the
     whole response, at a target with the usual pace. All are in seconds.
     ``prefill_tokens`` are those before the first token, and ``pace`` is the
-    target's.
+    target's. A later request there is expected to wait ``added_cost`` longer
+    because of this one, at the usual pace.
     """
 
     name: str
@@ -118,6 +119,7 @@
     prefill_tokens: float
     prefill_plan: PrefillPlan
     pace: float
+    added_cost: float
 
 
 def _estimate_usual_wait(
@@ -200,9 +202,23 @@
     return cost
 
 
-def _describe_choice(
+def estimate_added_cost(
+    candidate: Candidate, demand: TokenDemand, speeds: Speeds
+) -> float:
+    """Return by how much a request raises the cost of later ones, in seconds.
+
+    It is that at a target with the usual pace.
+    """
+    if not demand.input_tokens:
+        return speeds.service_time / candidate.slots
+    own_tokens = candidate.prefill_plan.prefill_tokens(demand.input_tokens)
+    return speeds.prefill_time(own_tokens) + _DECODE_DELAY_S_PER_REQUEST
+
+
+def describe_choice(
     candidate: Candidate, demand: TokenDemand, speeds: Speeds
 ) -> TargetChoice:
+    """Return what a request is expected to find at a target."""
     expected_time = _estimate_usual_wait(
         candidate, demand, speeds, candidate.urgent_prefill_tokens
     )
@@ -220,6 +236,7 @@
         candidate.urgent_prefill_tokens + own_tokens,
         candidate.prefill_plan,
         candidate.pace,
+        estimate_added_cost(candidate, demand, speeds),
     )
 
 
@@ -238,22 +255,30 @@
 
 
 def pick_sample(
-    cached_tokens: Sequence[float], size: int, random: Random
+    cached_tokens: Sequence[float],
+    size: int,
+    random: Random,
+    min_holders: int = 1,
 ) -> list[int]:
     """Return the indices of the targets that are compared for a request.
 
     ``cached_tokens`` holds the tokens that each target has cached of the
-    prompt. The sample is random, but always has one of the targets that
-    have cached most: prompts that share segments then meet at an engine
-    however few engines each VM compares.
+    prompt. The sample is random, but always has ``min_holders`` of the
+    targets that have cached most, or all of them: prompts that share segments
+    then meet at an engine however few engines each VM compares.
     """
     count = len(cached_tokens)
     sample = random.sample(range(count), min(size, count))
     most = max(cached_tokens, default=0.0)
-    if not most or any(cached_tokens[i] == most for i in sample):
+    if not most:
+        return sample
+    lacking = min_holders - sum(cached_tokens[i] == most for i in sample)
+    if lacking <= 0:
         return sample
-    holders = [i for i in range(count) if cached_tokens[i] == most]
-    return [*sample, random.choice(holders)]
+    holders = [
+        i for i in range(count) if cached_tokens[i] == most and i not in sample
+    ]
+    return sample + random.sample(holders, min(lacking, len(holders)))
 
 
 def choose_target(
@@ -269,13 +294,15 @@
     )
     if best is None:
         return None
-    return _describe_choice(best, demand, speeds)
+    return describe_choice(best, demand, speeds)
 
 
 __all__ = [
     'Candidate',
     'choose_target',
     'compute_sample_size',
+    'describe_choice',
+    'estimate_added_cost',
     'estimate_cost',
     'LONG_RESPONSE_S',
     'pick_sample',
--- a/src/lentilrun/decisions/sources.py
+++ b/src/lentilrun/decisions/sources.py
@@ -60,6 +60,16 @@
     ).digest()
 
 
+def identify_shared_prefix(prompt: Prompt | None) -> str:
+    """Return the identity of the last segment that others may share.
+
+    It is empty if there is none.
+    """
+    if prompt is None or len(prompt.segments) < 2:
+        return ''
+    return prompt.segments[-2].identity
+
+
 def _count_shared_tokens(prompt: Prompt) -> int:
     """Return the tokens of all segments but the request's own."""
     return sum(s.tokens for s in prompt.segments[:-1])
@@ -140,6 +150,7 @@
 __all__ = [
     'CacheHolder',
     'estimate_cached',
+    'identify_shared_prefix',
     'NO_CACHE',
     'pick_best_holders',
     'pick_kv_cache_store',
--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -7,6 +7,7 @@
 
 from ..decisions.facts import RouteKind
 from ..decisions.quarantine import list_segments
+from ..decisions.sources import identify_shared_prefix
 from ..decisions.sources import pick_kv_cache_store
 from ..errors import LentilrunError
 from ..metrics.registry import Timing
@@ -135,6 +136,10 @@
             self._assignment.state
         )
         self._record_prefill()
+        self._context.targets.get_sent(self._assignment.service.name).record(
+            identify_shared_prefix(self._call.prompt),
+            self._assignment.choice.added_cost,
+        )
         request = Request(
             self._call.incoming.method,
             self._call.incoming.uri,
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -6,15 +6,21 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from ..decisions.evenload import choose_evenly
+from ..decisions.evenload import compute_even_sample_size
+from ..decisions.evenload import is_called_for
+from ..decisions.evenload import MIN_HOLDERS
 from ..decisions.placement import choose_target
 from ..decisions.placement import compute_sample_size
 from ..decisions.placement import pick_sample
 from ..decisions.placement import TokenDemand
 from ..decisions.ratelimits import find_turn
+from ..decisions.sources import identify_shared_prefix
 from ..decisions.weightsage import may_begin_in_time
 from .prefillplans import PrefillPlanner
 
 if TYPE_CHECKING:
+    from ..decisions.evenload import ExpectedArrivals
     from ..decisions.facts import Service
     from ..decisions.placement import Candidate
     from ..decisions.placement import TargetChoice
@@ -90,13 +96,15 @@
         states = self._prefer_doubtful(states)
         demand = self._make_demand(service)
         cached_tokens = self._planner.count_cached_tokens(states, service)
-        sample = self._pick_sample(cached_tokens)
+        sample, arrivals = self._pick_sample(cached_tokens)
         states = [states[i] for i in sample]
         plans = self._planner.plan(
             states, [cached_tokens[i] for i in sample], service, configuration
         )
         choice = self._choose(
-            self._make_candidates(states, plans, service), demand
+            self._make_candidates(states, plans, service),
+            demand,
+            arrivals,
         )
         if choice is None:
             return None
@@ -137,12 +145,23 @@
         return doubtful or states
 
     def _choose(
-        self, candidates: list[Candidate], demand: TokenDemand
+        self,
+        candidates: list[Candidate],
+        demand: TokenDemand,
+        arrivals: ExpectedArrivals | None,
     ) -> TargetChoice | None:
-        """Return the best target at which the call will begin in time."""
+        """Return a good target at which the call will begin in time.
+
+        Without ``arrivals`` it is the best one.
+        """
         speeds = self._targets.get_estimator(self._service).speeds()
         while True:
-            choice = choose_target(candidates, demand, speeds)
+            if arrivals is None:
+                choice = choose_target(candidates, demand, speeds)
+            else:
+                choice = choose_evenly(
+                    candidates, demand, speeds, arrivals, _random
+                )
             if choice is None or self._may_begin_in_time(
                 self._targets.states[choice.name], choice.estimated_wait
             ):
@@ -207,20 +226,32 @@
             self._service, self._targets.list_usable(self._service)
         )
 
-    def _pick_sample(self, cached_tokens: list[float]) -> list[int]:
-        size = compute_sample_size(
-            len(cached_tokens), self._estimate_unreported()
-        )
-        return pick_sample(cached_tokens, size, _random)
-
-    def _estimate_unreported(self) -> float:
-        """Return how many requests other VMs sent since their last reports.
+    def _pick_sample(
+        self, cached_tokens: list[float]
+    ) -> tuple[list[int], ExpectedArrivals | None]:
+        """Return which targets are compared for the call.
 
-        Each of them is assumed to send as many as this VM.
+        Return also what other VMs send meanwhile, if that is considered.
         """
+        targets = len(cached_tokens)
+        report_age = self._peers.mean_report_age()
+        members = self._peers.count_members()
+        # Each other VM is assumed to send as many requests as this one.
         own_rate = self._budget.request_rate(self._clock.now())
-        others = self._peers.count_members() - 1
-        return own_rate * others * self._peers.mean_report_age()
+        others_rate = own_rate * (members - 1)
+        unreported = others_rate * report_age
+        if not is_called_for(members, report_age):
+            size = compute_sample_size(targets, unreported)
+            return pick_sample(cached_tokens, size, _random), None
+        size = compute_even_sample_size(
+            targets, unreported, any(cached_tokens)
+        )
+        prefix = identify_shared_prefix(self._call.prompt)
+        sent = self._targets.get_sent(self._service)
+        return (
+            pick_sample(cached_tokens, size, _random, MIN_HOLDERS),
+            sent.expect(prefix, others_rate, report_age, targets),
+        )
 
     def _stale_for(self, state: TargetState) -> float:
         weights_version = self._planner.find_weights_version(state)
@@ -235,9 +266,9 @@
         states = self._targets.list_usable(service.name, avoid)
         if not states and avoid:
             states = self._targets.list_usable(service.name)
-        states = [
-            s for s in states if self._is_below_connection_limit(s, service)
-        ]
+        members = self._peers.count_members()
+        max_in_flight = max(2, service.max_connections // members)
+        states = [s for s in states if s.in_flight < max_in_flight]
         prompt = self._call.prompt
         if service.engine is None or prompt is None:
             return states
@@ -249,12 +280,6 @@
             and self._may_begin_in_time(s)
         ]
 
-    def _is_below_connection_limit(
-        self, state: TargetState, service: Service
-    ) -> bool:
-        members = self._peers.count_members()
-        return state.in_flight < max(2, service.max_connections // members)
-
 
 __all__ = [
     'Assignment',
--- a/src/lentilrun/gateway/prefillplans.py
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -28,6 +28,9 @@
         self._call = call
         self._targets = context.targets
         self._stored_segments = context.stored_segments
+        # Salts by weights version; a service has many targets, but few of
+        # these.
+        self._salts: dict[int, str] = {}
 
     def find_weights_version(self, state: TargetState) -> int | None:
         """Return the version of the call's model that a target has."""
@@ -45,6 +48,13 @@
         weights_version = self.find_weights_version(state)
         if weights_version is None:
             return ''
+        salt = self._salts.get(weights_version)
+        if salt is None:
+            salt = self._format_salt(weights_version)
+            self._salts[weights_version] = salt
+        return salt
+
+    def _format_salt(self, weights_version: int) -> str:
         workspace = self._call.workspace
         if workspace is not None and workspace.is_isolated:
             return f'{weights_version}/{workspace.name}'
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -6,6 +6,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from ..decisions.evenload import SentRequests
 from ..decisions.placement import Candidate
 from ..decisions.ratelimits import count_spare_turns
 from ..decisions.ratelimits import has_sure_room
@@ -53,6 +54,10 @@
         self._estimators: collections.defaultdict[str, SpeedEstimator] = (
             collections.defaultdict(SpeedEstimator)
         )
+        # The last requests of this VM by service.
+        self._sent: collections.defaultdict[str, SentRequests] = (
+            collections.defaultdict(SentRequests)
+        )
         # Memory of an engine by service, in tokens, and its slots.
         self._memory_tokens: dict[str, int] = {}
         self._slots: dict[str, int] = {}
@@ -310,6 +315,10 @@
         """Return the estimator of the speeds of a service's targets."""
         return self._estimators[service]
 
+    def get_sent(self, service: str) -> SentRequests:
+        """Return the last requests that this VM sent to a service."""
+        return self._sent[service]
+
     def is_local(self, state: TargetState) -> bool:
         """Return whether a target is in this VM's data centre."""
         return state.target.data_centre == self._data_centre
--- a/tests/decisions/simulatedrouters.py
+++ b/tests/decisions/simulatedrouters.py
@@ -16,6 +16,11 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from lentilrun.decisions.evenload import choose_evenly
+from lentilrun.decisions.evenload import compute_even_sample_size
+from lentilrun.decisions.evenload import is_called_for
+from lentilrun.decisions.evenload import MIN_HOLDERS
+from lentilrun.decisions.evenload import SentRequests
 from lentilrun.decisions.facts import Prompt
 from lentilrun.decisions.facts import PromptSegment
 from lentilrun.decisions.placement import Candidate
@@ -111,8 +116,9 @@
     """A request at a VM, and what the VM assumes that targets have cached.
 
     ``describe`` returns the candidate with an index. ``vms`` is the number of
-    VMs, ``others_rate`` the requests of the others per second, and
-    ``report_age`` the age of reports in seconds that a VM assumes.
+    VMs, ``others_rate`` the requests of the others per second, ``report_age``
+    the age of reports in seconds that a VM assumes, and ``sent`` what the VM
+    has sent.
     """
 
     demand: TokenDemand
@@ -121,6 +127,7 @@
     vms: int
     others_rate: float
     report_age: float
+    sent: SentRequests
     describe: Callable[[int], Candidate]
     random: random.Random
 
@@ -144,7 +151,26 @@
 
 def select(arrival: Arrival) -> str:
     """Return the name of the target that the package selects."""
-    return select_least(arrival)
+    if not is_called_for(arrival.vms, arrival.report_age):
+        return select_least(arrival)
+    cached_tokens = arrival.cached_tokens
+    targets = len(cached_tokens)
+    size = compute_even_sample_size(
+        targets, arrival.unreported, any(cached_tokens)
+    )
+    sample = pick_sample(cached_tokens, size, arrival.random, MIN_HOLDERS)
+    choice = choose_evenly(
+        [arrival.describe(i) for i in sample],
+        arrival.demand,
+        PRIOR_SPEEDS,
+        arrival.sent.expect(
+            arrival.prefix, arrival.others_rate, arrival.report_age, targets
+        ),
+        arrival.random,
+    )
+    assert choice is not None
+    arrival.sent.record(arrival.prefix, choice.added_cost)
+    return choice.name
 
 
 class _Target:
@@ -202,6 +228,7 @@
 
 class _Vm:
     def __init__(self, phase: float, is_cut: bool) -> None:
+        self.sent = SentRequests()
         self.phase = phase
         self.is_cut = is_cut
         self.loads: collections.defaultdict[str, _Load] = (
@@ -312,6 +339,7 @@
             members,
             self._rate_at(now) / members * (members - 1),
             _STATED_AGES_S[members > MESH_VMS],
+            vm.sent,
             lambda i: self._describe(vm, i, arrival, seen, now),
             self.random,
         )
