--- a/src/lentilrun/gateway/recordedchoice.py
+++ b/src/lentilrun/gateway/recordedchoice.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from ..decisions.evenload import ExpectedArrivals
     from ..decisions.facts import Service
     from ..decisions.placement import Candidate
     from ..decisions.placement import TargetChoice
@@ -49,6 +50,8 @@
         self.compared: dict[str, ComparedTarget] = {}
         self._chosen_cost = float('inf')
         self._has_run = False
+        # Whether the target was drawn by chance, so that loads are even.
+        self._is_drawn = False
         # Targets that are left after each step of the selection.
         self._usable: set[str] = set()
         self._permitted: set[str] = set()
@@ -79,14 +82,18 @@
         return super()._make_candidates(copies, plans, service)
 
     def _choose(
-        self, candidates: list[Candidate], demand: TokenDemand
+        self,
+        candidates: list[Candidate],
+        demand: TokenDemand,
+        arrivals: ExpectedArrivals | None,
     ) -> TargetChoice | None:
         speeds = self._targets.get_estimator(self._service).speeds()
         self.compared = {
             c.name: ComparedTarget(c, estimate_cost(c, demand, speeds))
             for c in candidates
         }
-        choice = super()._choose(candidates, demand)
+        self._is_drawn = arrivals is not None
+        choice = super()._choose(candidates, demand, arrivals)
         if choice is not None:
             self._chosen_cost = self.compared[choice.name].cost
         return choice
@@ -98,8 +105,9 @@
         """
         name = state.target.incarnation
         if name in self.compared:
-            is_passed_over = self.compared[name].cost < self._chosen_cost
-            return 'begins_too_late' if is_passed_over else ''
+            if self.compared[name].cost >= self._chosen_cost:
+                return ''
+            return 'not_drawn' if self._is_drawn else 'begins_too_late'
         if name in self._preferred:
             return 'not_sampled'
         if name in self._permitted:
@@ -130,7 +138,7 @@
         if service is None:
             yield 'no_service'
             return
-        if not self._is_below_connection_limit(state, service):
+        if state.in_flight >= self._find_max_in_flight(service):
             yield 'connection_limit'
         prompt = self._call.prompt
         if service.engine is None or prompt is None:
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -11,6 +11,7 @@
 from ..decisions.coldtargets import ColdTolerance
 from ..decisions.coldtargets import compute_slot_rate
 from ..decisions.coldtargets import find_coldness
+from ..decisions.evenload import SentRequests
 from ..decisions.placement import Candidate
 from ..decisions.places import EVERYWHERE
 from ..decisions.places import Places
@@ -65,6 +66,10 @@
         self._estimators: collections.defaultdict[str, SpeedEstimator] = (
             collections.defaultdict(SpeedEstimator)
         )
+        # The last requests of this VM by service.
+        self._sent: collections.defaultdict[str, SentRequests] = (
+            collections.defaultdict(SentRequests)
+        )
         # Memory of an engine by service, in tokens, and its slots.
         self._memory_tokens: dict[str, int] = {}
         self._slots: dict[str, int] = {}
@@ -493,6 +498,10 @@
         """Return the estimator of the speeds of a service's targets."""
         return self._estimators[service]
 
+    def get_sent(self, service: str) -> SentRequests:
+        """Return the last requests that this VM sent to a service."""
+        return self._sent[service]
+
     def is_local(self, state: TargetState) -> bool:
         """Return whether a target is in this VM's data centre."""
         return state.target.data_centre == self._data_centre
