Make the choice of a target cheaper, and show how even the load is

A call formats the salt of each weights version once, not for each target; it checks the age of weights once a version; and it sums the loads of other VMs in one loop.

--- a/src/lentilrun/decisions/evenload.py
+++ b/src/lentilrun/decisions/evenload.py
@@ -140,43 +140,45 @@
     if not candidates:
         return None
     costs = [estimate_cost(c, demand, speeds) for c in candidates]
+    added_cost = max(_MIN_ADDED_COST_S, arrivals.added_cost)
+    takes = [1.0 / (added_cost * c.pace) for c in candidates]
+    unreported = arrivals.unreported * len(candidates)
+    if not any(c.prefill_plan.cached_tokens for c in candidates):
+        level = _compute_level(costs, takes, unreported)
+        index = _pick_below(level, costs, takes, random)
+        return describe_choice(candidates[index], demand, speeds)
     uncached = [
         estimate_cost(c._replace(prefill_plan=NO_CACHE), demand, speeds)
         if c.prefill_plan.cached_tokens
         else cost
         for c, cost in zip(candidates, costs, strict=True)
     ]
-    added_cost = max(_MIN_ADDED_COST_S, arrivals.added_cost)
-    takes = [1.0 / (added_cost * c.pace) for c in candidates]
-    level = _compute_level(
-        uncached, takes, arrivals.unreported * len(candidates)
-    )
-    indices = list(range(len(costs)))
+    level = _compute_level(uncached, takes, unreported)
+    indices = range(len(costs))
     holders = [i for i in indices if costs[i] < uncached[i]]
-    if holders:
-        index = _pick_holder(
-            holders,
-            [costs[i] + max(0.0, level - uncached[i]) for i in holders],
-            [
-                1.0
-                / candidates[i].pace
-                / estimate_added_cost(candidates[i], demand, speeds)
-                for i in holders
-            ],
-            level,
-            arrivals.with_prefix,
-            random,
-        )
-        if index is not None:
-            return describe_choice(candidates[index], demand, speeds)
-        indices = [i for i in indices if i not in holders] or indices
+    holder = _pick_holder(
+        holders,
+        [costs[i] + max(0.0, level - uncached[i]) for i in holders],
+        [
+            1.0
+            / candidates[i].pace
+            / estimate_added_cost(candidates[i], demand, speeds)
+            for i in holders
+        ],
+        level,
+        arrivals.with_prefix,
+        random,
+    )
+    if holder is not None:
+        return describe_choice(candidates[holder], demand, speeds)
+    others = [i for i in indices if i not in holders] or holders
     place = _pick_below(
         level,
-        [uncached[i] for i in indices],
-        [takes[i] for i in indices],
+        [uncached[i] for i in others],
+        [takes[i] for i in others],
         random,
     )
-    return describe_choice(candidates[indices[place]], demand, speeds)
+    return describe_choice(candidates[others[place]], demand, speeds)
 
 
 def _pick_holder(
@@ -193,6 +195,8 @@
     get no more of the ``arrivals`` with it than raise their costs to
     ``level``.
     """
+    if not holders:
+        return None
     own_level = _compute_level(costs, takes, arrivals)
     if own_level >= level:
         room = sum(
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -169,7 +169,7 @@
             candidates = [c for c in candidates if c.name != choice.name]
 
     def _may_begin_in_time(
-        self, state: TargetState, estimated_wait: float = 0.0
+        self, state: TargetState, estimated_wait: float
     ) -> bool:
         return may_begin_in_time(
             self._stale_for(state),
@@ -273,11 +273,18 @@
         if service.engine is None or prompt is None:
             return states
         # No request may start on weights that were replaced too long ago.
+        versions = {s.weights_versions.get(prompt.model) for s in states}
+        usable = {
+            v
+            for v in versions
+            if v is not None
+            and may_begin_in_time(
+                self._view.stale_for(prompt.model, v),
+                self._bounds.stale_weights_limit,
+            )
+        }
         return [
-            s
-            for s in states
-            if prompt.model in s.weights_versions
-            and self._may_begin_in_time(s)
+            s for s in states if s.weights_versions.get(prompt.model) in usable
         ]
 
 
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -324,6 +324,9 @@
         )
         add_gauge('targets', lambda: float(len(self.targets.states)))
         add_gauge('targets_unreachable', self._count_unreachable)
+        self.metrics.add_labelled_gauge(
+            'targets_busiest', self.targets.compare_busiest
+        )
         add_gauge('store_calls', lambda: float(self.store.call_count))
         add_gauge('configuration', self._configuration_version)
         add_gauge('store_age_seconds', self._store_age)
--- a/src/lentilrun/gateway/prefillplans.py
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -28,9 +28,6 @@
         self._call = call
         self._targets = context.targets
         self._stored_segments = context.stored_segments
-        # Salts by weights version; a service has many targets, but few of
-        # these.
-        self._salts: dict[int, str] = {}
 
     def find_weights_version(self, state: TargetState) -> int | None:
         """Return the version of the call's model that a target has."""
@@ -45,21 +42,27 @@
         It is empty if the call states no prompt or the target has no weights
         of its model.
         """
-        weights_version = self.find_weights_version(state)
+        return self._format_salt(self.find_weights_version(state))
+
+    def _format_salt(self, weights_version: int | None) -> str:
         if weights_version is None:
             return ''
-        salt = self._salts.get(weights_version)
-        if salt is None:
-            salt = self._format_salt(weights_version)
-            self._salts[weights_version] = salt
-        return salt
-
-    def _format_salt(self, weights_version: int) -> str:
         workspace = self._call.workspace
         if workspace is not None and workspace.is_isolated:
             return f'{weights_version}/{workspace.name}'
         return str(weights_version)
 
+    def _list_salts(
+        self, prompt: Prompt, states: list[TargetState]
+    ) -> list[str]:
+        """Return the salts of targets.
+
+        Many targets have few versions, so each is formatted once.
+        """
+        versions = [s.weights_versions.get(prompt.model) for s in states]
+        salts = {v: self._format_salt(v) for v in set(versions)}
+        return [salts[v] for v in versions]
+
     def count_cached_tokens(
         self, states: list[TargetState], service: Service
     ) -> list[float]:
@@ -68,8 +71,10 @@
         if prompt is None or service.engine is None:
             return [0.0] * len(states)
         cached_tokens = [
-            s.prefix_cache.count_cached_tokens(self.make_salt(s), prompt)
-            for s in states
+            state.prefix_cache.count_cached_tokens(salt, prompt)
+            for state, salt in zip(
+                states, self._list_salts(prompt, states), strict=True
+            )
         ]
         if any(cached_tokens):
             return cached_tokens
@@ -89,7 +94,7 @@
         prompt = self._call.prompt
         if prompt is None or service.engine is None:
             return [NO_CACHE] * len(states)
-        salts = [self.make_salt(s) for s in states]
+        salts = self._list_salts(prompt, states)
         store = pick_kv_cache_store(prompt, configuration.kv_cache_stores)
         stored_salts = {
             s for s in set(salts) if self._stored_segments.has_all(s, prompt)
@@ -118,8 +123,9 @@
         if not salts:
             return {}
         by_salt: dict[str, list[CacheHolder]] = {salt: [] for salt in salts}
-        for state in self._targets.list_cache_sources(service.name):
-            salt = self.make_salt(state)
+        states = self._targets.list_cache_sources(service.name)
+        state_salts = self._list_salts(prompt, states)
+        for state, salt in zip(states, state_salts, strict=True):
             tokens = state.prefix_cache.count_cached_tokens(salt, prompt)
             if tokens and salt in by_salt:
                 target = state.target
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -22,7 +22,6 @@
 from .recent import Origin
 from .recent import RecentReports
 from .statements import StatementBook
-from .targetstate import PeerLoad
 from .targetstate import TargetState
 
 if TYPE_CHECKING:
@@ -124,7 +123,7 @@
             for s in self._list_in_service(service)
             if s.target.incarnation not in avoid
             and s.rate_limit.has_turn()
-            and self._may_reject(s)
+            and (s.rejection_limit.limit is None or self._may_reject(s))
         ]
 
     def _may_reject(self, state: TargetState) -> bool:
@@ -181,12 +180,7 @@
     def _list_in_service(self, service: str) -> list[TargetState]:
         now = self._clock.now()
         return [
-            s
-            for s in self.list_of_service(service)
-            if not s.is_leaving()
-            and not s.statements.is_resting(now)
-            and s.blocked_until <= now
-            and not s.is_cordoned(now)
+            s for s in self.list_of_service(service) if s.is_in_service(now)
         ]
 
     def record_leaving(self, incarnation: str) -> bool:
@@ -282,35 +276,60 @@
         """Return the state of a target for a request of some ``urgency``."""
         now = self._clock.now()
         state.decay_outcomes(now)
-        loads = [p for p in state.peer_loads.values() if p.is_recent(now)]
         engine = service.engine
+        in_flight = state.in_flight
+        long_in_flight = state.long_in_flight
+        prefill_tokens = state.prefill_tokens
+        memory_tokens_used = state.memory_tokens_used
+        urgent_tokens = _sum_urgent(state.prefill_by_urgency, urgency)
+        requests, pace_total = state.count_pace(now)
+        # One loop, as this runs for each target that a call compares.
+        for load in state.peer_loads.values():
+            if not load.is_recent(now):
+                continue
+            in_flight += load.in_flight
+            long_in_flight += load.long_in_flight
+            prefill_tokens += load.prefill_tokens
+            memory_tokens_used += load.memory_tokens_used
+            urgent_tokens += _sum_urgent(load.prefill_by_urgency, urgency)
+            requests += load.paced_requests
+            pace_total += load.pace_total
         return Candidate(
             state.target.incarnation,
             self.is_local(state),
             has_stale_weights,
             engine.slots if engine is not None else state.target.slots,
-            state.in_flight + sum(p.in_flight for p in loads),
-            state.long_in_flight + sum(p.long_in_flight for p in loads),
-            state.prefill_tokens + sum(p.prefill_tokens for p in loads),
-            state.memory_tokens_used
-            + sum(p.memory_tokens_used for p in loads),
+            in_flight,
+            long_in_flight,
+            prefill_tokens,
+            memory_tokens_used,
             state.busy_for(now),
             engine.memory_tokens if engine is not None else 0,
             prefill_plan,
             state.failure_rate(),
-            sum(
-                tokens
-                for by_urgency in (
-                    state.prefill_by_urgency,
-                    *(p.prefill_by_urgency for p in loads),
-                )
-                for other, tokens in by_urgency.items()
-                if other <= urgency
-            ),
-            _estimate_pace(state.count_pace(now), loads),
+            urgent_tokens,
+            estimate_pace(PaceCounts(requests, pace_total)),
             is_outdated,
         )
 
+    def compare_busiest(self) -> dict[str, float]:
+        """Return the most requests in flight at a target, by service.
+
+        They are those that this VM knows of, as a multiple of the mean of the
+        service's targets that are in service. Services with a single target
+        or without requests have no value.
+        """
+        now = self._clock.now()
+        counts = collections.defaultdict(list)
+        for state in self.states.values():
+            if state.is_in_service(now):
+                counts[state.target.service].append(state.count_in_flight(now))
+        return {
+            service: max(in_flight) * len(in_flight) / sum(in_flight)
+            for service, in_flight in counts.items()
+            if len(in_flight) > 1 and any(in_flight)
+        }
+
     def get_estimator(self, service: str) -> SpeedEstimator:
         """Return the estimator of the speeds of a service's targets."""
         return self._estimators[service]
@@ -324,12 +343,13 @@
         return state.target.data_centre == self._data_centre
 
 
-def _estimate_pace(own: PaceCounts, loads: Iterable[PeerLoad]) -> float:
-    requests, total = own
-    for load in loads:
-        requests += load.paced_requests
-        total += load.pace_total
-    return estimate_pace(PaceCounts(requests, total))
+def _sum_urgent(tokens_by_urgency: dict[int, float], urgency: int) -> float:
+    """Return the tokens of requests that are at least as urgent."""
+    total = 0.0
+    for other, tokens in tokens_by_urgency.items():
+        if other <= urgency:
+            total += tokens
+    return total
 
 
 __all__ = ['Targets']
--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -141,6 +141,15 @@
         """Return whether the target is out of service to load weights."""
         return self.weights_loading_until > now
 
+    def is_in_service(self, now: float) -> bool:
+        """Return whether the target may get requests now."""
+        return not (
+            self.blocked_until > now
+            or self.weights_loading_until > now
+            or self.statements.is_resting(now)
+            or self.is_leaving()
+        )
+
     def cordon(
         self, now: float, duration: float, by: str | None = None
     ) -> None:
@@ -170,9 +179,10 @@
 
     def busy_for(self, now: float) -> float:
         """Return the expected time until all requests end, in seconds."""
-        peers = self.peer_loads.values()
-        ends = [p.busy_until for p in peers if p.is_recent(now)]
-        until = max([*ends, *self.expected_ends.values()], default=now)
+        until = max(self.expected_ends.values(), default=now)
+        for load in self.peer_loads.values():
+            if load.busy_until > until and load.is_recent(now):
+                until = load.busy_until
         return max(0.0, until - now)
 
     def add_prefill(self, urgency: int, tokens: float) -> None:
@@ -221,9 +231,11 @@
 
     def failure_rate(self) -> float:
         """Return the share of recent responses to all VMs that failed."""
-        loads = self.peer_loads.values()
-        successes = self.successes + sum(p.successes for p in loads)
-        failures = self.failures + sum(p.failures for p in loads)
+        successes = self.successes
+        failures = self.failures
+        for load in self.peer_loads.values():
+            successes += load.successes
+            failures += load.failures
         return failures / (successes + failures + _ASSUMED_SUCCESSES)
 
     def record_weights_version(self, model: str, version: int) -> bool:
