--- a/tests/gateway/test_routing_explanations.py
+++ b/tests/gateway/test_routing_explanations.py
@@ -14,6 +14,7 @@
 from deployments import Deployment
 from deployments import wait_until
 from lentilrun.config.ini import Address
+from lentilrun.decisions.evenload import is_called_for
 from lentilrun.gateway.call import IncomingRequest
 from lentilrun.gateway.call import Reason
 from lentilrun.gateway.crashes import list_suspects
@@ -28,6 +29,7 @@
 from lentilrun.standins.configuration import KEY
 from lentilrun.standins.configuration import MODEL
 from lentilrun.standins import timeloop
+from modelledfleets import LARGE_FLEET
 from modelledfleets import ModelledFleet
 from modelledfleets import SMALL_FLEET
 from modelledfleets import STARTED_S
@@ -204,12 +206,14 @@
 
 
 def _play(
-    monkeypatch: pytest.MonkeyPatch, main: Callable[[_Play], Awaitable[None]]
+    monkeypatch: pytest.MonkeyPatch,
+    main: Callable[[_Play], Awaitable[None]],
+    vms: dict[str, int] = SMALL_FLEET,
 ) -> None:
     """Run ``main`` with a fleet that has served some requests."""
 
     async def run(loop: timeloop.TimeLoop) -> None:
-        with ModelledFleet(loop, monkeypatch, SMALL_FLEET, _TARGETS) as fleet:
+        with ModelledFleet(loop, monkeypatch, vms, _TARGETS) as fleet:
             fleet.register('a0', service='app')
             targets = ModelledTargets(loop, fleet)
             fleet.start()
@@ -246,6 +250,31 @@
     _play(monkeypatch, main)
 
 
+@pytest.mark.parametrize('path', [RESUMABLE_PATH, SAFE_PATH])
+def test_nothing_changes_in_a_large_fleet(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its VMs choose by other rules, from what they have sent lately."""
+
+    async def main(play: _Play) -> None:
+        assert is_called_for(
+            play.node.peers.count_members(),
+            play.node.peers.mean_report_age(),
+        )
+        before = _record(play.node)
+        for _ in range(5):
+            report = _explain(play.node, _make_query(path))
+            for service in report['services']:
+                for candidate in service['candidates']:
+                    excluded = candidate['excluded']
+                    assert not excluded or excluded in EXCLUSIONS
+        after = _record(play.node)
+        assert {k: v for k, v in before.items() if after.get(k) != v} == {}
+        assert before.keys() == after.keys()
+
+    _play(monkeypatch, main, LARGE_FLEET)
+
+
 def _explain(node: Node, query: RoutingQuery) -> RoutingReport:
     status, body = node.explainer.respond(msgspec.json.encode(query))
     assert status == 200, body
