State the wait where explanations ask for old weights

What operators saw: on lentilrun explain answered 500 for calls of a model that are forwarded, or refused before targets are compared.

--- a/src/lentilrun/gateway/recordedchoice.py
+++ b/src/lentilrun/gateway/recordedchoice.py
@@ -145,7 +145,7 @@
             return
         if prompt.model not in state.weights_versions:
             yield 'no_weights'
-        elif not self._may_begin_in_time(state):
+        elif not self._may_begin_in_time(state, 0.0):
             yield 'old_weights'
 
 
