--- a/src/lentilrun/gateway/run.py
+++ b/src/lentilrun/gateway/run.py
@@ -10,6 +10,7 @@
 
 from ..config.ini import Address
 from ..platform import node as node_settings
+from .allocation import tune_allocator
 from .node import Node
 
 if TYPE_CHECKING:
@@ -67,6 +68,7 @@
             f'invalid_file: {METRICS_VARIABLE} is not a port number\n'
         )
         return EXIT_INVALID
+    tune_allocator(settings.memory_bytes)
     asyncio.run(_serve(settings, int(port), path))
     return 0
 
