--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -31,6 +31,8 @@
 # grows to 6 MB. Half of it is usable, which lets a distant caller (120 ms)
 # send 1 MB a second.
 _RECEIVE_BUFFER_BYTES = 128 * 1024
+# What is read from the system at a time. All connections use it in turn.
+_scratch = bytearray(64 * 1024)
 
 
 class GuardedStream(IOStream):
@@ -47,7 +49,7 @@
         Only heads collect in the buffer. Thousands of connections may be
         read before anything else runs, so that the check belongs here.
         """
-        count = super()._read_to_buffer()
+        count = self._read_available()
         self.count_buffer()
         is_long_head = (
             self._read_regex is not None
@@ -59,6 +61,25 @@
             raise UnsatisfiableReadError('no memory for a long head')
         return count
 
+    def _read_available(self) -> int | None:
+        """Read without a new buffer of 64 KiB, as the base class makes."""
+        try:
+            count = self.read_from_fd(_scratch)
+        except OSError as error:
+            self.close(exc_info=error)
+            if self._is_connreset(error):
+                return None
+            raise
+        if count is None:
+            return 0
+        if not count:
+            self.close()
+            return 0
+        with memoryview(_scratch) as scratch:
+            self._read_buffer += scratch[:count]
+        self._read_buffer_size += count
+        return count
+
     def drop_buffer(self) -> None:
         """Release what was not read, as the connection is closed.
 
