--- a/src/lentilrun/decisions/memory.py
+++ b/src/lentilrun/decisions/memory.py
@@ -44,11 +44,17 @@
 _OWNER_SHARES = {Kind.LARGE_BODY: 0.4, Kind.SMALL_BODY: 0.55}
 
 
-class Owner(NamedTuple):
-    """The address or the workspace for which a body is held."""
+# The address or the workspace for which a body is held. Each request counts
+# for its owners, so that they are texts, which are hashed once.
+Owner = str
 
-    kind: str
-    name: str
+
+def list_owners(address: str, workspace: str) -> tuple[Owner, ...]:
+    """Return the owners of a body; it may have no workspace."""
+    by_address = f'address {address}'
+    if not workspace:
+        return (by_address,)
+    return (by_address, f'workspace {workspace}')
 
 
 class Holder(NamedTuple):
@@ -129,6 +135,7 @@
     'compute_shortfall',
     'Holder',
     'Kind',
+    'list_owners',
     'list_stalled',
     'MemoryPlan',
     'MIN_STALL_S',
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from http.client import responses
 import sys
 from typing import NamedTuple
@@ -19,7 +20,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from ..decisions.memory import Owner
+from ..decisions.memory import list_owners
 from ..platform import dialect
 from ..web.body import release_body
 from ..web.sockets import abort
@@ -66,6 +67,9 @@
 # The largest body unless the owner of a port limits it.
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 _STALLED_RETRY_S = 1.0
+_MAX_CACHED_OWNERS = 1024
+
+_list_owners = functools.lru_cache(_MAX_CACHED_OWNERS)(list_owners)
 
 
 class CallHandler:
@@ -399,11 +403,8 @@
 
     def make_rules(self, headers: HTTPHeaders, address: str) -> BodyRules:
         """Return what applies to a body from an address."""
-        owners = [Owner('address', address)]
-        workspace = self._handler.identify(headers)
-        if workspace:
-            owners.append(Owner('workspace', workspace))
-        return BodyRules(self._handler.limit_body(), tuple(owners))
+        owners = _list_owners(address, self._handler.identify(headers))
+        return BodyRules(self._handler.limit_body(), owners)
 
     def refuse_unread(
         self,
--- a/src/lentilrun/web/memory.py
+++ b/src/lentilrun/web/memory.py
@@ -194,7 +194,8 @@
     def complete_body(self, hold: BodyHold, size: int) -> None:
         """Record that a body has arrived, with its size."""
         self._receiving.pop(hold.key, None)
-        self._resize(hold, size)
+        if size != hold.size:
+            self._resize(hold, size)
 
     def release_body(self, hold: BodyHold) -> None:
         """Stop counting a body."""
--- a/tests/decisions/test_memory_budget.py
+++ b/tests/decisions/test_memory_budget.py
@@ -7,9 +7,9 @@
 from lentilrun.decisions.memory import compute_shortfall
 from lentilrun.decisions.memory import Holder
 from lentilrun.decisions.memory import Kind
+from lentilrun.decisions.memory import list_owners
 from lentilrun.decisions.memory import list_stalled
 from lentilrun.decisions.memory import MIN_STALL_S
-from lentilrun.decisions.memory import Owner
 from lentilrun.decisions.memory import plan_memory
 from lentilrun.web.memory import BodyHold
 from lentilrun.web.memory import ProcessMemory
@@ -86,7 +86,7 @@
             self._holds[number].release()
 
         hold = self.memory.open_body(
-            (Owner('address', address),), _MAX_BODY, end, now
+            list_owners(address, ''), _MAX_BODY, end, now
         )
         if hold is None:
             return False
