--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from http.client import responses
 import sys
 from typing import NamedTuple
@@ -19,7 +20,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
-from ..decisions.memory import Owner
+from ..decisions.memory import list_owners
 from ..platform import dialect
 from ..platform.routingquery import EXPLAIN_PATH
 from ..web.body import release_body
@@ -70,6 +71,9 @@
 # The largest body unless the owner of a port limits it.
 DEFAULT_BODY_BYTES = 16 * 1024 * 1024
 _STALLED_RETRY_S = 1.0
+_MAX_CACHED_OWNERS = 1024
+
+_list_owners = functools.lru_cache(_MAX_CACHED_OWNERS)(list_owners)
 
 
 class CallHandler:
@@ -411,11 +415,8 @@
 
     def make_rules(self, headers: HTTPHeaders, address: str) -> BodyRules:
         """Return what applies to a body from an address."""
-        owners = [Owner('address', address)]
-        workspace = self._handler.identify(headers)
-        if workspace:
-            owners.append(Owner('workspace', workspace))
-        return BodyRules(self._handler.limit_body(), tuple(owners))
+        owners = _list_owners(address, self._handler.identify(headers))
+        return BodyRules(self._handler.limit_body(), owners)
 
     def refuse_unread(
         self,
@@ -639,7 +640,7 @@
             return
         assert isinstance(self._connection, HTTP1Connection)
         self._connection.set_max_body_size(_MAX_QUERY_BYTES)
-        owners = (Owner('address', self._address),)
+        owners = list_owners(self._address, '')
         rules = BodyRules(_MAX_QUERY_BYTES, owners)
         try:
             self._collector.start(headers, rules, self._end_unread)
