List targets once where no data centre is excluded

Callers see no difference. Each call compared the data centre of every target with the excluded ones, also where there are none; deployments without evacuations and regions now do what they did before.

--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -257,7 +257,8 @@
         It is so too if no data centre is excluded. Only those that are
         ``allowed`` count, all without it; the same holds below.
         """
-        return self._find_places(allowed).has_any(
+        places = self._find_places(allowed)
+        return places.is_everywhere() or places.has_any(
             s.target.data_centre for s in self.list_of_service(service)
         )
 
@@ -266,11 +267,10 @@
     ) -> list[TargetState]:
         """Return a service's targets in data centres that may be used."""
         places = self._find_places(allowed)
-        return [
-            s
-            for s in self.list_of_service(service)
-            if places.includes(s.target.data_centre)
-        ]
+        states = self.list_of_service(service)
+        if places.is_everywhere():
+            return states
+        return [s for s in states if places.includes(s.target.data_centre)]
 
     def _find_places(self, allowed: frozenset[str] | None) -> Places:
         return self.places._replace(allowed=allowed)
