--- a/src/lentilrun/decisions/quota.py
+++ b/src/lentilrun/decisions/quota.py
@@ -75,8 +75,6 @@
         self.burst = 0.0
         # Tokens that are counted as they may have been admitted.
         self._assumed: dict[int, float] = {}
-        # Tokens of other VMs' counts, whose times are known by the second.
-        self._adopted: dict[int, float] = {}
         # The stored ceiling, 0 if none is stored; nothing if use needs none.
         self.ceiling: float | None = None
         # Whether the ceiling that was stored before the start is known.
@@ -113,7 +111,6 @@
         for slot in [s for s in self._slots if s < oldest]:
             self.used_tokens -= self._slots.pop(slot)
             self._assumed.pop(slot, None)
-            self._adopted.pop(slot, None)
 
     def export(self, now: float) -> list[int]:
         """Return the tokens of each second before ``now``, newest first."""
@@ -143,8 +140,6 @@
             missing = stated - self._count_since(since)
             if missing > 0.0:
                 self.add(missing, until - index)
-                slot = int((until - index) / _SLOT_S)
-                self._adopted[slot] = self._adopted.get(slot, 0.0) + missing
         self._discard_oldest(self.used_tokens - limit)
 
     def _count_since(self, since: float) -> float:
@@ -287,13 +282,9 @@
         return stored - ceiling > _LOWERING_SHARE * self.entitlement()
 
     def _count_reported(self, slot: int) -> float:
-        """Return the tokens of a slot that were reported as admitted.
-
-        Those that are assumed, or adopted from counts by the second, show no
-        rate: what another VM assumes is among the latter.
-        """
-        others = self._assumed.get(slot, 0.0) + self._adopted.get(slot, 0.0)
-        return max(0.0, self._slots.get(slot, 0.0) - others)
+        """Return the tokens of a slot without those that are assumed."""
+        assumed = self._assumed.get(slot, 0.0)
+        return max(0.0, self._slots.get(slot, 0.0) - assumed)
 
     def _estimate_unreported(self, now: float, report_lag: float) -> float:
         """Return the tokens that all VMs admit until they report them.
--- a/src/lentilrun/gateway/ceilings.py
+++ b/src/lentilrun/gateway/ceilings.py
@@ -76,6 +76,7 @@
 
     def _greet(self, name: str) -> None:
         """Send the ceilings to a VM that has started."""
+        self.older.discard(name)
         self._send({name})
 
     def _send(self, names: set[str]) -> None:
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -15,7 +15,6 @@
 from .messages import SENT_AT
 from .messages import WeightsLoadReport
 from .messages import WeightsVersionReport
-from .peers import STARTING_S
 from .recent import Origin
 from .targetstate import PeerLoad
 
@@ -44,11 +43,6 @@
     Scope.DATA_CENTRE: Origin.LOCAL,
     Scope.FLEET: Origin.REMOTE,
 }
-# A VM that was started again passes on what it adopts only as counts by the
-# second, from when it has dropped what it assumes. They are compared until
-# what its sums lack has about left the window.
-_MIN_ADOPTED_UPTIME_S = 0.75
-_MAX_ADOPTED_UPTIME_S = 9.0
 # Failures whose decayed count is below this are not reported.
 _MIN_REPORTED_FAILURES = 0.05
 
@@ -89,8 +83,6 @@
         self.is_leaving = False
         self._summary_senders: tuple[str, ...] = ()
         self._adopts_next_usage = False
-        # When a process of another VM was first known, by its name.
-        self._known_since: dict[str, float] = {}
         peers.make_messages = self.make_messages
         peers.on_message.append(self.receive)
         peers.on_restart.append(self._remove_peer)
@@ -252,38 +244,19 @@
         self._view.receive_announcements(message.announcements)
         self._apply_crashes(message)
         self._apply_cache_reports(message)
-        is_older = message.node in self.list_older()
-        # Later messages of the same sum add to what its first one states. A
-        # VM that ran before may know of use whose sum began after its first.
-        if ((sets_baseline or is_older) and self._peers.is_starting()) or (
+        # Later messages of the same sum add to what its first one states.
+        if (sets_baseline and self._peers.is_starting()) or (
             is_counted and self._adopts_next_usage
         ):
             self._quotas.adopt(message.used_per_second)
             self._adopts_next_usage = False
-        elif is_counted and self._is_summed_anew(message.node):
-            self._quotas.adopt_as_received(
-                message.node,
-                message.used_per_second,
-                self._get_origin(message),
-            )
-        if is_older and not self._has_replaced_assumed:
+        if (
+            not self._has_replaced_assumed
+            and message.node in self.list_older()
+        ):
             self._has_replaced_assumed = True
             self._quotas.replace_assumed(message.used_per_second)
 
-    def _is_summed_anew(self, sender: str) -> bool:
-        """Return whether the sums of a sender lack what it adopted.
-
-        It started again while this VM ran. It got counts by the second of
-        what VMs admitted until they sent to it; its sums begin later.
-        """
-        if sender not in self._peers.list_summary_senders():
-            return False
-        known_since = self._known_since.get(sender, float('-inf'))
-        uptime = self._clock.now() - known_since
-        if self._peers.uptime() < uptime + STARTING_S:
-            return False
-        return _MIN_ADOPTED_UPTIME_S <= uptime <= _MAX_ADOPTED_UPTIME_S
-
     def _check_summary_senders(self) -> None:
         """Start usage counting anew if the summary senders changed.
 
@@ -369,7 +342,6 @@
         return bool(ended)
 
     def _remove_peer(self, name: str) -> None:
-        self._known_since[name] = self._clock.now()
         self._quotas.remove_peer(name)
         for state in self._targets.states.values():
             state.peer_loads.pop(name, None)
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -184,11 +184,6 @@
         self, name: str, tokens: float, peer: str, origin: Origin
     ) -> None:
         self._windows[name].add(tokens, self._clock.now())
-        self._record_received(name, tokens, peer, origin)
-
-    def _record_received(
-        self, name: str, tokens: float, peer: str, origin: Origin
-    ) -> None:
         from_peer = self._received_by_peer.setdefault(peer, {})
         for received in (self._received_by_origin[origin], from_peer):
             received[name] = received.get(name, 0.0) + tokens
@@ -214,23 +209,6 @@
         for name, used_per_second in uses.items():
             self._adopt(name, used_per_second, now)
 
-    def adopt_as_received(
-        self, peer: str, uses: dict[str, list[int]], origin: Origin
-    ) -> None:
-        """Apply counts of a peer whose sums lack some of them.
-
-        What was missing here is passed on, as if its sums had it.
-        """
-        now = self._clock.now()
-        for name, used_per_second in uses.items():
-            window = self._window(name)
-            window.discard_expired(now)
-            used = window.used_tokens
-            self._adopt(name, used_per_second, now)
-            added = window.used_tokens - used
-            if added > 0.0:
-                self._record_received(name, added, peer, origin)
-
     def restore(
         self,
         uses: dict[str, list[int]],
