--- a/src/lentilrun/decisions/quota.py
+++ b/src/lentilrun/decisions/quota.py
@@ -6,10 +6,6 @@
 during the last window, assumes that each of the others has admitted as
 much since its last message as the VM itself, and reserves a share of the
 limit for unresponsive VMs.
-
-All VMs may be killed at once. A process that starts then counts all use as
-admitted that the VMs could not have exceeded: the ceiling of the workspace,
-which is stored before use exceeds it. See ``docs/design/quota-restarts.md``.
 """
 
 from __future__ import annotations
@@ -30,18 +26,10 @@
 # while they do not know of each other's use, for each second of that time.
 _KEPT_TOLERANCE_SHARE_PER_S = 1.14
 # Tokens that all VMs are assumed to have admitted before all of them
-# restarted, as a share of what rate and burst allow in a window. VMs admit
-# more only below a ceiling that is stored.
+# restarted, as a share of what rate and burst allow in a window. Use beyond
+# it is written to a checkpoint.
 _ASSUMED_PRIOR_USE_SHARE = 0.5
-# A ceiling is raised when less than the first share is left below it, and
-# then exceeds the use by the second one, each a share of what rate and burst
-# allow in a window. What is left counts as used after a restart of all VMs.
-_MIN_HEADROOM_SHARE = 0.06
-_HEADROOM_SHARE = 0.12
-# A stored ceiling that is too high by less than this share stays.
-_LOWERING_SHARE = 0.05
-# The least use of so many seconds is taken as a steady rate.
-_STEADY_SECONDS = 4
+
 
 # The use of this many slots gives the rate at which VMs admit tokens that
 # they have not reported yet.
@@ -73,12 +61,6 @@
         self.unreported_tokens = 0.0
         self.rate = 0.0
         self.burst = 0.0
-        # Tokens that are counted as they may have been admitted.
-        self._assumed: dict[int, float] = {}
-        # The stored ceiling, 0 if none is stored; nothing if use needs none.
-        self.ceiling: float | None = None
-        # Whether the ceiling that was stored before the start is known.
-        self.is_restored = False
 
     def set_limits(self, rate: float, burst: float) -> None:
         """Set the rate, in tokens per second, and the burst, in tokens."""
@@ -110,7 +92,6 @@
         oldest = int((now - self._tolerance.window) / _SLOT_S) - 1
         for slot in [s for s in self._slots if s < oldest]:
             self.used_tokens -= self._slots.pop(slot)
-            self._assumed.pop(slot, None)
 
     def export(self, now: float) -> list[int]:
         """Return the tokens of each second before ``now``, newest first."""
@@ -152,140 +133,25 @@
         for slot in sorted(self._slots):
             if excess <= 0.0:
                 return
-            excess -= self._discard(slot, min(excess, self._slots[slot]))
-
-    def _discard_oldest_assumed(self, excess: float) -> None:
-        """Discard up to ``excess`` of the tokens that are assumed."""
-        for slot in sorted(self._assumed):
-            if excess <= 0.0:
-                return
-            excess -= self._discard(slot, min(excess, self._assumed[slot]))
-
-    def discard_assumed(self) -> None:
-        """Discard the tokens that are only assumed."""
-        self._discard_oldest_assumed(math.inf)
-        self._assumed.clear()
-
-    def _discard(self, slot: int, tokens: float) -> float:
-        """Discard tokens of a slot, assumed ones first; return how many."""
-        discarded = max(0.0, tokens)
-        self._slots[slot] -= discarded
-        self.used_tokens -= discarded
-        if slot in self._assumed:
-            left = max(0.0, self._assumed[slot] - discarded)
-            self._assumed[slot] = left
-        return discarded
-
-    def _assume(self, tokens: float, at: float) -> None:
-        """Count tokens that may have been admitted."""
-        self.add(tokens, at)
-        slot = int(at / _SLOT_S)
-        self._assumed[slot] = self._assumed.get(slot, 0.0) + tokens
+            tokens = min(excess, max(0.0, self._slots[slot]))
+            self._slots[slot] -= tokens
+            self.used_tokens -= tokens
+            excess -= tokens
 
     def assume_prior_use(self, now: float) -> None:
-        """Count tokens that all VMs may have admitted before a restart.
-
-        They may have been admitted in the last moment before it.
-        """
-        missing = self._count_unstored() - self.used_tokens
-        if missing > 0.0:
-            self._assume(missing, now)
-
-    def assume_use_up_to(
-        self,
-        ceiling: float,
-        used_per_second: Sequence[float],
-        until: float,
-        now: float,
-    ) -> None:
-        """Count what VMs may have admitted below a ceiling until now.
-
-        Of it, ``used_per_second`` is known, newest first, before ``until``.
-        A steady rate is assumed to have continued. The rest may have been
-        admitted in the last moment before the restart.
-        """
-        self.discard_expired(now)
-        counted = self.used_tokens
-        self._discard_oldest_assumed(counted)
-        self.adopt(used_per_second, until)
-        self.discard_expired(now)
-        oldest = until - (now - self._tolerance.window)
-        known = sum(t for s, t in enumerate(used_per_second) if s < oldest)
-        unknown = max(0.0, min(ceiling, self._count_allowed()) - known)
-        steady_rate = min(
-            [*used_per_second, *[0.0] * _STEADY_SECONDS][:_STEADY_SECONDS]
-        )
-        since = max(until, now - self._tolerance.window)
-        slots = math.ceil((now - since) / _SLOT_S)
-        steady = min(unknown, steady_rate * (now - since))
-        for slot in range(slots):
-            at = since + (slot + 0.5) / slots * (now - since)
-            self._assume(steady / slots, at)
-        self._assume(unknown - steady, now)
-        excess = self.used_tokens - max(counted, known + unknown)
-        self._discard_oldest_assumed(excess)
-        self._assume(max(0.0, -excess), now)
-
-    def _count_unstored(self) -> float:
-        """Return the tokens that VMs admit without a stored ceiling."""
-        return _ASSUMED_PRIOR_USE_SHARE * self.entitlement()
-
-    def _count_allowed(self) -> float:
-        """Return the tokens that may run in a window."""
-        overage = 1.0 + self._tolerance.overage
-        return self.entitlement() * overage + self._tolerance.slack
+        """Count tokens that all VMs may have admitted before a restart."""
+        seconds = math.ceil(self._tolerance.window)
+        tokens = _ASSUMED_PRIOR_USE_SHARE * self.entitlement() / seconds
+        self.adopt([tokens] * seconds, now)
 
     def needs_checkpoint(self) -> bool:
         """Return whether the use must be kept if all VMs restart."""
-        return self.used_tokens > self._count_unstored() > 0.0
-
-    def _find_ceiling(self, share: float) -> float:
-        """Return the tokens that VMs may have admitted, by what is stored.
-
-        While some VMs are unresponsive, the others keep to a ``share``. What
-        is assumed after a restart was below a former ceiling.
-        """
-        if self.ceiling is None:
-            return math.inf
-        unstored = share * self._count_unstored()
-        if self.is_restored:
-            unstored += sum(self._assumed.values())
-        return max(share * self.ceiling, unstored)
-
-    def plan_ceiling(self, share: float, report_lag: float) -> float:
-        """Return the ceiling that the use needs, 0 if none.
-
-        VMs keep to a ``share`` of it while some are unresponsive.
-        """
-        peak = self._estimate_peak_unreported(report_lag)
-        entitlement = self.entitlement()
-        least = self.used_tokens + _MIN_HEADROOM_SHARE * entitlement + peak
-        if least <= share * self._count_unstored():
-            return 0.0
-        wanted = self.used_tokens + _HEADROOM_SHARE * entitlement + peak
-        return min(wanted / share, self.limit(report_lag))
-
-    def needs_raise(self, share: float, report_lag: float) -> bool:
-        """Return whether the use comes close to the ceiling."""
-        peak = self._estimate_peak_unreported(report_lag)
-        headroom = _MIN_HEADROOM_SHARE * self.entitlement() + peak
-        ceiling = max(self.ceiling or 0.0, self._count_unstored())
         return (
-            ceiling < self.limit(report_lag)
-            and self.used_tokens + headroom > share * ceiling
+            self.used_tokens
+            > _ASSUMED_PRIOR_USE_SHARE * self.entitlement()
+            > 0.0
         )
 
-    def is_lower(self, ceiling: float, stored: float) -> bool:
-        """Return whether a ceiling is well below the stored one."""
-        if not stored:
-            return False
-        return stored - ceiling > _LOWERING_SHARE * self.entitlement()
-
-    def _count_reported(self, slot: int) -> float:
-        """Return the tokens of a slot without those that are assumed."""
-        assumed = self._assumed.get(slot, 0.0)
-        return max(0.0, self._slots.get(slot, 0.0) - assumed)
-
     def _estimate_unreported(self, now: float, report_lag: float) -> float:
         """Return the tokens that all VMs admit until they report them.
 
@@ -293,7 +159,7 @@
         """
         newest_slot = int(now / _SLOT_S)
         recent_tokens = sum(
-            self._count_reported(newest_slot - i) for i in range(_RECENT_SLOTS)
+            self._slots.get(newest_slot - i, 0.0) for i in range(_RECENT_SLOTS)
         )
         return recent_tokens / (_RECENT_SLOTS * _SLOT_S) * report_lag
 
@@ -305,7 +171,7 @@
         """
         peak_tokens = max(
             (
-                sum(self._count_reported(s + i) for i in range(_RECENT_SLOTS))
+                sum(self._slots.get(s + i, 0.0) for i in range(_RECENT_SLOTS))
                 for s in self._slots
             ),
             default=0.0,
@@ -330,16 +196,11 @@
         number from 0 to 1, decides which of them do.
         """
         self.discard_expired(now)
-        share = 1.0 - unresponsive / max(1, members)
-        ceiling = self._find_ceiling(share)
-        limit = min(share * self.limit(report_lag), ceiling)
+        limit = self.limit(report_lag) * (1.0 - unresponsive / max(1, members))
         others = max(1, members - unresponsive) - 1
         max_unreported = self._estimate_unreported(now, report_lag)
         unreported = min(self.unreported_tokens * others, max_unreported)
         available = limit - self.used_tokens - unreported
-        if tokens > available and limit == ceiling:
-            # It is raised soon, unless the store is away.
-            return report_lag
         if tokens > available:
             return self._compute_expiry_delay(tokens - available, now)
         peak_unreported = self._estimate_peak_unreported(report_lag)
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -20,7 +20,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Iterator
 
@@ -77,9 +76,6 @@
         self._rate_limits = rate_limits
         self.is_driving_rollouts: Callable[[], bool] = lambda: False
         self.is_cut_off: Callable[[], bool] = lambda: False
-        # The VMs that ran well before this process started.
-        self.list_older: Callable[[], Collection[str]] = frozenset
-        self._has_replaced_assumed = False
         self.is_leaving = False
         self._summary_senders: tuple[str, ...] = ()
         self._adopts_next_usage = False
@@ -250,12 +246,6 @@
         ):
             self._quotas.adopt(message.used_per_second)
             self._adopts_next_usage = False
-        if (
-            not self._has_replaced_assumed
-            and message.node in self.list_older()
-        ):
-            self._has_replaced_assumed = True
-            self._quotas.replace_assumed(message.used_per_second)
 
     def _check_summary_senders(self) -> None:
         """Start usage counting anew if the summary senders changed.
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -330,10 +330,8 @@
         )
         self.gossip.is_cut_off = self.reachability.is_cut_off
         self.usage_checkpointer = UsageCheckpointer(
-            self.store, self.peers, self.quotas, self.clock, self.log
+            self.store, self.peers, self.quotas, self.log
         )
-        ceilings = self.usage_checkpointer.ceilings
-        self.gossip.list_older = lambda: ceilings.older
         self.discovery = Discovery(
             self.store,
             self.peers,
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -267,13 +267,9 @@
             and message.node in self.list_summary_senders()
         )
 
-    def uptime(self) -> float:
-        """Return the time since this process started, in seconds."""
-        return self._clock.now() - self._started_at
-
     def is_starting(self) -> bool:
         """Return whether this process started within ``STARTING_S``."""
-        return self.uptime() < STARTING_S
+        return self._clock.now() - self._started_at < STARTING_S
 
     def list_responsive(self) -> list[str]:
         """Return the VMs from which a message came within the timeout."""
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -4,14 +4,12 @@
 
 import collections
 import random
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from ..decisions.quota import UsageWindow
 from .recent import Origin
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
     from collections.abc import Sequence
 
     from ..coordination.clock import Clock
@@ -26,17 +24,6 @@
 _CHECKPOINT_INTERVAL_S = 1.2
 
 
-class CeilingPlan(NamedTuple):
-    """The ceilings that the use needs, by workspace, and how urgently.
-
-    Use ``is_near`` one that is in force, or a stored one ``is_too_high``.
-    """
-
-    ceilings: dict[str, float]
-    is_near: bool
-    is_too_high: bool
-
-
 class Quotas:
     """The use of all VMs by workspace, in tokens.
 
@@ -60,15 +47,11 @@
         }
         self._received_by_peer: dict[str, dict[str, float]] = {}
         self._admitted: dict[str, float] = {}
-        self._ceilings: dict[str, float] = {}
-        self._is_restored = False
 
     def _window(self, name: str) -> UsageWindow:
         window = self._windows.get(name)
         if window is None:
             window = UsageWindow(self._tolerance)
-            window.ceiling = self._ceilings.get(name, 0.0)
-            window.is_restored = self._is_restored
             self._windows[name] = window
         return window
 
@@ -209,73 +192,8 @@
         for name, used_per_second in uses.items():
             self._adopt(name, used_per_second, now)
 
-    def restore(
-        self,
-        uses: dict[str, list[int]],
-        ceilings: dict[str, float],
-        age: float,
-        is_by_starting: bool = False,
-    ) -> None:
-        """Apply use that was saved ``age`` seconds ago, and the ceilings.
-
-        Workspaces with a ceiling may have been used up to it since then. If
-        it was saved by a process that was starting (``is_by_starting``), this
-        is among the use already: VMs that start one after the other would
-        assume more each time.
-        """
-        now = self._clock.now()
-        self._adopt_checkpoint(
-            {n: u for n, u in uses.items() if n not in ceilings}, age
-        )
-        for name, ceiling in ceilings.items():
-            window = self._window(name)
-            used = uses.get(name, [])
-            bound = float(sum(used)) if is_by_starting else ceiling
-            window.assume_use_up_to(bound, used, now - age, now)
-        self.mark_restored()
-
-    def mark_restored(self) -> None:
-        """Record that what was stored before the start is known."""
-        self._is_restored = True
-        for window in self._windows.values():
-            window.is_restored = True
-
-    def replace_assumed(self, uses: dict[str, list[int]]) -> None:
-        """Apply counts of a VM that knows what was admitted before the start.
-
-        What this one assumes for that time no longer counts.
-        """
-        for window in self._windows.values():
-            window.discard_assumed()
-        self.adopt(uses)
-
-    def apply_ceilings(self, ceilings: dict[str, float]) -> None:
-        """Apply the ceilings that are stored, by workspace."""
-        self._ceilings = ceilings
-        for name, window in self._windows.items():
-            window.ceiling = ceilings.get(name, 0.0)
-
-    def plan_ceilings(self, stored: dict[str, float]) -> CeilingPlan:
-        """Return the ceilings that the use needs."""
-        now = self._clock.now()
-        lag = self._peers.report_lag()
-        unresponsive = self._peers.count_unresponsive()
-        share = 1.0 - unresponsive / self._peers.count_members()
-        ceilings = {}
-        is_near = is_too_high = False
-        for name, window in self._windows.items():
-            window.discard_expired(now)
-            ceiling = window.plan_ceiling(share, lag)
-            if ceiling:
-                ceilings[name] = ceiling
-            is_near |= window.needs_raise(share, lag)
-            is_too_high |= window.is_lower(ceiling, stored.get(name, 0.0))
-        return CeilingPlan(ceilings, is_near, is_too_high)
-
-    def _adopt_checkpoint(
-        self, uses: dict[str, list[int]], age: float
-    ) -> None:
-        """Apply counts of a build that stores no ceilings.
+    def adopt_checkpoint(self, uses: dict[str, list[int]], age: float) -> None:
+        """Apply counts that were saved ``age`` seconds ago.
 
         What VMs had not reported by then, and what they admitted until the
         next checkpoint was due, is not among them: for this time, the use
@@ -296,24 +214,16 @@
         window.adopt(used_per_second, until)
         window.discard_expired(self._clock.now())
 
-    def needs_checkpoint(self) -> bool:
-        """Return whether use must be kept if all VMs restart."""
-        return any(w.needs_checkpoint() for w in self._windows.values())
-
-    def export_for_checkpoint(
-        self, ceilings: Collection[str]
-    ) -> dict[str, list[int]]:
-        """Return the use of workspaces that have ceilings or need them."""
+    def export_for_checkpoint(self) -> dict[str, list[int]]:
+        """Return the use that must be kept if all VMs restart."""
         now = self._clock.now()
-        uses = {
+        return {
             n: w.export(now)
             for n, w in self._windows.items()
-            if n in ceilings or w.needs_checkpoint()
+            if w.needs_checkpoint()
         }
-        return {n: u for n, u in uses.items() if u}
 
 
 __all__ = [
-    'CeilingPlan',
     'Quotas',
 ]
