Assume the use since an old checkpoint until now, at its highest rate

Cause: what ran after the checkpoint was taken as its last second's use, of which the writer of a large fleet knows a part only, and for 1.2 s at most, however old the checkpoint was. A VM that had lost the store went on as the writer.

The highest of the last three seconds is now assumed to have continued until now, with a growth of 1.4, up to what the limit allows, and the writer is the first of the VMs that are fit for a lease.

--- a/src/lentilrun/decisions/quota.py
+++ b/src/lentilrun/decisions/quota.py
@@ -71,6 +71,11 @@
         """Return the tokens that rate and burst allow in a window."""
         return self.rate * self._tolerance.window + self.burst
 
+    def count_allowed(self) -> float:
+        """Return the tokens that may run in a window at most."""
+        overage = 1.0 + self._tolerance.overage
+        return self.entitlement() * overage + self._tolerance.slack
+
     def limit(self, report_lag: float) -> float:
         """Return the tokens that a VM admits if it knows of all use.
 
--- a/src/lentilrun/gateway/quotas.py
+++ b/src/lentilrun/gateway/quotas.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -20,8 +21,11 @@
     from .peers import Peers
 
 
-# Approximate time between two checkpoints of the use.
-_CHECKPOINT_INTERVAL_S = 1.2
+# The highest use of so many of the last seconds of a checkpoint is assumed to
+# have continued: the last one lacks what VMs had not reported by then.
+_RECENT_SECONDS = 3
+# By how much the use may have grown since then.
+_ASSUMED_GROWTH = 1.4
 
 
 class Quotas:
@@ -195,16 +199,21 @@
     def adopt_checkpoint(self, uses: dict[str, list[int]], age: float) -> None:
         """Apply counts that were saved ``age`` seconds ago.
 
-        What VMs had not reported by then, and what they admitted until the
-        next checkpoint was due, is not among them: for this time, the use
-        of the last second is assumed to continue.
+        What VMs had not reported by then, and what they admitted until all
+        of them ended, is not among them. When that was is not known: the VM
+        that saves may have lost the store before. So the use is assumed to
+        have continued until now, up to what the limit allows.
         """
-        uncounted_s = min(age, _CHECKPOINT_INTERVAL_S)
-        until = self._clock.now() - age + uncounted_s
-        uncounted_s += self._peers.report_lag()
+        now = self._clock.now()
+        window = self._tolerance.window
+        uncounted_s = min(age, window) + self._peers.report_lag()
         for name, used_per_second in uses.items():
-            uncounted = used_per_second[0] * uncounted_s
-            self._adopt(name, [uncounted, *used_per_second], until)
+            rate = _ASSUMED_GROWTH * max(used_per_second[:_RECENT_SECONDS])
+            known = sum(used_per_second[: max(0, math.ceil(window - age))])
+            allowed = self._window(name).count_allowed()
+            uncounted = min(rate * uncounted_s, max(0.0, allowed - known))
+            gap = [0.0] * max(0, math.floor(age) - 1)
+            self._adopt(name, [uncounted, *gap, *used_per_second], now)
 
     def _adopt(
         self, name: str, used_per_second: Sequence[float], until: float
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -40,7 +40,8 @@
 class UsageCheckpointer:
     """Writes the usage of workspaces that used much of their quota.
 
-    Only the VM that runs the single-VM tasks writes it.
+    Only the first of the VMs that are fit for a lease writes it: one that
+    has lost the store lets the next one write.
     """
 
     def __init__(
@@ -60,7 +61,7 @@
         while True:
             await asyncio.sleep(_CHECKPOINT_INTERVAL_S)
             uses = self._quotas.export_for_checkpoint()
-            if not uses or not self._peers.runs_single_vm_tasks():
+            if not uses or not self._is_writer():
                 continue
             row = _UsageRow(uses, self._store.estimate_clock())
             value = msgspec.json.encode(row)
@@ -71,6 +72,10 @@
             except PlatformError as error:
                 self._log.write('usage_unwritten', error=error)
 
+    def _is_writer(self) -> bool:
+        candidates = self._peers.list_lease_candidates()
+        return candidates[:1] == [self._peers.own_member.name]
+
     def restore(self, table_rows: Rows) -> None:
         """Adopt the usage that was written before this process started."""
         for row in table_rows.rows:
--- a/tests/gateway/test_restarts.py
+++ b/tests/gateway/test_restarts.py
@@ -55,14 +55,18 @@
 _USE_TOKENS = 1200.0
 
 
-async def _use_quota(fleet: ModelledFleet, seconds: float) -> float:
+async def _use_quota(
+    fleet: ModelledFleet, seconds: float, factor: float = 1.0
+) -> float:
     """Let some VMs admit tokens at a steady rate; return their sum."""
     rounds = round(seconds / _USE_INTERVAL_S)
     for _ in range(rounds):
         for name in _USERS:
-            fleet.nodes[name].quotas._add_use('workspace', _USE_TOKENS)
+            fleet.nodes[name].quotas._add_use(
+                'workspace', factor * _USE_TOKENS
+            )
         await asyncio.sleep(_USE_INTERVAL_S)
-    return rounds * len(_USERS) * _USE_TOKENS
+    return rounds * len(_USERS) * factor * _USE_TOKENS
 
 
 def _list_used(fleet: ModelledFleet) -> list[float]:
@@ -137,6 +141,48 @@
     timeloop.run(main)
 
 
+async def _restart(fleet: ModelledFleet, pause: float) -> None:
+    """Stop all VMs at once, and start new processes after a pause."""
+    for name in fleet.nodes:
+        fleet.stop(name)
+    await asyncio.sleep(pause)
+    for name in fleet.nodes:
+        fleet.stores[name].hangs = False
+        fleet.replace(name)
+    await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize('burst', [0.4, 0.7, 1.0, 1.3])
+@pytest.mark.parametrize(('pause', 'is_writer_cut'), [(0.3, 0), (1.2, 1)])
+def test_use_after_an_old_checkpoint_counts(
+    burst: float,
+    pause: float,
+    is_writer_cut: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A workspace got more than its quota as all VMs restarted.
+
+    Of its last second, the writer of the checkpoint knew a part only, and
+    what ran after it was assumed at that rate, for 1.2 s at most.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, _FLEET) as fleet:
+            fleet.start()
+            await asyncio.sleep(10.0)
+            used = await _use_quota(fleet, 5.6)
+            used += await _use_quota(fleet, 0.4, 3.0)
+            if is_writer_cut:
+                writer = fleet.peers('a000').list_lease_candidates()[0]
+                fleet.stores[writer].hangs = True
+            used += await _use_quota(fleet, burst, 3.0)
+            await _restart(fleet, pause)
+            allowed = fleet.nodes['a000'].quotas._window('workspace')
+            assert min(_list_used(fleet)) >= min(used, allowed.count_allowed())
+
+    timeloop.run(main)
+
+
 # Of the use that is assumed before a start, the last two seconds' share is
 # in the window still.
 _ASSUMED_SECONDS = 2
