--- a/src/lentilrun/gateway/guard.py
+++ b/src/lentilrun/gateway/guard.py
@@ -13,8 +13,8 @@
     from .server import CallerPort
 
 _INTERVAL_S = 0.25
-# Longer than operators let connections idle (15 s, 30 s in tests), so that no
-# client inside their limits reaches it.
+# Longer than operators let connections idle, so that no client inside their
+# limits reaches it.
 _BODY_TIMEOUT_S = 40.0
 
 
