Remove a query of the peers that nothing calls any more

The checkpoint of the use was the only caller of Peers.runs_single_vm_tasks. Since its writer is the first of the VMs that are fit for a lease, the method is dead. Behaviour is unchanged: formatter, linters and types are clean, and 56 tests of hubs, restarts, remote bytes and survival passed (9 skipped, as listed).

--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -308,17 +308,6 @@
             unreported += not responsive.intersection(senders)
         return unreported
 
-    def runs_single_vm_tasks(self) -> bool:
-        """Return whether this VM runs the tasks of a single VM of the fleet.
-
-        The VM that runs them is the first by name of the responsive hubs.
-        """
-        if not self.is_hub():
-            return False
-        hubs = {n for names in self.hubs().values() for n in names}
-        responsive = hubs.intersection(self.list_responsive())
-        return all(self.own_member.name < name for name in responsive)
-
     def list_lease_candidates(self) -> list[str]:
         """Return the VMs that may take a lease over, in their order.
 
