Log what the age of an announcement is based on

Change: weights_wanted has a field basis (observed, before_start, unread). The announcements of a model move out of view.py, which held two jobs, into announcements.py, unchanged.

--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from ..platform import documents
@@ -10,6 +9,10 @@
 from ..platform.rollouts import decode_order
 from ..platform.rollouts import is_rollout_key
 from ..platform.rowversions import find_era
+from .announcements import AgeBasis
+from .announcements import AnnouncedVersion
+from .announcements import AnnouncedWeights
+from .announcements import AnnouncementAge
 from .evacuations import Evacuations
 from .messages import AnnouncementReport
 
@@ -27,12 +30,6 @@
     from .targetstate import TargetState
 
 
-# Number of announcements that are kept for a model.
-_MAX_ANNOUNCEMENTS = 32
-# Number of announcements of a model that a message reports.
-_MAX_REPORTED_ANNOUNCEMENTS = 4
-# Reports of the same observation differ by the time that messages take.
-_MIN_CORRECTION_S = 0.02
 # Assumed age of a version that was announced before this process first read
 # the operators' rows.
 _PRIOR_VERSION_AGE_S = 5.0
@@ -41,72 +38,6 @@
 _MAX_UNREAD_AGE_S = 3.5
 
 
-class AnnouncedVersion(NamedTuple):
-    """A version that was announced; ``announced_at`` in s by the clock.
-
-    The time is only assumed, as the earliest one, if the announcement was
-    older than the process or this VM had not read the store for a time.
-    """
-
-    version: int
-    announced_at: float
-    is_assumed: bool = False
-
-
-class AnnouncedWeights:
-    """The announced versions of one model's weights, oldest first."""
-
-    def __init__(self, first: AnnouncedVersion) -> None:
-        self._announcements = [first]
-
-    @property
-    def newest_version(self) -> int:
-        """Return the newest version."""
-        return self._announcements[-1].version
-
-    def add(self, announcement: AnnouncedVersion) -> bool:
-        """Add a version; return whether it is newer than all others."""
-        if announcement.version <= self.newest_version:
-            return False
-        self._announcements.append(announcement)
-        del self._announcements[:-_MAX_ANNOUNCEMENTS]
-        return True
-
-    def correct(self, observed: AnnouncedVersion) -> bool:
-        """Apply the time that another VM observed; return if it counts.
-
-        The earliest observed time of a version counts, and versions that
-        this VM missed are added. Versions above the newest are ignored.
-        """
-        if observed.version > self.newest_version:
-            return False
-        known = [
-            a for a in self._announcements if a.version == observed.version
-        ]
-        if any(
-            not a.is_assumed
-            and a.announced_at - observed.announced_at < _MIN_CORRECTION_S
-            for a in known
-        ):
-            return False
-        others = [a for a in self._announcements if a not in known]
-        announcements = sorted([*others, observed])
-        self._announcements = announcements[-_MAX_ANNOUNCEMENTS:]
-        return True
-
-    def list_observed(self) -> list[AnnouncedVersion]:
-        """Return the newest versions whose time was observed by a VM."""
-        observed = [a for a in self._announcements if not a.is_assumed]
-        return observed[-_MAX_REPORTED_ANNOUNCEMENTS:]
-
-    def replaced_at(self, version: int) -> float | None:
-        """Return when the first newer version was announced, if any was."""
-        newer = [
-            a.announced_at for a in self._announcements if a.version > version
-        ]
-        return min(newer, default=None)
-
-
 class View:
     """Applies rows of the store, and never returns to an older version."""
 
@@ -173,9 +104,11 @@
             return
         announcement = documents.decode_announcement(row.value)
         weights = self.announced.get(announcement.model)
-        age = self._assume_age()
+        age = self._estimate_age()
         announced = AnnouncedVersion(
-            announcement.version, self._clock.now() - age, age > 0.0
+            announcement.version,
+            self._clock.now() - age.seconds,
+            age.basis is not AgeBasis.OBSERVED,
         )
         if weights is None:
             self.announced[announcement.model] = AnnouncedWeights(announced)
@@ -186,18 +119,19 @@
             model=announcement.model,
             version=announcement.version,
             row_version=row.version,
-            age=age,
+            age=round(age.seconds, 3),
+            basis=age.basis,
         )
         self._notify_weights()
 
-    def _assume_age(self) -> float:
-        """Return the age of a row that is applied now, in seconds.
-
-        It is 0 if the row was read as soon as it was written.
-        """
+    def _estimate_age(self) -> AnnouncementAge:
+        """Return the age of a row that is applied now."""
         if not self._has_operator_rows:
-            return _PRIOR_VERSION_AGE_S
-        return min(self.operator_rows_unread_for(), _MAX_UNREAD_AGE_S)
+            return AnnouncementAge(_PRIOR_VERSION_AGE_S, AgeBasis.BEFORE_START)
+        unread_for = min(self.operator_rows_unread_for(), _MAX_UNREAD_AGE_S)
+        if unread_for > 0.0:
+            return AnnouncementAge(unread_for, AgeBasis.UNREAD)
+        return AnnouncementAge(0.0, AgeBasis.OBSERVED)
 
     def _notify_weights(self) -> None:
         # A callback may add or remove others.
@@ -324,8 +258,4 @@
     )
 
 
-__all__ = [
-    'AnnouncedVersion',
-    'AnnouncedWeights',
-    'View',
-]
+__all__ = ['View']
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -6,10 +6,10 @@
 from typing import TYPE_CHECKING
 
 from lentilrun.coordination.clock import ManualClock
+from lentilrun.gateway.announcements import AnnouncedVersion
+from lentilrun.gateway.announcements import AnnouncedWeights
 from lentilrun.gateway.logs import Log
 from lentilrun.gateway.targets import Targets
-from lentilrun.gateway.view import AnnouncedVersion
-from lentilrun.gateway.view import AnnouncedWeights
 from lentilrun.gateway.view import View
 from lentilrun.platform.rows import Row
 from lentilrun.standins.configuration import make_weights_announcement
