Derive the age of an undated announcement from the operators' limits

Cause: a VM that starts can't see when the version in the store was announced, and assumed 5 s. If all VMs start anew, none corrects it. The limit binds a VM once it has run undisturbed for 4 s here: it then counted 8.7 s of 10 s and sent requests to engines with old weights for up to 0.6 s more, whatever the true age was. 5 s fit the limits of the first deployments (8 s and 3 s) only. The same held for the cap of 3.5 s on the age of rows after a time without reads, as when all VMs stood still. Class: a constant that repeats the limits of one deployment.

Change: both come from stale_weights_limit and undisturbed_time (stable-window-ms of the settings): by the time that the limit binds the VM, an undated announcement counts as at the limit. It counts from the start of the process in place of the first read of the rows.

Seen beside it, and not mended here: test_silent_feeds failed once (ages of 7.43 s in place of 8.0 s): a lag of up to 0.9 s of the feed counts as 0.

--- a/src/lentilrun/decisions/weightsage.py
+++ b/src/lentilrun/decisions/weightsage.py
@@ -6,6 +6,10 @@
 replaced longer ago than the operators' limit. So none is sent that is
 expected to begin later, and one that has not begun shortly before the limit
 is taken back.
+
+A VM that has just started, or has read no rows for a time, can't see how old
+an announcement is. It must keep the limit once it has run undisturbed for a
+time that the operators set.
 """
 
 from __future__ import annotations
@@ -15,6 +19,9 @@
 # A request is taken back this long before the limit: the time in which its
 # engine learns of it.
 _WITHDRAWAL_MARGIN_S = 0.4
+# A process has read the store's rows within this time after its start, or
+# after it went on.
+_FIRST_READ_S = 1.0
 
 
 def may_begin_in_time(
@@ -39,4 +46,17 @@
     return max(0.0, stale_limit - _WITHDRAWAL_MARGIN_S - stale_for)
 
 
-__all__ = ['compute_withdrawal_delay', 'may_begin_in_time']
+def compute_unknown_age(stale_limit: float, undisturbed_time: float) -> float:
+    """Return the age at which an announcement of unknown age counts, in s.
+
+    Once the VM has run undisturbed for ``undisturbed_time`` seconds, it
+    counts as announced ``stale_limit`` seconds ago at least.
+    """
+    return max(0.0, stale_limit - undisturbed_time + _FIRST_READ_S)
+
+
+__all__ = [
+    'compute_unknown_age',
+    'compute_withdrawal_delay',
+    'may_begin_in_time',
+]
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -19,6 +19,7 @@
 from ..decisions.quota import QuotaTolerance
 from ..decisions.rollouts import ExposureLimits
 from ..decisions.topology import Member
+from ..decisions.weightsage import compute_unknown_age
 from ..metrics.registry import Count
 from ..metrics.registry import Metrics
 from ..metrics.registry import Timing
@@ -226,7 +227,11 @@
         self.reachability = Reachability(
             self.clock, self.target_client, self.targets, self.log
         )
-        self.view = View(self.clock, self.targets, self.log)
+        bounds = settings.bounds
+        unknown_age = compute_unknown_age(
+            bounds.stale_weights_limit, bounds.undisturbed_time
+        )
+        self.view = View(self.clock, self.targets, unknown_age, self.log)
         self.crashes = CrashTracker(self.clock, self.log)
         self.stored_segments = StoredSegments(self.clock)
         self.version_reader = VersionReader(
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -30,20 +30,17 @@
     from .targetstate import TargetState
 
 
-# Assumed age of a version that was announced before this process first read
-# the operators' rows.
-_PRIOR_VERSION_AGE_S = 5.0
-# While the store answers, a feed that went silent is read again within this
-# time.
-_MAX_UNREAD_AGE_S = 3.5
-
-
 class View:
     """Applies rows of the store, and never returns to an older version."""
 
-    def __init__(self, clock: Clock, targets: Targets, log: Log) -> None:
+    def __init__(
+        self, clock: Clock, targets: Targets, unknown_age: float, log: Log
+    ) -> None:
+        """Count announcements of unknown age as ``unknown_age`` s old."""
         self._clock = clock
         self._log = log
+        self._started_at = clock.now()
+        self._unknown_age = unknown_age
         self.targets = targets
         targets.on_cold.append(self._log_cold)
         self.evacuations = Evacuations(clock, targets, log)
@@ -127,8 +124,9 @@
     def _estimate_age(self) -> AnnouncementAge:
         """Return the age of a row that is applied now."""
         if not self._has_operator_rows:
-            return AnnouncementAge(_PRIOR_VERSION_AGE_S, AgeBasis.BEFORE_START)
-        unread_for = min(self.operator_rows_unread_for(), _MAX_UNREAD_AGE_S)
+            seconds = self._clock.now() - self._started_at + self._unknown_age
+            return AnnouncementAge(seconds, AgeBasis.BEFORE_START)
+        unread_for = min(self.operator_rows_unread_for(), self._unknown_age)
         if unread_for > 0.0:
             return AnnouncementAge(unread_for, AgeBasis.UNREAD)
         return AnnouncementAge(0.0, AgeBasis.OBSERVED)
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -26,6 +26,7 @@
 _DEFAULT_EXPOSURE_SLACK = 50.0
 # A day is longer than the other limits, so that it changes none of them.
 _DEFAULT_EVACUATION_MS = 86_400_000.0
+_DEFAULT_STABLE_WINDOW_MS = 0.0
 
 
 class Bounds(NamedTuple):
@@ -39,7 +40,8 @@
     a bad version may get ``exposure_share`` and ``exposure_slack`` more. An
     evacuation must be in force within ``evacuation_limit``. A cold target may
     get ``cold_overage`` times its rate and ``cold_slack`` requests in a
-    second; it is not limited where both are 0.
+    second; it is not limited where both are 0. A VM must keep limits on times
+    once it has run undisturbed for ``undisturbed_time``.
     """
 
     drain: float
@@ -56,6 +58,7 @@
     exposure_share: float = _DEFAULT_EXPOSURE_SHARE
     exposure_slack: float = _DEFAULT_EXPOSURE_SLACK
     evacuation_limit: float = _DEFAULT_EVACUATION_MS * _S_PER_MS
+    undisturbed_time: float = 0.0
     cold_overage: float = 0.0
     cold_slack: float = 0.0
 
@@ -137,6 +140,7 @@
     evacuation_ms: _Amount = _DEFAULT_EVACUATION_MS
     cold_overage: _Amount = 0.0
     cold_slack: _Amount = 0.0
+    stable_window_ms: _Amount = _DEFAULT_STABLE_WINDOW_MS
 
 
 class _WireSettings(msgspec.Struct, rename='kebab'):
@@ -170,6 +174,7 @@
         evacuation_limit=wire.evacuation_ms * _S_PER_MS,
         cold_overage=float(wire.cold_overage),
         cold_slack=float(wire.cold_slack),
+        undisturbed_time=wire.stable_window_ms * _S_PER_MS,
     )
     if not all(map(math.isfinite, bounds)):
         raise ValueError('a bound is not finite')
--- a/tests/gateway/test_numbers_never_fall.py
+++ b/tests/gateway/test_numbers_never_fall.py
@@ -37,7 +37,7 @@
 
 
 def _make_view(clock: ManualClock, log_file: int) -> View:
-    return View(clock, Targets(clock, 'a'), Log(clock, 'vm1', log_file))
+    return View(clock, Targets(clock, 'a'), 5.0, Log(clock, 'vm1', log_file))
 
 
 @given(_VERSIONS, _ERAS)
--- a/tests/gateway/test_restored_targets.py
+++ b/tests/gateway/test_restored_targets.py
@@ -69,7 +69,7 @@
     """Rows of a copy take back nothing that a target has reported since."""
     clock = ManualClock()
     targets = Targets(clock, 'a')
-    view = View(clock, targets, Log(clock, 'vm1', log_file))
+    view = View(clock, targets, 5.0, Log(clock, 'vm1', log_file))
     for number, fields in enumerate(registrations):
         era, born, state = _Registration(*fields)
         value = make_target_row('app', _ADDRESS, {}, state, born)
--- a/tests/gateway/test_returning_targets.py
+++ b/tests/gateway/test_returning_targets.py
@@ -38,7 +38,7 @@
     """A limit holds for one start of a target, with the turns taken."""
     clock = ManualClock()
     targets = Targets(clock, 'a')
-    view = View(clock, targets, Log(clock, 'vm1', log_file))
+    view = View(clock, targets, 5.0, Log(clock, 'vm1', log_file))
 
     def write(version: int, born: int | None) -> None:
         value = b''
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -99,7 +99,7 @@
     """Only announcements before the first read are assumed to be old."""
     clock = ManualClock()
     targets = Targets(clock, 'a')
-    view = View(clock, targets, Log(clock, 'vm1', log_file))
+    view = View(clock, targets, 5.0, Log(clock, 'vm1', log_file))
     if is_read_before:
         view.mark_operator_rows_read()
     value = make_weights_announcement(2)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -111,7 +111,7 @@
         clock = SystemClock()
         targets = Targets(clock, 'a')
         try:
-            apply(View(clock, targets, Log(clock, 'vm1', descriptor)))
+            apply(View(clock, targets, 5.0, Log(clock, 'vm1', descriptor)))
         finally:
             os.close(descriptor)
         return targets
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -160,3 +160,9 @@
     assert parse(_TEXT).bounds[-2:] == (0.0, 0.0)
     bounds = parse(_TEXT + 'cold-overage = 1.5\ncold-slack = 5').bounds
     assert (bounds.cold_overage, bounds.cold_slack) == (1.5, 5.0)
+
+
+def test_time_until_limits_bind() -> None:
+    """Guards against limits on times that a VM keeps too late."""
+    bounds = parse(_TEXT + 'stable-window-ms = 4000').bounds
+    assert bounds.undisturbed_time == pytest.approx(4.0)
