Keep in the store when versions of weights were announced

Cause: nothing outlasted the VMs that had seen the announcement.

Change: the first VM that is fit for a lease writes a row for each version, with the time by the store's clock, on the condition that there is none. VMs read it with the rows of the fleet, which they read at their start anyway: one write a version, no read more. The store's row of a version has no time, and only the newest version is left, so a VM that starts also learns of the versions before.

Ruled out: the row of the lease (it says when work began, not what was seen), and the checkpoint of the use (written only near a quota).

--- a/src/lentilrun/gateway/build.py
+++ b/src/lentilrun/gateway/build.py
@@ -33,7 +33,8 @@
     'row_request': 1,
     'statement': 1,
     'forwarded_call': 1,
-    'fleet_rows': 1,
+    # 2: the times of announcements are kept.
+    'fleet_rows': 2,
 }
 
 
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -29,6 +29,7 @@
 from ..web.memory import MemoryLimits
 from ..web.memory import ProcessMemory
 from .admission import Admission
+from .announcementrows import AnnouncementRows
 from .build import state_build
 from .builds import Builds
 from .call import Refusal
@@ -346,6 +347,11 @@
             self.log,
         )
 
+        self.announcement_rows = AnnouncementRows(
+            self.store, self.clock, self.peers, self.view, self.log
+        )
+        self.discovery.on_read.append(self.announcement_rows.apply)
+
     def _build_entry(self) -> None:
         regions = Regions(self.settings.regions, self.log)
         self.view.on_configuration.append(regions.configure)
@@ -614,6 +620,7 @@
             self.upgrades,
             self.rollout_driver,
             self.usage_checkpointer,
+            self.announcement_rows,
             self.reachability,
             self.guard,
         )
--- a/tests/gateway/test_restarted_fleets.py
+++ b/tests/gateway/test_restarted_fleets.py
@@ -13,11 +13,14 @@
 from modelledfleets import LARGE_FLEET
 from modelledfleets import ModelledFleet
 from modelledfleets import SMALL_FLEET
+import msgspec
 import pytest
 
 if TYPE_CHECKING:
     from lentilrun.platform.node import Bounds
 
+# A version is learned within this time.
+_LEARNING_S = 1.0
 # All VMs restart within this time.
 _RESTART_S = 0.5
 
@@ -77,6 +80,59 @@
     timeloop.run(main)
 
 
+@pytest.mark.parametrize(
+    ('data_centres', 'until_restart'),
+    [(SMALL_FLEET, 1.0), (SMALL_FLEET, 3.0), (LARGE_FLEET, 8.0)],
+)
+def test_weights_seem_older_after_all_vms_restart(
+    data_centres: dict[str, int],
+    until_restart: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Engines stay in use while their weights are not too old.
+
+    The store keeps when all versions were announced, not only the last.
+    """
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
+            fleet.start()
+            await asyncio.sleep(5.0)
+            announced_at = loop.time()
+            fleet.announce_weights(2)
+            await asyncio.sleep(until_restart)
+            fleet.announce_weights(3)
+            await asyncio.sleep(1.0)
+            for _ in range(2):
+                await _restart_all(fleet)
+                await asyncio.sleep(1.0)
+                age = loop.time() - announced_at
+                ages = [n.view.stale_for(MODEL, 1) for n in fleet]
+                assert age - _LEARNING_S < min(ages)
+                assert max(ages) < age + _LEARNING_S
+
+    timeloop.run(main)
+
+
+def test_row_of_an_announcement_is_from_another_clock(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A time after the store's own makes no version seem newer."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, SMALL_FLEET) as fleet:
+            fleet.announce_weights(2)
+            row = msgspec.json.encode([MODEL, 2, loop.time() + 5.0])
+            fleet.state.put('fleet', f'announced/2/{MODEL}', row)
+            fleet.state.put('fleet', f'announced/1/{MODEL}', b'[]')
+            fleet.start()
+            await asyncio.sleep(1.0)
+            ages = [n.view.stale_for(MODEL, 1) for n in fleet]
+            assert min(ages) > BOUNDS.stale_weights_limit
+
+    timeloop.run(main)
+
+
 @pytest.mark.parametrize(('limit', 'undisturbed'), [(10.0, 2.0)])
 def test_request_begins_late_after_all_vms_restart(
     limit: float, undisturbed: float
