Count requested rows as old as they may be

Callers got answers that began on weights that had been replaced for longer than the limit allows: VMs took the announcement for up to 3.2 s younger than it was, and went on sending to engines with the old weights.

A VM that misses rows asks other VMs for them. The answer stated the `unread_for` of the sender's last response from the store, which by then was an empty one, so 0: the asker took an announcement that others had read long before for observed just now. If both readers of the store were lost around the announcement, all other VMs had read it after a break and only assumed its age. An observed time replaces an assumed one, so the late VM's time spread to the whole fleet by gossip.

The follower now keeps since when each row may have been written, and the answer to a request states that age. The asker assumes it, as of any row read after a break, and does not report it as observed.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from ..coordination.clock import Clock
     from ..decisions.staleness import ReadLimits
@@ -88,6 +89,8 @@
         self._log = log
         # The newest row of each key; deleted ones too.
         self._rows: dict[str, Row] = {}
+        # The earliest time at which it may have been written, by key.
+        self._written_after: dict[str, float] = {}
         self._present_keys: set[str] = set()
         self._known = KnownChanges()
         self._needs_full_read = True
@@ -169,6 +172,17 @@
         changed.sort(key=lambda r: r.version)
         return Rows(tuple(changed), self._known.complete_version, 0.0)
 
+    def find_age(self, rows: Iterable[Row]) -> float:
+        """Return how long ago any of these rows may have been written, in s.
+
+        They are the newest ones of their keys.
+        """
+        written_after = min(
+            (self._written_after[r.key] for r in rows),
+            default=self._clock.now(),
+        )
+        return self._clock.now() - written_after
+
     def is_divisible(self, after: int) -> bool:
         """Return whether the changes after a version can be sent in parts."""
         return self._known.is_divisible(after)
@@ -334,10 +348,10 @@
     ) -> None:
         """Apply rows that another VM has.
 
-        ``previous_version`` is that of the last change before, and
-        ``unread_for`` what the other VM recorded for these rows. If this VM
-        lacks changes up to that version, it requests them instead. Of a VM
-        that does not state which changes it knows, they may not be complete.
+        ``previous_version`` is that of the last change before. The rows may
+        have been written ``unread_for`` seconds ago. If this VM lacks
+        changes up to that version, it requests them instead. Of a VM that
+        does not state which changes it knows, they may not be complete.
         """
         if (
             self._needs_full_read
@@ -463,6 +477,7 @@
         if known is not None and row.version <= known.version:
             return
         self._rows[row.key] = row
+        self._written_after[row.key] = self._clock.now() - self.unread_for
         self.newest_row_version = max(self.newest_row_version, row.version)
         if row.is_deleted:
             self._present_keys.discard(row.key)
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -304,7 +304,7 @@
 
     ``previous_version`` is the version of the last change that the sender
     knew until then. The rows may have been written ``unread_for`` seconds
-    before it read them, 0 if it read them at once.
+    before it sends them, 0 if it read them at once.
     """
 
     node: str
--- a/src/lentilrun/gateway/rowrelay.py
+++ b/src/lentilrun/gateway/rowrelay.py
@@ -110,7 +110,10 @@
             recipients.update(n for h in peers.hubs().values() for n in h)
         recipients.discard(peers.own_member.name)
         if recipients:
-            self._send(recipients, table, previous_version, changes)
+            unread_for = self._followers[table].unread_for
+            self._send(
+                recipients, table, previous_version, changes, unread_for
+            )
 
     def _send(
         self,
@@ -118,9 +121,11 @@
         table: str,
         previous_version: int,
         changes: Rows,
+        unread_for: float,
     ) -> None:
         """Send rows in messages that each fit a datagram.
 
+        They may have been written ``unread_for`` seconds ago.
         Changes of one version that do not fit one end the series: the others
         learn from gossip that there are newer ones, and read them from the
         store.
@@ -140,7 +145,7 @@
                 previous_version,
                 part.store_version,
                 relayed,
-                follower.unread_for,
+                unread_for,
             )
             self._peers.send(recipients, message)
             previous_version = part.store_version
@@ -156,13 +161,19 @@
     def _respond(self, request: RowRequest) -> None:
         """Send the rows that another VM asks for, if this one has them."""
         follower = self._followers.get(request.table)
-        changes = (
-            follower.list_changes(request.after)
-            if follower is not None
-            else None
+        if follower is None:
+            return
+        changes = follower.list_changes(request.after)
+        if changes is None:
+            return
+        # This VM may have got them long before they are requested.
+        self._send(
+            {request.node},
+            request.table,
+            request.after,
+            changes,
+            follower.find_age(changes.rows),
         )
-        if changes is not None:
-            self._send({request.node}, request.table, request.after, changes)
 
     def _record_progress(self, message: GossipMessage) -> None:
         for table, follower in self._followers.items():
