Add the time that messages take to the ages of announcements

VMs behind a hub with a full link counted announcements of weights from when the messages arrived, and so sent requests to engines with old weights for longer than the limit allows.

Rows and reports that wait at the link of a hub arrive late, with ages as of when they were sent. The delay was added to limits and to what messages state of the store, but not to the ages of announcements: the earliest report was to count anyway. A VM that hears of an announcement from one hub only has no earlier report while the link stays full.

--- a/src/lentilrun/gateway/messagedelays.py
+++ b/src/lentilrun/gateway/messagedelays.py
@@ -52,16 +52,20 @@
 def add_delay(message: GossipMessage, delay: float) -> GossipMessage:
     """Return a message that was sent earlier by its delay.
 
-    Its limits and what it states of the store are older then. Of the other
-    ages in messages, the earliest report counts anyway, or the next message
-    replaces them.
+    Its limits, its announcements and what it states of the store are older
+    then. The next message replaces the other ages.
     """
+    announcements = [
+        msgspec.structs.replace(r, age=r.age + delay)
+        for r in message.announcements
+    ]
     rate_limits = [
         msgspec.structs.replace(r, age=r.age + delay)
         for r in message.rate_limits
     ]
     return msgspec.structs.replace(
         message,
+        announcements=announcements,
         rate_limits=rate_limits,
         row_versions=delay_progress(message.row_versions, delay),
     )
