Count relayed rows as old as the break before them

A VM that had stood still took an announcement of weights for up to 1.84 s younger than it was, and would have sent requests to engines with old weights that much longer than the limit allows.

While a process is frozen, the rows that its hub relays wait at its socket. They state how long they had been unread as they were sent, not how long they waited. Other VMs correct that by gossip if any of them observed the announcement. If the readers of the store were lost at the same time, none did: all assume its age, and assumed ages are not reported.

A row that a VM itself reads from the store after a break counts as old as the break. The same now holds for relayed rows: if a VM has known nothing new for longer than it may rely on others, rows that arrive count at least as old as that. The age is then assumed, so an observed one still replaces it.

--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -362,12 +362,20 @@
                     max(r.version for r in changes.rows)
                 )
             return
-        self.unread_for = unread_for
+        self.unread_for = max(unread_for, self._measure_break())
         if is_complete:
             self._apply_changes(changes)
         else:
             self._apply_single_rows(changes)
 
+    def _measure_break(self) -> float:
+        """Return for how long this VM has known nothing new, in seconds.
+
+        It is 0 if that is no longer than usual. Otherwise rows that arrive
+        now may have waited while this VM stood still.
+        """
+        return self._age() if self._is_stale() else 0.0
+
     def _apply_single_rows(self, changes: Rows) -> None:
         """Apply rows besides which there may be others."""
         for row in changes.rows:
