--- a/src/lentilrun/gateway/follower.py
+++ b/src/lentilrun/gateway/follower.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from ..coordination.clock import Clock
     from ..decisions.staleness import ReadLimits
@@ -85,6 +86,8 @@
         self._log = log
         # The newest row of each key; deleted ones too.
         self._rows: dict[str, Row] = {}
+        # The earliest time at which it may have been written, by key.
+        self._written_after: dict[str, float] = {}
         self._present_keys: set[str] = set()
         self._known = KnownChanges()
         self._needs_full_read = True
@@ -164,6 +167,17 @@
         changed.sort(key=lambda r: r.version)
         return Rows(tuple(changed), self._known.complete_version, 0.0)
 
+    def find_age(self, rows: Iterable[Row]) -> float:
+        """Return how long ago any of these rows may have been written, in s.
+
+        They are the newest ones of their keys.
+        """
+        written_after = min(
+            (self._written_after[r.key] for r in rows),
+            default=self._clock.now(),
+        )
+        return self._clock.now() - written_after
+
     def is_divisible(self, after: int) -> bool:
         """Return whether the changes after a version can be sent in parts."""
         return self._known.is_divisible(after)
@@ -329,10 +343,10 @@
     ) -> None:
         """Apply rows that another VM has.
 
-        ``previous_version`` is that of the last change before, and
-        ``unread_for`` what the other VM recorded for these rows. If this VM
-        lacks changes up to that version, it requests them instead. Of a VM
-        that does not state which changes it knows, they may not be complete.
+        ``previous_version`` is that of the last change before. The rows may
+        have been written ``unread_for`` seconds ago. If this VM lacks
+        changes up to that version, it requests them instead. Of a VM that
+        does not state which changes it knows, they may not be complete.
         """
         if (
             self._needs_full_read
@@ -343,12 +357,20 @@
                     max(r.version for r in changes.rows)
                 )
             return
-        self.unread_for = unread_for
+        self.unread_for = max(unread_for, self._measure_break())
         if is_complete:
             self._apply_changes(changes)
         else:
             self._apply_single_rows(changes)
 
+    def _measure_break(self) -> float:
+        """Return for how long this VM has known nothing new, in seconds.
+
+        It is 0 if that is no longer than usual. Otherwise rows that arrive
+        now may have waited while this VM stood still.
+        """
+        return self._age() if self._is_stale() else 0.0
+
     def _apply_single_rows(self, changes: Rows) -> None:
         """Apply rows besides which there may be others."""
         for row in changes.rows:
@@ -458,6 +480,7 @@
         if known is not None and row.version <= known.version:
             return
         self._rows[row.key] = row
+        self._written_after[row.key] = self._clock.now() - self.unread_for
         self.newest_row_version = max(self.newest_row_version, row.version)
         if row.is_deleted:
             self._present_keys.discard(row.key)
