Refuse an unframed response that ends before the request was sent

Callers got a part of a response as the whole one. A target answered a long upload at once with a 200 without a length, sent a part, ended its side of the connection and reset it, or read no more, while the upload was being written.

A reset that follows the end of the server's side shows in no read: the kernel returns an end of file, and holds the reset back as an error of the socket. The client took that for the end of the response, and the check of the gateway (gateway/responseends.py) asks only whether the target still runs, which it does. It acted on each path that uses the client: plain calls, streams, resumed streams, calls over another VM, kept connections.

A response whose end arrives while the target has not got the request can't be known to be whole: a target that breaks off then looks the same as one that has finished. The client looks at the end of the server's side whether bytes of the request are unwritten or unacknowledged, or the connection was reset meanwhile. A target that has read the request acknowledges it with the same segment at the latest, so that no response to a request that was read is lost.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -18,7 +18,6 @@
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
-from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 
 from ..decisions.memory import Kind
@@ -31,6 +30,7 @@
 from .sockets import DEFAULT_ACK_TIMEOUT_S
 from .sockets import has_input
 from .sockets import make_socket
+from .sockets import RequestStream
 from .sockets import set_ack_timeout
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
     from collections.abc import Callable
     from types import TracebackType
 
+    from tornado.iostream import IOStream
+
     from ..config.ini import Address
     from .body import Body
     from .memory import MemoryLimits
@@ -291,6 +293,8 @@
 class _ClientConnection(HTTP1Connection):
     """Passes on responses without a length as they arrive."""
 
+    stream: RequestStream
+
     def make_successor(self) -> _ClientConnection:
         """Return a connection that reads another response."""
         connection = _ClientConnection(self.stream, True, self.params)
@@ -315,6 +319,12 @@
         if self.stream.error is not None:
             # After a reset the response may be incomplete.
             raise StreamClosedError(self.stream.error)
+        if self.stream.is_request_cut:
+            # A server that has not taken the request may break off as well
+            # as end its response: nothing tells them apart.
+            raise InterruptedExchangeError(
+                'the connection ended before the request was sent'
+            )
 
 
 class _KeptCancellation:
@@ -441,9 +451,11 @@
         expires_at = time.monotonic() + idle_timeout - _IDLE_TIMEOUT_MARGIN_S
         idle.append(_IdleConnection(stream, expires_at, identity))
 
-    async def _connect(self, address: Address, timeout: float) -> IOStream:
+    async def _connect(self, address: Address, timeout: float) -> RequestStream:
         connect_timeout = min(self._connect_timeout, timeout)
-        stream = IOStream(make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES)
+        stream = RequestStream(
+            make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES
+        )
         try:
             async with asyncio.timeout(connect_timeout):
                 await stream.connect((address.host, address.port))
--- a/src/lentilrun/web/sockets.py
+++ b/src/lentilrun/web/sockets.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import array
+import fcntl
 import socket
 import struct
-from typing import TYPE_CHECKING
+import termios
 
-if TYPE_CHECKING:
-    from tornado.iostream import IOStream
+from tornado.iostream import IOStream
 
 # A connection is closed if sent bytes or keep-alive probes stay unacknowledged
 # for this time: a VM without power or behind a network partition doesn't close
@@ -21,6 +22,43 @@
 _DISCARD_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
+class RequestStream(IOStream):
+    """A connection to a server, which may end before it got the request.
+
+    ``is_request_cut`` is set if the server ended its side before its kernel
+    had acknowledged all bytes that were written, or reset the connection
+    right after. A reset then shows in no read: it looks like a plain end.
+    """
+
+    is_request_cut = False
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket; return 0 at the end of the server's side.
+
+        Raises ``OSError`` if the connection has failed.
+        """
+        count = super().read_from_fd(buf)
+        if count == 0:
+            self.is_request_cut = (
+                self.writing()
+                or _count_unacknowledged_bytes(self.socket) > 0
+                or self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+                != 0
+            )
+        return count
+
+
+def _count_unacknowledged_bytes(tcp_socket: socket.socket) -> int:
+    """Return how many bytes a socket holds that its peer has not got.
+
+    A server that has read the whole request acknowledges all of it with the
+    segment that ends its side, so that none are left then.
+    """
+    count = array.array('i', [0])
+    fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, count)
+    return count[0]
+
+
 def make_socket() -> socket.socket:
     """Return a TCP socket that notices when its peer is gone."""
     client_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -76,5 +114,6 @@
     'DEFAULT_ACK_TIMEOUT_S',
     'has_input',
     'make_socket',
+    'RequestStream',
     'set_ack_timeout',
 ]
