End the exchange at a response whose status is none

Callers got what was behind a response with a status of 000, 001, 099, 600, 700 or 999: if a whole response followed in the same packet, it was delivered. The client closes the connection at such a status, but bytes that were read already can still be parsed, and the response was only skipped, as one to another request is. The same held for a response without an ID on a kept connection; if the one behind it had no length, the part of it that had been read was delivered as the whole, as the closed connection seemed to end it.

101 was skipped as an interim response, and what followed was delivered. The client never asks for another protocol, so that 101 is no response to it, and the bytes behind it are none of HTTP.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -63,6 +63,7 @@
 # The same for a connection over which the server has not stated a time yet.
 _UNUSED_IDLE_TIMEOUT_S = 3.0
 _MIN_STATUS = 100
+_SWITCHING_PROTOCOLS = 101
 _STATUS_END = 600
 _HTTP_1_0 = 'HTTP/1.0'
 _IDLE_TIMEOUT_PATTERN = re.compile(r'timeout=(\d+)')
@@ -210,6 +211,14 @@
     return 'Content-Length' in headers or encoding == 'chunked'
 
 
+def _is_status(code: int) -> bool:
+    """Return whether a response to a request of this client may have it.
+
+    The client never asks for another protocol, which would begin after 101.
+    """
+    return _MIN_STATUS <= code < _STATUS_END and code != _SWITCHING_PROTOCOLS
+
+
 def _is_kept_open(version: str, headers: HTTPHeaders) -> bool:
     """Return whether a server keeps the connection after a response.
 
@@ -243,6 +252,7 @@
         self._handler = handler
         self._is_reused = is_reused
         self.is_mismatched = False
+        self.is_rejected = False
         self.finished = False
         self.keep_alive = False
         self.idle_timeout = 0.0
@@ -253,7 +263,10 @@
         headers: HTTPHeaders,
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, ResponseStartLine)
-        if not _MIN_STATUS <= start_line.code < _STATUS_END:
+        if self.is_rejected:
+            # Buffered bytes are read though the connection is closed.
+            return None
+        if not _is_status(start_line.code):
             self._reject()
             return None
         if start_line.code < 200:
@@ -273,7 +286,9 @@
         return self._handler.receive_head(start_line.code, headers)
 
     def _reject(self) -> None:
+        """End the exchange: no later bytes are the response either."""
         self.is_mismatched = True
+        self.is_rejected = True
         self._stream.close()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -451,7 +466,9 @@
         expires_at = time.monotonic() + idle_timeout - _IDLE_TIMEOUT_MARGIN_S
         idle.append(_IdleConnection(stream, expires_at, identity))
 
-    async def _connect(self, address: Address, timeout: float) -> RequestStream:
+    async def _connect(
+        self, address: Address, timeout: float
+    ) -> RequestStream:
         connect_timeout = min(self._connect_timeout, timeout)
         stream = RequestStream(
             make_socket(), max_buffer_size=_MAX_BUFFERED_BYTES
@@ -567,7 +584,11 @@
                 if not delegate.finished or delegate.is_mismatched:
                     raise
                 return 0.0
-            if not delegate.finished or handler.is_stopped:
+            if (
+                not delegate.finished
+                or delegate.is_rejected
+                or handler.is_stopped
+            ):
                 # A response without a length seems complete when the
                 # handler closes its connection.
                 break
