Deliver no unframed body of another VM

VMs send a length or chunks with each response, so that such a body is not from a VM of today, or was cut. Streams without chunks were broken off already; the check holds for all successes now.

--- a/src/lentilrun/gateway/forwarding.py
+++ b/src/lentilrun/gateway/forwarding.py
@@ -246,8 +246,8 @@
                 reuse,
             )
         outcome = result.outcome
-        if receiver.is_stream() and receiver.has_unknown_end():
-            # Other VMs send streams in chunks.
+        if receiver.has_unknown_end():
+            # Other VMs send a length or chunks with all responses.
             outcome = AttemptOutcome.BROKEN
         refusal = None
         reason = _read_refusal_reason(receiver.headers)
