Ask at the own entrance whether a target ended beside its response

The product's own entrance delivered a body without a length of a target that was killed as it sent it: the connections of a killed process end as those of a sound one. The gateway asks whether the target still runs; the entrance now does so too, by the load report that it reads after interrupted exchanges anyway.

--- a/src/lentilrun/entry/attempt.py
+++ b/src/lentilrun/entry/attempt.py
@@ -21,6 +21,7 @@
 from . import streamtokens
 from ..targets import requests
 from ..web.client import InterruptedExchangeError
+from ..web.client import is_framed
 from ..web.client import NotSentError
 from ..web.client import Response
 from .crashprobe import has_crashed
@@ -48,6 +49,7 @@
     from .suspects import SuspectTracker
 
 _OK = 200
+_BODILESS_STATUSES = (204, 304)
 _SERVER_ERROR = 500
 _UNAVAILABLE = 503
 _RETRIABLE_STATUSES = (429, 500, 502, 503)
@@ -229,8 +231,23 @@
             # The connection closed properly, but without the stream's last
             # event.
             await self._handle_interruption('the stream ended early')
+        if self._has_unknown_end() and await self._has_crashed():
+            await self._handle_interruption('the target ended too')
         return await self._complete()
 
+    def _has_unknown_end(self) -> bool:
+        """Return whether a response ended with its connection only.
+
+        The connections of a killed process end in the same way. The last
+        event of a stream tells its end.
+        """
+        receiver = self._receiver
+        if self._call.outgoing.method == 'HEAD' or receiver.is_stream:
+            return False
+        if receiver.status in _BODILESS_STATUSES:
+            return False
+        return not is_framed(receiver.headers)
+
     async def _check_fresh(self) -> None:
         state = self._dependencies.state
         key_digest = self._call.key_digest
--- a/tests/entry/test_attempt_streams.py
+++ b/tests/entry/test_attempt_streams.py
@@ -8,6 +8,9 @@
 from typing import NamedTuple
 from unittest import mock
 
+from earlytargets import EarlyTarget
+from earlytargets import Ending
+from earlytargets import LONG_UPLOAD_BYTES
 from lentilrun.config.ini import Address
 from lentilrun.coordination.clock import SystemClock
 from lentilrun.entry.attempt import AttemptDependencies
@@ -94,10 +97,10 @@
         self.data += data
 
 
-def _make_call(now: float) -> Call:
+def _make_call(now: float, body: bytes = b'{}') -> Call:
     route = SimpleNamespace(urgency=3, idempotent=True, name='r')
     model = SimpleNamespace(name='m')
-    outgoing = OutgoingRequest('POST', '/v1/completions', {}, b'{}')
+    outgoing = OutgoingRequest('POST', '/v1/completions', {}, body)
     return Call(
         'call',
         route,  # type: ignore[arg-type]
@@ -277,3 +280,71 @@
     assert len(target.requests) == case.requests
     assert caller.heads == 1
     assert len({_ATTEMPT.findall(r)[0] for r in target.requests[1:]}) <= 1
+
+
+_CUTS = [e for e in Ending if e not in (Ending.OPEN, Ending.FIN_THEN_READ)]
+_EARLY = {
+    'a body': (b'HTTP/1.1 200 OK\r\n\r\n', b'{"part": 1}'),
+    'a stream': (_UNFRAMED, _number(1)),
+    'a status of 000': (b'HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n',),
+    'a response behind 000': (
+        b'HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n' + _WHOLE,
+    ),
+}
+
+
+@pytest.mark.parametrize('ending', _CUTS)
+@pytest.mark.parametrize('name', _EARLY)
+def test_answer_that_is_cut_during_a_long_upload(
+    name: str, ending: Ending
+) -> None:
+    """Callers got what came of it as a whole answer."""
+
+    async def body() -> None:
+        caller = _Caller()
+        async with EarlyTarget(_EARLY[name], ending) as target:
+            with Client() as client:
+                runner = _make_runner(client, target.address)
+                call = _make_call(
+                    SystemClock().now(), b'x' * LONG_UPLOAD_BYTES
+                )
+                with pytest.raises(CallError):
+                    await runner.run(call, caller)
+                assert target.requests
+        assert _number(1).startswith(caller.data)
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize('is_killed', [False, True])
+def test_unframed_answer_of_a_target_that_is_killed(is_killed: bool) -> None:
+    """The connections of a killed process end as those of a sound one."""
+
+    async def body() -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            head = await reader.readuntil(b'\r\n\r\n')
+            if head.startswith(b'GET /load'):
+                writer.write(_respond(b'200 OK', _LOAD))
+            else:
+                writer.write(b'HTTP/1.1 200 OK\r\n\r\n{"part": 1}')
+                if is_killed:
+                    server.close()
+            writer.close()
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        async with server:
+            with Client() as client:
+                runner = _make_runner(client, address)
+                call = _make_call(SystemClock().now())
+                if is_killed:
+                    with pytest.raises(CallError):
+                        await runner.run(call, _Caller())
+                    return
+                result = await runner.run(call, _Caller())
+                assert result.response is not None
+                assert result.response.body == b'{"part": 1}'
+
+    asyncio.run(body())
