Refuse unframed values of the own tables and objects

A raw value, unlike JSON, has no form that tells whether it is whole. One that came without a length or chunks from a service that was killed was taken as it was, also if not a byte of it had arrived: an empty value of a row. It now is a PlatformError, as any other failed read.

--- a/src/lentilrun/platform/objects.py
+++ b/src/lentilrun/platform/objects.py
@@ -6,6 +6,7 @@
 from urllib.parse import quote
 
 from ..errors import PlatformError
+from .service import take_value
 
 if TYPE_CHECKING:
     from .service import PlatformService
@@ -30,7 +31,7 @@
             raise PlatformError(
                 f'the object store responded with status {response.status}'
             )
-        return response.body
+        return take_value(response)
 
     async def write(self, key: str, value: bytes) -> None:
         """Store an object; safe to repeat. Raises ``PlatformError``."""
--- a/src/lentilrun/platform/service.py
+++ b/src/lentilrun/platform/service.py
@@ -6,6 +6,7 @@
 
 from ..errors import PlatformError
 from ..web.client import InterruptedExchangeError
+from ..web.client import is_framed
 from ..web.client import NotSentError
 from ..web.client import Request
 
@@ -18,6 +19,17 @@
 _SERVER_ERROR_STATUS = 500
 
 
+def take_value(response: Response) -> bytes:
+    """Return the body of a response, whose form tells nothing of its end.
+
+    A response without a length or chunks ends with its connection, as it
+    does if the service is killed: raises ``PlatformError`` then.
+    """
+    if not is_framed(response.headers):
+        raise PlatformError('a value came without its length')
+    return response.body
+
+
 class PlatformService:
     """Client of one service of the platform, at one address."""
 
@@ -54,4 +66,4 @@
         return response
 
 
-__all__ = ['DEFAULT_TIMEOUT_S', 'PlatformService']
+__all__ = ['DEFAULT_TIMEOUT_S', 'PlatformService', 'take_value']
--- a/src/lentilrun/platform/tables.py
+++ b/src/lentilrun/platform/tables.py
@@ -16,6 +16,7 @@
 from ..coordination.table import Row
 from ..errors import ConflictError
 from ..errors import PlatformError
+from .service import take_value
 
 if TYPE_CHECKING:
     from .service import PlatformService
@@ -71,7 +72,7 @@
         if response.status != _OK:
             raise PlatformError(f'the table said {response.status}')
         version = _parse_entity_tag(response.headers.get('ETag', ''))
-        return Row(key, response.body, version)
+        return Row(key, take_value(response), version)
 
     async def write(self, key: str, value: bytes, version: int) -> int:
         """Write if the row has ``version``; return the new version.
