Test ages of announcements that nobody observed

Since VMs count the lag of the feed, and the store keeps when weights were announced, the tests of requested and held rows no longer fail without the fixes of these: after a short break the readers still observe the announcement, and correct the others. After a break of 1.5 s or more nobody does, so the ages that a late VM takes count for all.

The new cases break all feeds before the announcement.

--- a/tests/gateway/test_frozen_ages.py
+++ b/tests/gateway/test_frozen_ages.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from lentilrun.config.ini import Address
 
+# All calls of the feed hang for so long before an announcement, and until
+# this long after it.
+_BREAK_S = 2.5
+_BREAK_END_S = 0.1
 _CHECKED_S = 6.0
 _SLACK_S = 0.1
 
@@ -89,3 +93,48 @@
             assert not young
 
     timeloop.run(main)
+
+
+@pytest.mark.parametrize('pause', [2.0, 3.0])
+@pytest.mark.parametrize(
+    ('data_centres', 'frozen'),
+    [
+        (SMALL_FLEET, 'c001'),
+        (LARGE_FLEET, 'c000'),
+        (LARGE_FLEET, 'c005'),
+        (SINGLE_DATA_CENTRE, 'a005'),
+    ],
+)
+def test_announcement_was_held_after_all_feeds_broke(
+    data_centres: dict[str, int],
+    frozen: str,
+    pause: float,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The same where no VM read the announcement without a break."""
+
+    async def main(loop: timeloop.TimeLoop) -> None:
+        with ModelledFleet(loop, monkeypatch, data_centres) as fleet:
+            fleet.start()
+            await asyncio.sleep(STARTED_S)
+            for store in fleet.stores.values():
+                store.hangs = True
+            await asyncio.sleep(_BREAK_S)
+            held = _HeldDatagrams(fleet, frozen)
+            fleet.announce_weights(2)
+            announced_at = loop.time()
+            await asyncio.sleep(_BREAK_END_S)
+            for name, store in fleet.stores.items():
+                store.hangs = name == frozen
+            await asyncio.sleep(announced_at + pause - loop.time())
+            held.release()
+            await asyncio.sleep(announced_at + _CHECKED_S - loop.time())
+            ages = {n.settings.name: n.view.stale_for(MODEL, 1) for n in fleet}
+            young = {
+                n: round(age, 2)
+                for n, age in ages.items()
+                if age < _CHECKED_S - _SLACK_S
+            }
+            assert not young
+
+    timeloop.run(main)
--- a/tests/gateway/test_late_messages.py
+++ b/tests/gateway/test_late_messages.py
@@ -13,7 +13,10 @@
 from hypothesis import strategies as st
 from lentilrun.config.ini import Address
 from lentilrun.coordination.clock import ManualClock
+from lentilrun.gateway.messagedelays import add_delay
 from lentilrun.gateway.messagedelays import MessageDelays
+from lentilrun.gateway.messages import AnnouncementReport
+from lentilrun.gateway.messages import decode
 from lentilrun.gateway.messages import encode
 from lentilrun.gateway.messages import GossipMessage
 from lentilrun.gateway.messages import RateLimitReport
@@ -325,6 +328,16 @@
         assert -1e-3 <= delay <= arrived_at - sent_at + 1e-3
 
 
+def test_announcement_in_a_late_message() -> None:
+    """It is older by the delay, though no earlier report of it has come."""
+    message = decode(_Sent(1).encode())
+    assert isinstance(message, GossipMessage)
+    reports = [AnnouncementReport('model', 2, 1.0)]
+    message = msgspec.structs.replace(message, announcements=reports)
+    (report,) = add_delay(message, 2.0).announcements
+    assert report == AnnouncementReport('model', 2, 3.0)
+
+
 @pytest.mark.parametrize(
     ('stages', 'expected', 'is_retired'),
     [
