Send a call to an idle target that was slow before

What callers would see: the only target of a service, or all of them, answer slowly for about a second. Calls with short deadlines are then refused as overloaded for 40 s and more, though no request is in flight.

Seen: trials of the stream deadline test in which the target's loop stalls three times for 0.4 s.

Cause: a call is refused if the wait times the target's pace exceeds its time left. The pace follows from first events; while all calls are refused there are none. It only decays with a half-life of 15 s, from up to 20 times the usual one. Class: a rejection that rests on measurements which only accepted calls renew.

Why it works: a target without requests in flight, of any VM, is judged at the usual pace. One call at a time shows whether it is slow still. Calls that would be late at the usual pace are refused as before.

--- a/src/lentilrun/decisions/placement.py
+++ b/src/lentilrun/decisions/placement.py
@@ -248,6 +248,15 @@
     )
 
 
+def assume_usual_pace(choice: TargetChoice) -> TargetChoice:
+    """Return what a request finds if the target has the usual pace again."""
+    wait = choice.estimated_wait / choice.pace
+    queue_wait = choice.queue_wait - (choice.estimated_wait - wait)
+    return choice._replace(
+        estimated_wait=wait, queue_wait=max(0.0, queue_wait), pace=1.0
+    )
+
+
 def compute_sample_size(targets: int, unreported: float) -> int:
     """Return how many of the targets are compared for a request.
 
@@ -306,6 +315,7 @@
 
 
 __all__ = [
+    'assume_usual_pace',
     'Candidate',
     'choose_target',
     'compute_sample_size',
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.facts import RouteKind
+from ..decisions.placement import assume_usual_pace
 from ..decisions.streammoves import MAX_BUDGET_SHARE
 from ..decisions.streammoves import may_move
 from ..decisions.streammoves import RunningStream
@@ -499,7 +500,12 @@
     def _make_prospect(self, assignment: Assignment) -> Prospect:
         call = self._call
         choice = assignment.choice
-        waited = self._context.clock.now() - call.incoming.arrived_at
+        now = self._context.clock.now()
+        # A target that was slow shows that it is not any more only by a
+        # request: without any in flight it is sent one.
+        if choice.pace > 1.0 and not assignment.state.count_in_flight(now):
+            choice = assume_usual_pace(choice)
+        waited = now - call.incoming.arrived_at
         time_left = self._waiting_time_left()
         aim = (
             call.route.target_latency
