Share and keep assumed times of announcements

What callers would see: engines with weights that were replaced too long ago got requests from a VM that started after a second announcement (VERSION).

Only observed times were reported and kept. Version 2, announced while all VMs were down, had an assumed time; a VM that started after version 3 read the row of 3 only, took its observed time for that of all versions before, and counted 5.2 s of 11 s.

Change: assumed times go to other VMs, as entries of row_versions that ignores, for 30 s, and into the store; an observed time of the same version goes before them.

--- a/src/lentilrun/decisions/weightsage.py
+++ b/src/lentilrun/decisions/weightsage.py
@@ -19,8 +19,8 @@
 # A request is taken back this long before the limit: the time in which its
 # engine learns of it.
 _WITHDRAWAL_MARGIN_S = 0.4
-# A process has read the store's rows within this time after its start, or
-# after it went on.
+# A process reads the store's rows within this time after it starts or
+# resumes.
 _FIRST_READ_S = 1.0
 
 
@@ -47,10 +47,10 @@
 
 
 def compute_unknown_age(stale_limit: float, undisturbed_time: float) -> float:
-    """Return the age at which an announcement of unknown age counts, in s.
+    """Return the age assumed for an undated announcement, in seconds.
 
-    Once the VM has run undisturbed for ``undisturbed_time`` seconds, it
-    counts as announced ``stale_limit`` seconds ago at least.
+    It reaches ``stale_limit`` once the VM has run undisturbed for
+    ``undisturbed_time`` seconds.
     """
     return max(0.0, stale_limit - undisturbed_time + _FIRST_READ_S)
 
--- a/src/lentilrun/gateway/announcementrows.py
+++ b/src/lentilrun/gateway/announcementrows.py
@@ -32,40 +32,51 @@
 _KEY_PREFIX = 'announced/'
 # Rows of a model that are kept.
 _MAX_ROWS = 32
-# A VM that becomes the first of the fleet writes what lacks within this time.
+# A VM that becomes the first candidate writes missing rows within this time.
 _CHECK_INTERVAL_S = 1.0
 # The row must not exist.
 _NO_ROW = 0
 
 
 class _AnnouncementRow(PositionalRecord, frozen=True):
-    """An announcement, at a time by the store's clock, in seconds."""
+    """An announcement, at a time by the store's clock, in seconds.
+
+    ``is_assumed`` if no VM observed it.
+    """
 
     model: str
     version: int
     announced_at: float
+    is_assumed: bool = False
 
 
 _decoder = msgspec.json.Decoder(_AnnouncementRow)
 _DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
-class _Version(NamedTuple):
+class _ModelVersion(NamedTuple):
     """A version of a model's weights."""
 
     model: str
     version: int
 
 
-def _make_key(version: _Version) -> str:
+class _AnnouncementTime(NamedTuple):
+    """When a version was announced, in seconds by the VM's clock."""
+
+    announced_at: float
+    is_assumed: bool
+
+
+def _make_key(version: _ModelVersion) -> str:
     return f'{_KEY_PREFIX}{version.version}/{version.model}'
 
 
 class AnnouncementRows:
-    """Writes when versions were announced, and tells the view what it reads.
+    """Writes when versions were announced, and passes what it reads on.
 
-    Only the first of the VMs that are fit for a lease writes. The first row
-    of a version is never written again, so that its age only grows.
+    Only the first lease candidate writes. A row is written once and not
+    corrected, so that no restart makes a version seem newer.
     """
 
     def __init__(
@@ -81,12 +92,12 @@
         self._peers = peers
         self._view = view
         self._log = log
-        # When the versions were announced, by the VM's clock, in seconds.
-        self._announced_at: dict[_Version, float] = {}
-        self._written: set[_Version] = set()
+        # What was read from the store.
+        self._times: dict[_ModelVersion, _AnnouncementTime] = {}
+        self._written: set[_ModelVersion] = set()
         self._weights_changed = asyncio.Event()
         view.on_weights.append(self._weights_changed.set)
-        view.on_weights.append(self._report)
+        view.on_weights.append(self._pass_to_view)
         # A store that was restored from an older copy may lack rows.
         store.on_restored.append(self._written.clear)
 
@@ -105,21 +116,25 @@
         """Write what is not written; raises ``PlatformError``."""
         if not self._is_writer():
             return
-        for report in self._view.export_announcements():
-            version = _Version(report.model, report.version)
-            if version not in self._written:
-                await self._write(version, report.age)
+        for is_assumed in (False, True):
+            for report in self._view.export_announcements(is_assumed):
+                version = _ModelVersion(report.model, report.version)
+                if version not in self._written:
+                    await self._write(version, report.age, is_assumed)
 
     def _is_writer(self) -> bool:
         candidates = self._peers.list_lease_candidates()
         return candidates[:1] == [self._peers.own_member.name]
 
-    async def _write(self, version: _Version, age: float) -> None:
+    async def _write(
+        self, version: _ModelVersion, age: float, is_assumed: bool
+    ) -> None:
         """Write that a version was announced ``age`` seconds ago.
 
         Raises ``PlatformError`` if the store does not answer.
         """
-        row = _AnnouncementRow(*version, self._store.estimate_clock() - age)
+        announced_at = self._store.estimate_clock() - age
+        row = _AnnouncementRow(*version, announced_at, is_assumed)
         value = msgspec.json.encode(row)
         write = Write(FLEET_TABLE, _make_key(version), value, _NO_ROW)
         try:
@@ -136,30 +151,21 @@
             age=age,
         )
 
-    def _list_removals(self, added: _Version) -> list[Write]:
+    def _list_removals(self, added: _ModelVersion) -> list[Write]:
         """Return the removals of the oldest rows of a model."""
         versions = sorted(v for v in self._written if v.model == added.model)
         removed = versions[: max(0, len(versions) + 1 - _MAX_ROWS)]
-        self._written.difference_update(removed)
+        for version in removed:
+            self._written.discard(version)
+            self._times.pop(version, None)
         return [Write(FLEET_TABLE, _make_key(v), None, None) for v in removed]
 
-    def apply(self, table_rows: Rows) -> None:
+    def apply_rows(self, table_rows: Rows) -> None:
         """Take over the announcements among the rows of the fleet."""
-        now = self._clock.now()
-        for row in table_rows.rows:
-            if not row.key.startswith(_KEY_PREFIX):
-                continue
-            announcement = self._decode(row)
-            if announcement is None:
-                continue
-            age = table_rows.store_time - announcement.announced_at
-            if age < 0.0:
-                self._log.write('announcement_in_future', key=row.key)
-                continue
-            version = _Version(announcement.model, announcement.version)
-            self._written.add(version)
-            self._announced_at[version] = now - age
-        self._report()
+        rows = [r for r in table_rows.rows if r.key.startswith(_KEY_PREFIX)]
+        for announcement in filter(None, map(self._decode, rows)):
+            self._record(announcement)
+        self._pass_to_view()
 
     def _decode(self, row: Row) -> _AnnouncementRow | None:
         try:
@@ -168,15 +174,33 @@
             self._log.write('row_unreadable', key=row.key, error=error)
             return None
 
-    def _report(self) -> None:
+    def _record(self, row: _AnnouncementRow) -> None:
+        """Record a row, unless its time is after the store's own."""
+        age = self._store.latest_clock() - row.announced_at
+        if age < 0.0:
+            self._log.write(
+                'announcement_in_future', model=row.model, version=row.version
+            )
+            return
+        version = _ModelVersion(row.model, row.version)
+        self._written.add(version)
+        self._times[version] = _AnnouncementTime(
+            self._clock.now() - age, row.is_assumed
+        )
+
+    def _pass_to_view(self) -> None:
         """Tell the view, which ignores versions that it has no row of yet."""
-        now = self._clock.now()
         self._view.receive_announcements(
-            [
-                AnnouncementReport(v.model, v.version, now - announced_at)
-                for v, announced_at in self._announced_at.items()
-            ]
+            self._list_reports(False), self._list_reports(True)
         )
 
+    def _list_reports(self, is_assumed: bool) -> list[AnnouncementReport]:
+        now = self._clock.now()
+        return [
+            AnnouncementReport(v.model, v.version, now - t.announced_at)
+            for v, t in self._times.items()
+            if t.is_assumed == is_assumed
+        ]
+
 
 __all__ = ['AnnouncementRows']
--- a/src/lentilrun/gateway/announcements.py
+++ b/src/lentilrun/gateway/announcements.py
@@ -16,8 +16,9 @@
 class AgeBasis(enum.StrEnum):
     """What the age of an announcement is based on when its row is applied.
 
-    The rows were read without a break, the row was written before this
-    process first read them, or while none were read.
+    ``OBSERVED``: the rows were read without a break. ``BEFORE_START``: the
+    row was there when this process first read them. ``UNREAD``: none were
+    read for a time.
     """
 
     OBSERVED = 'observed'
@@ -33,10 +34,10 @@
 
 
 class AnnouncedVersion(NamedTuple):
-    """A version that was announced; ``announced_at`` in s by the clock.
+    """A version that was announced, at the earliest at ``announced_at``.
 
-    The time is only assumed, as the earliest one, if the announcement was
-    older than the process or this VM had not read the store for a time.
+    The time is in seconds by the clock. ``is_assumed`` if no VM read the
+    row without a break.
     """
 
     version: int
@@ -63,32 +64,29 @@
         del self._announcements[:-_MAX_ANNOUNCEMENTS]
         return True
 
-    def correct(self, observed: AnnouncedVersion) -> bool:
-        """Apply the time that another VM observed; return if it counts.
+    def correct(self, reported: AnnouncedVersion) -> bool:
+        """Apply a time that another VM or a row of the store states.
 
-        The earliest observed time of a version counts, and versions that
-        this VM missed are added. Versions above the newest are ignored.
+        Return whether it changed anything. The earliest observed time of a
+        version counts, else the earliest assumed one. Versions that this VM
+        missed are added, those above the newest are ignored.
         """
-        if observed.version > self.newest_version:
+        if reported.version > self.newest_version:
             return False
         known = [
-            a for a in self._announcements if a.version == observed.version
+            a for a in self._announcements if a.version == reported.version
         ]
-        if any(
-            not a.is_assumed
-            and a.announced_at - observed.announced_at < _MIN_CORRECTION_S
-            for a in known
-        ):
+        if any(not _is_better(reported, a) for a in known):
             return False
         others = [a for a in self._announcements if a not in known]
-        announcements = sorted([*others, observed])
+        announcements = sorted([*others, reported])
         self._announcements = announcements[-_MAX_ANNOUNCEMENTS:]
-        return True
+        return reported in self._announcements
 
-    def list_observed(self) -> list[AnnouncedVersion]:
-        """Return the newest versions whose time was observed by a VM."""
-        observed = [a for a in self._announcements if not a.is_assumed]
-        return observed[-_MAX_REPORTED_ANNOUNCEMENTS:]
+    def list_newest(self, is_assumed: bool) -> list[AnnouncedVersion]:
+        """Return the newest versions whose time is observed, or assumed."""
+        listed = [a for a in self._announcements if a.is_assumed == is_assumed]
+        return listed[-_MAX_REPORTED_ANNOUNCEMENTS:]
 
     def replaced_at(self, version: int) -> float | None:
         """Return when the first newer version was announced, if any was."""
@@ -98,6 +96,13 @@
         return min(newer, default=None)
 
 
+def _is_better(reported: AnnouncedVersion, known: AnnouncedVersion) -> bool:
+    """Return whether a time of the same version is to replace another."""
+    if reported.is_assumed != known.is_assumed:
+        return known.is_assumed
+    return known.announced_at - reported.announced_at >= _MIN_CORRECTION_S
+
+
 __all__ = [
     'AgeBasis',
     'AnnouncedVersion',
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from .messages import encode_assumed_announcements
 from .messages import encode_returns
 from .messages import encode_sent_at
 from .messages import GossipMessage
@@ -26,6 +27,7 @@
     from ..config.ini import Address
     from ..coordination.clock import Clock
     from .crashes import CrashTracker
+    from .messages import AnnouncementReport
     from .peers import Peers
     from .quotas import Quotas
     from .ratelimits import RateLimits
@@ -42,6 +44,9 @@
     Scope.DATA_CENTRE: Origin.LOCAL,
     Scope.FLEET: Origin.REMOTE,
 }
+# Announcements that nobody observed are reported until this age; VMs that
+# start later read them from the store.
+_MAX_ASSUMED_AGE_S = 30.0
 # Failures whose decayed count is below this are not reported.
 _MIN_REPORTED_FAILURES = 0.05
 
@@ -144,11 +149,14 @@
             {
                 **self._row_relay.export_progress(),
                 **encode_returns(self._targets.list_returns()),
+                **encode_assumed_announcements(
+                    self._list_assumed_announcements()
+                ),
                 SENT_AT: encode_sent_at(self._clock.now()),
             },
             self._stored_segments.recent.export(max_origin),
             self._targets.prefills.export(max_origin),
-            self._view.export_announcements(),
+            self._view.export_announcements(is_assumed=False),
             self._crashes.recent_cleared.export(max_origin),
             self._rollouts.export(self.is_driving_rollouts()),
             self._rollouts.reporter.recent.export(max_origin),
@@ -158,6 +166,10 @@
             self._targets.list_stated_leaving(),
         )
 
+    def _list_assumed_announcements(self) -> list[AnnouncementReport]:
+        reports = self._view.export_announcements(is_assumed=True)
+        return [r for r in reports if r.age < _MAX_ASSUMED_AGE_S]
+
     def _list_sources(self, scope: Scope) -> list[str]:
         """Return the VMs whose loads a message adds to those of this VM."""
         if scope is Scope.VM:
@@ -237,7 +249,9 @@
         self._rate_limits.receive(message.rate_limits, message.node)
         self._targets.receive_leaving(message.leaving_targets)
         self._targets.receive_returns(message.list_returns())
-        self._view.receive_announcements(message.announcements)
+        self._view.receive_announcements(
+            message.announcements, message.list_assumed_announcements()
+        )
         self._apply_crashes(message)
         self._apply_cache_reports(message)
         # Later messages of the same sum add to what its first one states.
--- a/src/lentilrun/gateway/messagedelays.py
+++ b/src/lentilrun/gateway/messagedelays.py
@@ -9,10 +9,13 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
 import msgspec
 
+from .messages import AnnouncementReport
 from .messages import delay_progress
+from .messages import RateLimitReport
 
 if TYPE_CHECKING:
     from .messages import GossipMessage
@@ -21,6 +24,8 @@
 # that was set anew matters for at most twice as long.
 _WINDOW_S = 5.0
 
+_Report = TypeVar('_Report', AnnouncementReport, RateLimitReport)
+
 
 class MessageDelays:
     """The messages of one process of a VM; times in seconds."""
@@ -55,20 +60,16 @@
     Its limits, its announcements and what it states of the store are older
     then. The next message replaces the other ages.
     """
-    announcements = [
-        msgspec.structs.replace(r, age=r.age + delay)
-        for r in message.announcements
-    ]
-    rate_limits = [
-        msgspec.structs.replace(r, age=r.age + delay)
-        for r in message.rate_limits
-    ]
     return msgspec.structs.replace(
         message,
-        announcements=announcements,
-        rate_limits=rate_limits,
+        announcements=_add_to_ages(message.announcements, delay),
+        rate_limits=_add_to_ages(message.rate_limits, delay),
         row_versions=delay_progress(message.row_versions, delay),
     )
 
 
+def _add_to_ages(reports: list[_Report], delay: float) -> list[_Report]:
+    return [msgspec.structs.replace(r, age=r.age + delay) for r in reports]
+
+
 __all__ = ['add_delay', 'MessageDelays']
--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -34,6 +34,9 @@
 # Before the name of a data centre: for how many microseconds its evacuation
 # has ended.
 _RETURNED = '/returned/'
+# Before a version and its model: how many microseconds ago it is assumed to
+# have been announced.
+_ASSUMED_ANNOUNCEMENT = '/announced/'
 _US_PER_S = 1e6
 
 # Sums of counts must fit into the 64 bits of an encoded integer.
@@ -233,6 +236,21 @@
             if name.startswith(_RETURNED)
         }
 
+    def list_assumed_announcements(self) -> list[AnnouncementReport]:
+        """Return the announcements that no VM is known to have observed."""
+        reports = []
+        for name, age in self.row_versions.items():
+            if not name.startswith(_ASSUMED_ANNOUNCEMENT):
+                continue
+            parts = name.removeprefix(_ASSUMED_ANNOUNCEMENT)
+            version, _, model = parts.partition('/')
+            if version.isdecimal():
+                seconds = max(0.0, age / _US_PER_S)
+                reports.append(
+                    AnnouncementReport(model, int(version), seconds)
+                )
+        return reports
+
     def find_progress(self, table: str) -> TableProgress | None:
         """Return which changes of a table its sender knows.
 
@@ -275,6 +293,21 @@
     }
 
 
+def encode_assumed_announcements(
+    reports: list[AnnouncementReport],
+) -> dict[str, int]:
+    """Return the row versions that state announcements nobody observed.
+
+    No table has such a name, so a VM that doesn't know it ignores it.
+    """
+    return {
+        f'{_ASSUMED_ANNOUNCEMENT}{r.version}/{r.model}': round(
+            r.age * _US_PER_S
+        )
+        for r in reports
+    }
+
+
 def delay_progress(
     row_versions: dict[str, int], delay: float
 ) -> dict[str, int]:
@@ -287,7 +320,9 @@
 
 
 def _is_age(name: str) -> bool:
-    return name.endswith(_AGE) or name.startswith(_RETURNED)
+    return name.endswith(_AGE) or name.startswith(
+        (_RETURNED, _ASSUMED_ANNOUNCEMENT)
+    )
 
 
 class RelayedRow(PositionalRecord, frozen=True):
@@ -304,7 +339,7 @@
 
     ``previous_version`` is the version of the last change that the sender
     knew until then. The rows may have been written ``unread_for`` seconds
-    before it sends them; other builds state 0 for less than about a second.
+    before it sends them; earlier builds state 0 for less than about a second.
     """
 
     node: str
@@ -407,6 +442,7 @@
     'delay_progress',
     'encode',
     'encode_compressed',
+    'encode_assumed_announcements',
     'encode_progress',
     'encode_returns',
     'encode_sent_at',
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -350,7 +350,7 @@
         self.announcement_rows = AnnouncementRows(
             self.store, self.clock, self.peers, self.view, self.log
         )
-        self.discovery.on_read.append(self.announcement_rows.apply)
+        self.discovery.on_read.append(self.announcement_rows.apply_rows)
 
     def _build_entry(self) -> None:
         regions = Regions(self.settings.regions, self.log)
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -29,7 +29,8 @@
     from .targets import Targets
     from .targetstate import TargetState
 
-# A feed that is read without a break returns a row at most this late.
+# A feed that is read without a break returns a row at most this late. After a
+# longer time the age is assumed, and an observed one replaces it.
 _MAX_OBSERVED_AGE_S = 1.5
 
 
@@ -147,40 +148,54 @@
         for callback in self.on_rollout_order:
             callback(order)
 
-    def export_announcements(self) -> list[AnnouncementReport]:
-        """Return the age of the newest announcements, for other VMs."""
+    def export_announcements(
+        self, is_assumed: bool
+    ) -> list[AnnouncementReport]:
+        """Return the age of the newest announcements, for other VMs.
+
+        The ages are those that a VM observed, or those that are assumed.
+        """
         now = self._clock.now()
         return [
             AnnouncementReport(m, a.version, round(now - a.announced_at, 3))
             for m, w in self.announced.items()
-            for a in w.list_observed()
+            for a in w.list_newest(is_assumed)
         ]
 
-    def receive_announcements(self, reports: list[AnnouncementReport]) -> None:
+    def receive_announcements(
+        self,
+        observed: list[AnnouncementReport],
+        assumed: list[AnnouncementReport],
+    ) -> None:
         """Correct the age of announcements that another VM saw earlier.
 
         A VM may learn of one late: its connection to the store was silent,
-        it stood still, or it has just started.
+        it stood still, or it has just started. It misses a version if the
+        next one was announced before it read the row.
         """
         now = self._clock.now()
-        corrected = [r for r in reports if self._correct_announcement(r, now)]
-        if corrected:
+        corrected = [self._correct(r, now, False) for r in observed]
+        corrected += [self._correct(r, now, True) for r in assumed]
+        if any(corrected):
             self._notify_weights()
 
-    def _correct_announcement(
-        self, report: AnnouncementReport, now: float
+    def _correct(
+        self, report: AnnouncementReport, now: float, is_assumed: bool
     ) -> bool:
         weights = self.announced.get(report.model)
         if weights is None:
             return False
-        observed = AnnouncedVersion(report.version, now - report.age)
-        if not weights.correct(observed):
+        announced_at = now - report.age
+        if not weights.correct(
+            AnnouncedVersion(report.version, announced_at, is_assumed)
+        ):
             return False
         self._log.write(
             'weights_age_corrected',
             model=report.model,
             version=report.version,
             age=report.age,
+            assumed=is_assumed,
         )
         return True
 
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -41,7 +41,8 @@
     evacuation must be in force within ``evacuation_limit``. A cold target may
     get ``cold_overage`` times its rate and ``cold_slack`` requests in a
     second; it is not limited where both are 0. A VM must keep limits on times
-    once it has run undisturbed for ``undisturbed_time``.
+    once it has run undisturbed for ``undisturbed_time``; where it is 0,
+    undated announcements count as past their limit.
     """
 
     drain: float
