Report more announcements to other VMs

What callers would see: a VM that heard nothing while six versions were announced counted old weights from the fourth newest: 0.85 to 3.96 s too young with versions every 0.5 to 2.0 s (VERSION).

Cause: a message reports four versions.

--- a/src/lentilrun/gateway/announcements.py
+++ b/src/lentilrun/gateway/announcements.py
@@ -8,7 +8,7 @@
 # Number of announcements that are kept for a model.
 _MAX_ANNOUNCEMENTS = 32
 # Number of announcements of a model that a message reports.
-_MAX_REPORTED_ANNOUNCEMENTS = 4
+_MAX_REPORTED_ANNOUNCEMENTS = 12
 # Reports of the same observation differ by the time that messages take.
 _MIN_CORRECTION_S = 0.02
 
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -70,11 +70,12 @@
 
 
 def test_assumed_times_are_reported_as_such() -> None:
-    """At most the newest four go to other VMs, observed or assumed."""
+    """At most the newest twelve go to other VMs, observed or assumed."""
     weights = AnnouncedWeights(AnnouncedVersion(1, 0.0, True))
-    for number in range(2, 8):
+    for number in range(2, 20):
         weights.add(AnnouncedVersion(number, float(number)))
-    assert [a.version for a in weights.list_newest(False)] == [4, 5, 6, 7]
+    reported = [a.version for a in weights.list_newest(False)]
+    assert reported == list(range(8, 20))
     assert [a.version for a in weights.list_newest(True)] == [1]
 
 
