Share the new versions and the traffic of two benchmarks

Cause: benchmarks/moves.py and benchmarks/rollouts.py each had a VersionBehaviour, the conditions of its faults and a sender of seeded traffic.

Change: benchmarks/versions.py and benchmarks/traffic.py serve both. A slow version of moves has slow_share=1.0 now, and the slow ones of rollouts name their slowdown of 4.0, which was the default. The tests import VersionBehaviour from its new place.

--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -16,6 +16,9 @@
 from typing import TYPE_CHECKING
 
 from absl import logging
+from benchmarks.traffic import send_traffic
+from benchmarks.versions import Conditions
+from benchmarks.versions import VersionBehaviour
 from lentilrun.config import declaration
 from lentilrun.coordination.table import MemoryTable
 from lentilrun.fleet.state import CONFIGURATION_TOPIC
@@ -36,6 +39,8 @@
 from tornado.httputil import HTTPHeaders
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from lentilrun.config.configuration import Configuration
     from lentilrun.config.ini import Address
     from lentilrun.standins.timeloop import TimeLoop
@@ -53,40 +58,20 @@
 _ROUTES = ('chat', 'sort')
 VERDICT_GRACE_S = 3.0
 
-
-class VersionBehaviour(NamedTuple):
-    """How a new version behaves.
-
-    ``failure_share`` is the share of requests that fail, ``slowdown`` a
-    factor on service times. The faults start after ``after_requests``
-    requests, on targets that run at least ``min_running``, and if
-    ``route`` is set on that route only. ``traffic_factor`` multiplies
-    the traffic of all workspaces.
-    """
-
-    name: str
-    failure_share: float = 0.0
-    slowdown: float = 1.0
-    after_requests: int = 0
-    min_running: int = 0
-    route: str = ''
-    traffic_factor: float = 1.0
-
-    def is_bad(self) -> bool:
-        """Return whether the version must be rolled back."""
-        return self.failure_share > 0.0 or self.slowdown > 1.0
-
-
 BEHAVIOURS = (
     VersionBehaviour('good'),
     VersionBehaviour('good, overload', traffic_factor=6.0),
     VersionBehaviour('fails', failure_share=0.3),
-    VersionBehaviour('slow', slowdown=2.5),
+    VersionBehaviour('slow', slow_share=1.0, slowdown=2.5),
     VersionBehaviour('fails late', failure_share=0.3, after_requests=400),
-    VersionBehaviour('slow late', slowdown=2.5, after_requests=400),
+    VersionBehaviour(
+        'slow late', slow_share=1.0, slowdown=2.5, after_requests=400
+    ),
     VersionBehaviour('fails under load', failure_share=0.5, min_running=2),
     VersionBehaviour('fails on one route', failure_share=0.4, route='sort'),
-    VersionBehaviour('slow on one route', slowdown=2.5, route='sort'),
+    VersionBehaviour(
+        'slow on one route', slow_share=1.0, slowdown=2.5, route='sort'
+    ),
 )
 
 
@@ -142,13 +127,8 @@
         self.max_loading = 0
 
     def _is_faulty(self, target: _Target, route: str) -> bool:
-        behaviour = self.behaviour
-        return (
-            behaviour.is_bad()
-            and target.version == 'v2'
-            and self.served['v2'] >= behaviour.after_requests
-            and target.running >= behaviour.min_running
-            and behaviour.route in ('', route)
+        return target.version == 'v2' and self.behaviour.is_faulty(
+            Conditions(route, target.running, served=self.served['v2'])
         )
 
     async def serve(self, name: str, route: str) -> bool:
@@ -302,16 +282,15 @@
 async def _send_traffic(
     simulation: _Simulation, vms: list[_Vm], seconds: float
 ) -> None:
-    stop_at = simulation.loop.time() + seconds
-    tasks: set[asyncio.Task[None]] = set()
-    rate = _REQUESTS_PER_S * simulation.behaviour.traffic_factor
-    while simulation.loop.time() < stop_at:
-        await asyncio.sleep(simulation.random.expovariate(rate))
+    def send() -> Coroutine[Any, Any, None]:
         vm = simulation.random.choice(vms)
-        request = vm.send(simulation.random.choice(_ROUTES))
-        task = asyncio.ensure_future(request)
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        return vm.send(simulation.random.choice(_ROUTES))
+
+    loop = simulation.loop
+    rate = _REQUESTS_PER_S * simulation.behaviour.traffic_factor
+    await send_traffic(
+        loop, simulation.random, rate, loop.now() + seconds, send
+    )
 
 
 def run_move(behaviour: VersionBehaviour, seed: int) -> MoveResult:
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -15,6 +15,9 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from benchmarks.traffic import send_traffic
+from benchmarks.versions import Conditions
+from benchmarks.versions import VersionBehaviour
 from lentilrun.config.ini import Address
 from lentilrun.decisions.facts import Target
 from lentilrun.decisions.rollouts import ExposureLimits
@@ -42,6 +45,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
     from collections.abc import Sequence
 
     from lentilrun.gateway.targetstate import TargetState
@@ -55,6 +59,7 @@
 _SERVICE_TIME_S = {'chat': 0.05, 'sort': 0.25}
 _SORT_SHARE = 0.3
 _SERVICE_TIME_SIGMA = 0.5
+_SLOWDOWN = 4.0
 _USUAL_FAILURE_SHARE = 0.004
 _SLOTS = 8
 _BEFORE_S = 4.0
@@ -73,41 +78,21 @@
 _BAD_RESPONSES = 50
 _ROLLBACK_S = 5.0
 
-
-class VersionBehaviour(NamedTuple):
-    """How a new version behaves.
-
-    ``failure_share`` of the requests fail, ``slow_share`` of them take
-    ``slowdown`` times as long. The faults start ``after_s`` seconds after
-    the order, on targets that run at least ``min_running``, and if
-    ``route`` is set on that route only.
-    """
-
-    name: str
-    failure_share: float = 0.0
-    slow_share: float = 0.0
-    slowdown: float = 4.0
-    after_s: float = 0.0
-    min_running: int = 0
-    route: str = ''
-    traffic_factor: float = 1.0
-
-    def is_bad(self) -> bool:
-        """Return whether the version must be rolled back."""
-        return self.failure_share > 0.0 or self.slow_share > 0.0
-
-
 BEHAVIOURS = (
     VersionBehaviour('good'),
     VersionBehaviour('good, much traffic', traffic_factor=8.0),
     VersionBehaviour('fails', failure_share=0.5),
     VersionBehaviour('fails at times', failure_share=0.25),
-    VersionBehaviour('slow', slow_share=1.0),
-    VersionBehaviour('half slow', slow_share=0.5),
+    VersionBehaviour('slow', slow_share=1.0, slowdown=_SLOWDOWN),
+    VersionBehaviour('half slow', slow_share=0.5, slowdown=_SLOWDOWN),
     VersionBehaviour('fails late', failure_share=0.5, after_s=6.0),
-    VersionBehaviour('slow late', slow_share=0.5, after_s=6.0),
+    VersionBehaviour(
+        'slow late', slow_share=0.5, slowdown=_SLOWDOWN, after_s=6.0
+    ),
     VersionBehaviour('fails on one route', failure_share=0.5, route='sort'),
-    VersionBehaviour('slow on one route', slow_share=0.5, route='sort'),
+    VersionBehaviour(
+        'slow on one route', slow_share=0.5, slowdown=_SLOWDOWN, route='sort'
+    ),
     VersionBehaviour('fails under load', failure_share=0.5, min_running=2),
 )
 
@@ -479,13 +464,9 @@
             self.vms[name].peers.receive(data)
 
     def _is_faulty(self, server: _TargetServer, route: str) -> bool:
-        behaviour = self.behaviour
-        return (
-            behaviour.is_bad()
-            and server.version == 'v2'
-            and self.loop.now() >= self.ordered_at + behaviour.after_s
-            and server.running >= behaviour.min_running
-            and behaviour.route in ('', route)
+        since_order_s = self.loop.now() - self.ordered_at
+        return server.version == 'v2' and self.behaviour.is_faulty(
+            Conditions(route, server.running, since_order_s)
         )
 
     def _count(self, server: _TargetServer) -> None:
@@ -561,16 +542,14 @@
 
 
 async def _send_traffic(simulation: _Simulation, until: float) -> None:
-    tasks: set[asyncio.Task[None]] = set()
     draws = simulation.random
-    rate = _REQUESTS_PER_S * simulation.behaviour.traffic_factor
-    while simulation.loop.now() < until:
-        await asyncio.sleep(draws.expovariate(rate))
+
+    def send() -> Coroutine[Any, Any, None]:
         vm = draws.choice(list(simulation.vms.values()))
-        route = 'sort' if draws.random() < _SORT_SHARE else 'chat'
-        task = asyncio.ensure_future(vm.request(route))
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        return vm.request('sort' if draws.random() < _SORT_SHARE else 'chat')
+
+    rate = _REQUESTS_PER_S * simulation.behaviour.traffic_factor
+    await send_traffic(simulation.loop, draws, rate, until, send)
 
 
 async def _make_trouble(simulation: _Simulation, trouble: Trouble) -> None:
--- a/tests/benchmarks/test_aims.py
+++ b/tests/benchmarks/test_aims.py
@@ -7,6 +7,7 @@
 from benchmarks import moves
 from benchmarks import placement
 from benchmarks import rollouts
+from benchmarks.versions import VersionBehaviour
 import pytest
 
 _DURATION_S = 30.0
@@ -33,7 +34,7 @@
 
 @pytest.mark.parametrize('seed', [101, 102])
 @pytest.mark.parametrize('behaviour', moves.BEHAVIOURS, ids=lambda b: b.name)
-def test_moves(behaviour: moves.VersionBehaviour, seed: int) -> None:
+def test_moves(behaviour: VersionBehaviour, seed: int) -> None:
     """Good versions are rolled out, bad ones rolled back and banned."""
     logging.set_verbosity(logging.ERROR)
     result = moves.run_move(behaviour, seed)
@@ -47,7 +48,7 @@
     'behaviour', rollouts.BEHAVIOURS, ids=lambda b: b.name
 )
 def test_rollouts(
-    behaviour: rollouts.VersionBehaviour, trouble: rollouts.Trouble
+    behaviour: VersionBehaviour, trouble: rollouts.Trouble
 ) -> None:
     """Good versions are completed; bad ones keep to their share and end."""
     result = rollouts.run_rollout(behaviour, trouble, 101)
