Move the choice of targets out of the roll-outs' module

Cause: src/lentilrun/gateway/rollouts.py held orders, stages, the choice of targets, outcomes and messages.

Change: RolloutSelection chooses the targets and counts what is sent, RetiredVersions and UnnamedVersions keep the versions that get no requests, for ever and for a time. The time without a report of the driving VM is at Rollout. No behaviour changes.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -377,7 +377,9 @@
     async def request(self, route: str) -> None:
         """Send one request, to the less loaded of two targets."""
         states = self.targets.list_usable(_SERVICE)
-        usable, _ = self.rollouts.select(_SERVICE, states, route, True)
+        usable, _ = self.rollouts.selection.select(
+            _SERVICE, states, route, True
+        )
         if not usable:
             return
         draws = self.simulation.random
--- a/src/lentilrun/gateway/attemptwatch.py
+++ b/src/lentilrun/gateway/attemptwatch.py
@@ -51,7 +51,7 @@
         self._timer = Timer(self._report_overdue)
 
     def __enter__(self) -> AttemptWatch:
-        self._rollouts.record_sent(self._state, self._route)
+        self._rollouts.selection.record_sent(self._state, self._route)
         if self._rollouts.is_trial_target(self._state):
             self._timer.start(
                 max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * self._expected)
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -74,7 +74,7 @@
         self._peers = context.peers
         self._planner = PrefillPlanner(call, context)
         self._bounds = context.bounds
-        self._rollouts = context.rollouts
+        self._rollouts = context.rollouts.selection
         self._allowed = call.allowed_targets()
 
     def select(self, avoid: set[str]) -> Assignment | None:
--- a/src/lentilrun/gateway/explanations.py
+++ b/src/lentilrun/gateway/explanations.py
@@ -210,7 +210,7 @@
         execution = _ExplainedExecution(
             self._dispatcher, self._context, call, split.service
         )
-        with self._context.rollouts.preview(split.service):
+        with self._context.rollouts.selection.preview(split.service):
             try:
                 _describe_way(execution.preview(), report)
             except Refusal as refusal:
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -1,16 +1,9 @@
-"""The roll-outs that a VM knows, and which targets they let it use."""
+"""The roll-outs that a VM knows."""
 
 from __future__ import annotations
 
-import contextlib
-import statistics
 from typing import TYPE_CHECKING
 
-from ..decisions.rollouts import Exposure
-from ..decisions.rollouts import is_canary
-from ..decisions.rollouts import may_send_to_new
-from ..decisions.rollouts import pick_canary_targets
-from ..decisions.rollouts import refill_tokens
 from ..decisions.rolloutverdict import Fate
 from ..decisions.rolloutverdict import find_fault
 from ..decisions.rolloutverdict import is_doubtful
@@ -18,17 +11,17 @@
 from .messages import OutcomeReport
 from .messages import RolloutReport
 from .recent import Origin
+from .retiredversions import RetiredVersions
 from .rollouthandover import HANDED_OVER
 from .rollouthandover import Turn
 from .rolloutledger import OutcomeReporter
+from .rolloutselection import RolloutSelection
+from .rolloutstate import find_unresolved
 from .rolloutstate import Rollout
 from .rolloutstate import Stage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Container
-    from collections.abc import Iterator
-    from collections.abc import Sequence
 
     from ..coordination.clock import Clock
     from ..decisions.rollouts import ExposureLimits
@@ -40,14 +33,8 @@
     from .targets import Targets
     from .targetstate import TargetState
 
-# The new version gets requests only while the VM that drives the roll-out
-# has reported within this time: a VM that is cut off may have missed a ban.
-_DRIVER_TTL_S = 2.0
 # Final stages go into messages for this time.
 _FINAL_REPORT_S = 10.0
-# A version that appears beside another one gets no requests for this time:
-# the order that names it may arrive after its targets.
-_UNNAMED_S = 1.0
 # Orders of a service that are remembered: a copy is older by few of them.
 _MAX_REPLACED_ORDERS = 8
 # A later build may report others, which are left out.
@@ -74,14 +61,16 @@
         self._clock = clock
         self._targets = targets
         self._peers = peers
-        self._limits = limits
         self._log = log
         self.reporter = OutcomeReporter(node, clock)
         self.by_service: dict[str, Rollout] = {}
         # The orders before the newest one of each service, oldest first.
         self._replaced: dict[str, list[RolloutOrder]] = {}
-        self.retired: dict[str, set[str]] = {}
-        self._first_seen: dict[tuple[str, str], float] = {}
+        self._retired = RetiredVersions(targets)
+        self.retired = self._retired.by_service
+        self.selection = RolloutSelection(
+            clock, targets, peers, limits, self.by_service, self._retired
+        )
         # Final reports on orders that this VM has not read yet.
         self._early_reports: dict[tuple[str, int], RolloutReport] = {}
         self.on_order: list[Callable[[], None]] = []
@@ -109,7 +98,7 @@
             order, self._clock.now(), not self._peers.is_starting()
         )
         self.by_service[order.service] = rollout
-        self.retired.get(order.service, set()).discard(rollout.version)
+        self._retired.discard(order.service, rollout.version)
         self._log_order('rollout_ordered', order)
         self._apply_early_report(order)
         for callback in self.on_order:
@@ -166,7 +155,7 @@
             responses=len(rollout.ledger.list_new()),
             driver_age=self._compute_driver_age(rollout),
         )
-        self._retire(rollout)
+        self._retired.apply_stage(rollout)
         self._targets.notify_changed()
         if not stage.is_running():
             self._peers.request_send()
@@ -175,22 +164,9 @@
         age = self._clock.now() - rollout.driven_at
         return None if age == float('inf') else round(age, 3)
 
-    def _retire(self, rollout: Rollout) -> None:
-        self.retired[rollout.order.service] = set(
-            self.list_retired(rollout, rollout.stage)
-        )
-
     def list_retired(self, rollout: Rollout, stage: Stage) -> list[str]:
         """Return the versions that get no requests from a stage on."""
-        service = rollout.order.service
-        retired = set(self.retired.get(service, ()))
-        if stage in (Stage.BANNED, Stage.ROLLED_BACK):
-            retired.add(rollout.version)
-        elif stage is Stage.COMPLETED:
-            states = self._targets.list_of_service(service)
-            retired.update(s.target.software_version for s in states)
-            retired.discard(rollout.version)
-        return sorted(retired)
+        return self._retired.list_from_stage(rollout, stage)
 
     def apply_row(
         self,
@@ -204,7 +180,7 @@
         """Apply what a VM wrote into the store of an order's progress."""
         rollout = self.by_service.get(service)
         if rollout is None or rollout.order.row_version <= order:
-            self.retired.setdefault(service, set()).update(retired)
+            self._retired.add(service, retired)
         self._apply_report(
             RolloutReport(service, order, version, int(stage), 0, 0, reason)
         )
@@ -246,170 +222,6 @@
         for rollout in self.by_service.values():
             rollout.hand_over.forget(name)
 
-    def is_driven(self, rollout: Rollout) -> bool:
-        """Return whether the driving VM has reported lately."""
-        return self._clock.now() - rollout.driven_at < _DRIVER_TTL_S
-
-    # -- The choice of targets.
-
-    def select(
-        self,
-        service: str,
-        states: Sequence[TargetState],
-        route: str,
-        is_first: bool,
-    ) -> tuple[list[TargetState], bool]:
-        """Return the targets that a request may use, and if it is a trial.
-
-        A trial goes to the new version, as a part of its share. Only the
-        first attempt of a request (``is_first``) may be one.
-        """
-        states = self.exclude_unusable(service, states)
-        rollout = self.by_service.get(service)
-        if rollout is None or rollout.is_resolved():
-            return states, False
-        new = [
-            s for s in states if s.target.software_version == rollout.version
-        ]
-        old = [
-            s for s in states if s.target.software_version != rollout.version
-        ]
-        if not old and self._is_only_version(rollout):
-            return states, False
-        if not new or not rollout.stage.is_running():
-            return old, False
-        if not self.is_driven(rollout):
-            return old, False
-        if rollout.hand_over.is_begun:
-            return new, False
-        exposure = self._measure_exposure(rollout)
-        vms = self._peers.count_members()
-        if rollout.stage is Stage.RAMP or not old:
-            if may_send_to_new(exposure, self._limits, vms):
-                return new, False
-        elif is_first and is_canary(exposure, self._limits, vms, route):
-            new = self._pick_canary(rollout, new, old)
-            if new:
-                return new, True
-        return old, False
-
-    def _is_only_version(self, rollout: Rollout) -> bool:
-        """Return whether a service has no targets but those of an order."""
-        return all(
-            s.target.software_version == rollout.version
-            for s in self._targets.list_of_service(rollout.order.service)
-        )
-
-    def _measure_exposure(self, rollout: Rollout) -> Exposure:
-        """Return what this VM has sent, with the tokens of now."""
-        now = self._clock.now()
-        exposure = Exposure(
-            rollout.total,
-            rollout.new,
-            now - rollout.known_at,
-            rollout.has_slack,
-            rollout.tokens,
-        )
-        rollout.tokens = refill_tokens(
-            exposure, self._limits, now - rollout.refilled_at
-        )
-        rollout.refilled_at = now
-        return exposure._replace(tokens=rollout.tokens)
-
-    @contextlib.contextmanager
-    def preview(self, service: str) -> Iterator[None]:
-        """Undo what ``select`` changes meanwhile, as nothing is sent."""
-        first_seen = self._first_seen.copy()
-        rollout = self.by_service.get(service)
-        if rollout is not None:
-            tokens, refilled_at = rollout.tokens, rollout.refilled_at
-        try:
-            yield
-        finally:
-            self._first_seen = first_seen
-            if rollout is not None:
-                rollout.tokens = tokens
-                rollout.refilled_at = refilled_at
-
-    def _pick_canary(
-        self,
-        rollout: Rollout,
-        new: Sequence[TargetState],
-        old: Sequence[TargetState],
-    ) -> list[TargetState]:
-        now = self._clock.now()
-        warm = {s.target.incarnation: s for s in new if not s.is_cold(now)}
-        names = pick_canary_targets(
-            {n: s.count_in_flight(now) for n, s in warm.items()},
-            statistics.fmean(s.count_in_flight(now) for s in old),
-            now - rollout.known_at,
-        )
-        return [warm[n] for n in names]
-
-    def exclude_unusable(
-        self, service: str, states: Sequence[TargetState]
-    ) -> list[TargetState]:
-        """Return the targets without those of retired and unnamed versions.
-
-        If all targets have retired versions, operators went back to one.
-        """
-        retired = self.retired.get(service, ())
-        if retired and self._are_all_retired(service, retired):
-            return list(states)
-        remaining = [
-            s for s in states if s.target.software_version not in retired
-        ]
-        return self._exclude_unnamed(service, remaining)
-
-    def _are_all_retired(self, service: str, retired: Container[str]) -> bool:
-        return all(
-            s.target.software_version in retired
-            for s in self._targets.list_of_service(service)
-        )
-
-    def _exclude_unnamed(
-        self, service: str, states: list[TargetState]
-    ) -> list[TargetState]:
-        versions = {s.target.software_version for s in states}
-        now = self._clock.now()
-        for version in versions:
-            self._first_seen.setdefault((service, version), now)
-        if len(versions) < 2:
-            return states
-        rollout = self.by_service.get(service)
-        named = rollout.version if rollout is not None else None
-        unnamed = {
-            v
-            for v in versions
-            if v != named and now - self._first_seen[service, v] < _UNNAMED_S
-        }
-        if unnamed == versions:
-            return states
-        return [s for s in states if s.target.software_version not in unnamed]
-
-    def list_regular(
-        self, service: str, states: Sequence[TargetState]
-    ) -> list[TargetState]:
-        """Return the targets that any request may use."""
-        states = self.exclude_unusable(service, states)
-        rollout = self.by_service.get(service)
-        if rollout is None or rollout.is_resolved():
-            return states
-        old = [
-            s for s in states if s.target.software_version != rollout.version
-        ]
-        return old if old or not self._is_only_version(rollout) else states
-
-    def record_sent(self, state: TargetState, route: str) -> None:
-        """Count an attempt on a route that is sent now."""
-        rollout = self.by_service.get(state.target.service)
-        if rollout is None or rollout.is_resolved():
-            return
-        rollout.total[route] += 1
-        if state.target.software_version == rollout.version:
-            rollout.new[route] += 1
-            rollout.tokens -= 1.0
-
     # -- Outcomes and the verdict.
 
     def record_outcome(
@@ -417,8 +229,8 @@
     ) -> None:
         """Record and report how an attempt of this VM ended."""
         service = state.target.service
-        rollout = self.by_service.get(service)
-        if rollout is None or rollout.is_resolved():
+        rollout = find_unresolved(self.by_service, service)
+        if rollout is None:
             self.reporter.remember(service, outcome)
             return
         is_new = state.target.software_version == rollout.version
@@ -434,10 +246,9 @@
 
     def is_trial_target(self, state: TargetState) -> bool:
         """Return whether a target has a version that is being rolled out."""
-        rollout = self.by_service.get(state.target.service)
+        rollout = find_unresolved(self.by_service, state.target.service)
         return (
             rollout is not None
-            and not rollout.is_resolved()
             and state.target.software_version == rollout.version
         )
 
@@ -491,7 +302,7 @@
         for rollout in self.by_service.values():
             if rollout.stage.is_running():
                 is_reported = passes_on or rollout.hand_over.is_begun
-                if not is_reported or not self.is_driven(rollout):
+                if not is_reported or not rollout.is_driven(now):
                     continue
             elif rollout.stage is Stage.UNKNOWN:
                 continue
@@ -560,11 +371,10 @@
         if stage.is_running() or (known is not None and known.stage >= stage):
             return
         self._early_reports[key] = report
-        retired = self.retired.setdefault(report.service, set())
         if stage is Stage.COMPLETED:
-            retired.discard(report.version)
+            self._retired.discard(report.service, report.version)
         else:
-            retired.add(report.version)
+            self._retired.add(report.service, [report.version])
 
 
 def _is_handed_over(report: RolloutReport) -> bool:
--- a/src/lentilrun/gateway/rolloutstate.py
+++ b/src/lentilrun/gateway/rolloutstate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import enum
 from typing import TYPE_CHECKING
 
@@ -11,8 +12,15 @@
 from .rolloutledger import OutcomeLedger
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
     from ..platform.rollouts import RolloutOrder
 
+# The new version gets requests only while the VM that drives the roll-out
+# has reported within this time: a VM that is cut off may have missed a ban.
+_DRIVER_TTL_S = 2.0
+
 
 class Stage(enum.IntEnum):
     """What a VM knows of a roll-out; a larger one replaces a smaller.
@@ -73,5 +81,29 @@
         """Return whether nothing is left to do."""
         return self.stage.is_final()
 
+    def is_driven(self, now: float) -> bool:
+        """Return whether the driving VM has reported lately."""
+        return now - self.driven_at < _DRIVER_TTL_S
+
+    @contextlib.contextmanager
+    def preview(self) -> Iterator[None]:
+        """Undo what changes in the tokens meanwhile."""
+        tokens, refilled_at = self.tokens, self.refilled_at
+        try:
+            yield
+        finally:
+            self.tokens = tokens
+            self.refilled_at = refilled_at
+
+
+def find_unresolved(
+    by_service: Mapping[str, Rollout], service: str
+) -> Rollout | None:
+    """Return the roll-out of a service, if it has one that goes on."""
+    rollout = by_service.get(service)
+    if rollout is None or rollout.is_resolved():
+        return None
+    return rollout
+
 
-__all__ = ['Rollout', 'Stage']
+__all__ = ['Rollout', 'Stage', 'find_unresolved']
