Move outcomes and the verdict out of the roll-outs' module

Cause: src/lentilrun/gateway/rollouts.py held the outcomes of attempts besides orders, stages and messages.

Change: RolloutOutcomes records, reports and collects outcomes and finds faults; Rollouts.judge still bans. No behaviour changes.

--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -366,7 +366,9 @@
             empty,
             empty,
             rollouts=rollouts.export(self.driver.is_driving()),
-            rollout_outcomes=rollouts.reporter.recent.export(Origin.OWN),
+            rollout_outcomes=rollouts.outcomes.reporter.recent.export(
+                Origin.OWN
+            ),
         )
 
     def stop(self) -> None:
--- a/src/lentilrun/gateway/attemptwatch.py
+++ b/src/lentilrun/gateway/attemptwatch.py
@@ -47,12 +47,12 @@
         self._state = assignment.state
         self._expected = assignment.choice.expected_time
         self._attempt = attempt
-        self._number = rollouts.reporter.next_number()
+        self._number = rollouts.outcomes.reporter.next_number()
         self._timer = Timer(self._report_overdue)
 
     def __enter__(self) -> AttemptWatch:
         self._rollouts.selection.record_sent(self._state, self._route)
-        if self._rollouts.is_trial_target(self._state):
+        if self._rollouts.outcomes.is_trial_target(self._state):
             self._timer.start(
                 max(_MIN_OVERDUE_S, _OVERDUE_FACTOR * self._expected)
             )
@@ -93,7 +93,7 @@
         first_level: int = NO_LEVEL,
         rest_level: int = NO_LEVEL,
     ) -> None:
-        self._rollouts.record_outcome(
+        self._rollouts.outcomes.record(
             self._state,
             self._number,
             Outcome(
--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -151,7 +151,7 @@
             self._view.export_announcements(),
             self._crashes.recent_cleared.export(max_origin),
             self._rollouts.export(self.is_driving_rollouts()),
-            self._rollouts.reporter.recent.export(max_origin),
+            self._rollouts.outcomes.reporter.recent.export(max_origin),
             self._row_relay.has_lost_rows(),
             self._rate_limits.export(),
             self.is_cut_off(),
--- a/src/lentilrun/gateway/rolloutdriver.py
+++ b/src/lentilrun/gateway/rolloutdriver.py
@@ -302,7 +302,8 @@
             None if ramped_at is None else now - ramped_at,
             len(rollout.ledger.list_new()),
             rollout.reason if rollout.stage is Stage.BANNED else '',
-            is_due(elapsed, duration) and self._rollouts.is_doubtful(rollout),
+            is_due(elapsed, duration)
+            and self._rollouts.outcomes.is_doubtful(rollout),
             self._rollouts.count_old_in_flight(rollout),
             None if hand_over is None else now - hand_over.began_at,
             0
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -4,19 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from ..decisions.rolloutverdict import Fate
-from ..decisions.rolloutverdict import find_fault
-from ..decisions.rolloutverdict import is_doubtful
 from ..platform.rowversions import find_era
-from .messages import OutcomeReport
 from .messages import RolloutReport
 from .recent import Origin
 from .retiredversions import RetiredVersions
 from .rollouthandover import HANDED_OVER
 from .rollouthandover import Turn
-from .rolloutledger import OutcomeReporter
+from .rolloutoutcomes import RolloutOutcomes
 from .rolloutselection import RolloutSelection
-from .rolloutstate import find_unresolved
 from .rolloutstate import Rollout
 from .rolloutstate import Stage
 
@@ -25,13 +20,11 @@
 
     from ..coordination.clock import Clock
     from ..decisions.rollouts import ExposureLimits
-    from ..decisions.rolloutverdict import Outcome
     from ..platform.rollouts import RolloutOrder
     from .logs import Log
     from .messages import GossipMessage
     from .peers import Peers
     from .targets import Targets
-    from .targetstate import TargetState
 
 # Final stages go into messages for this time.
 _FINAL_REPORT_S = 10.0
@@ -39,7 +32,6 @@
 _MAX_REPLACED_ORDERS = 8
 # A later build may report others, which are left out.
 _STAGES = frozenset(Stage)
-_FATES = frozenset(Fate)
 
 
 class Rollouts:
@@ -62,8 +54,8 @@
         self._targets = targets
         self._peers = peers
         self._log = log
-        self.reporter = OutcomeReporter(node, clock)
         self.by_service: dict[str, Rollout] = {}
+        self.outcomes = RolloutOutcomes(node, clock, peers, self.by_service)
         # The orders before the newest one of each service, oldest first.
         self._replaced: dict[str, list[RolloutOrder]] = {}
         self._retired = RetiredVersions(targets)
@@ -222,60 +214,15 @@
         for rollout in self.by_service.values():
             rollout.hand_over.forget(name)
 
-    # -- Outcomes and the verdict.
-
-    def record_outcome(
-        self, state: TargetState, number: int, outcome: Outcome
-    ) -> None:
-        """Record and report how an attempt of this VM ended."""
-        service = state.target.service
-        rollout = find_unresolved(self.by_service, service)
-        if rollout is None:
-            self.reporter.remember(service, outcome)
-            return
-        is_new = state.target.software_version == rollout.version
-        report = self.reporter.report(
-            service, rollout.order.row_version, number, outcome, is_new
-        )
-        if report is not None:
-            rollout.ledger.add(report, self._clock.now())
-            if is_new:
-                self._peers.request_send()
-        if not is_new:
-            self.reporter.remember(service, outcome)
-
-    def is_trial_target(self, state: TargetState) -> bool:
-        """Return whether a target has a version that is being rolled out."""
-        rollout = find_unresolved(self.by_service, state.target.service)
-        return (
-            rollout is not None
-            and state.target.software_version == rollout.version
-        )
-
     def judge(self, rollout: Rollout) -> None:
         """Ban the new version if the outcomes show that it is bad."""
         if not rollout.ledger.has_changed or not rollout.stage.is_running():
             return
         rollout.ledger.has_changed = False
-        reason = find_fault(
-            rollout.ledger.list_new(),
-            self._list_old_outcomes(rollout),
-            self._clock.now(),
-        )
+        reason = self.outcomes.find_fault(rollout)
         if reason:
             self.set_stage(rollout, Stage.BANNED, reason)
 
-    def _list_old_outcomes(self, rollout: Rollout) -> list[Outcome]:
-        remembered = self.reporter.list_remembered(rollout.order.service)
-        own = [o for o in remembered if o.at < rollout.known_at]
-        return own + rollout.ledger.list_old()
-
-    def is_doubtful(self, rollout: Rollout) -> bool:
-        """Return whether the new version may be bad."""
-        return is_doubtful(
-            rollout.ledger.list_new(), self._list_old_outcomes(rollout)
-        )
-
     def count_old_in_flight(self, rollout: Rollout) -> int:
         """Return the requests of all VMs at targets of other versions."""
         now = self._clock.now()
@@ -322,7 +269,7 @@
         is_local = message.data_centre == self._peers.own_member.data_centre
         origin = Origin.LOCAL if is_local else Origin.REMOTE
         for outcome in message.rollout_outcomes:
-            self._add_outcome(outcome, origin)
+            self.outcomes.add(outcome, origin)
 
     def _record_confirmation(self, report: RolloutReport, node: str) -> None:
         rollout = self.by_service.get(report.service)
@@ -334,15 +281,6 @@
             turn = Turn(report.fence, report.tick)
             rollout.hand_over.confirm(node, turn)
 
-    def _add_outcome(self, report: OutcomeReport, origin: Origin) -> None:
-        if not self.reporter.recent.add(report, origin):
-            return
-        rollout = self.by_service.get(report.service)
-        if report.fate not in _FATES:
-            return
-        if rollout is not None and rollout.order.row_version == report.order:
-            rollout.ledger.add(report, self._clock.now())
-
     def _apply_report(self, report: RolloutReport) -> None:
         if report.stage not in _STAGES:
             return
