Move reports and replaced orders out of the roll-outs' module

Cause: src/lentilrun/gateway/rollouts.py still made and filtered the reports of messages and kept replaced orders and early reports.

Change: rolloutreports.py has the reports, replacedorders.py the orders before the newest ones. No behaviour changes.

--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -157,8 +157,8 @@
     """What a VM knows of a roll-out.
 
     ``order`` is the row version of the order, ``stage`` a
-    ``rollouts.Stage``. While it runs, ``fence`` and ``tick`` grow with each
-    report of the VM that drives it.
+    ``rolloutstate.Stage``. While it runs, ``fence`` and ``tick`` grow with
+    each report of the VM that drives it.
     """
 
     service: str
--- a/src/lentilrun/gateway/rollouts.py
+++ b/src/lentilrun/gateway/rollouts.py
@@ -4,13 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from ..platform.rowversions import find_era
 from .messages import RolloutReport
 from .recent import Origin
+from .replacedorders import ReplacedOrders
 from .retiredversions import RetiredVersions
-from .rollouthandover import HANDED_OVER
 from .rollouthandover import Turn
 from .rolloutoutcomes import RolloutOutcomes
+from .rolloutreports import EarlyReports
+from .rolloutreports import has_known_stage
+from .rolloutreports import is_handed_over
+from .rolloutreports import is_reported
+from .rolloutreports import make_report
 from .rolloutselection import RolloutSelection
 from .rolloutstate import Rollout
 from .rolloutstate import Stage
@@ -26,13 +30,6 @@
     from .peers import Peers
     from .targets import Targets
 
-# Final stages go into messages for this time.
-_FINAL_REPORT_S = 10.0
-# Orders of a service that are remembered: a copy is older by few of them.
-_MAX_REPLACED_ORDERS = 8
-# A later build may report others, which are left out.
-_STAGES = frozenset(Stage)
-
 
 class Rollouts:
     """The newest order of each service, and the versions that are retired.
@@ -56,15 +53,13 @@
         self._log = log
         self.by_service: dict[str, Rollout] = {}
         self.outcomes = RolloutOutcomes(node, clock, peers, self.by_service)
-        # The orders before the newest one of each service, oldest first.
-        self._replaced: dict[str, list[RolloutOrder]] = {}
+        self._replaced = ReplacedOrders()
         self._retired = RetiredVersions(targets)
         self.retired = self._retired.by_service
         self.selection = RolloutSelection(
             clock, targets, peers, limits, self.by_service, self._retired
         )
-        # Final reports on orders that this VM has not read yet.
-        self._early_reports: dict[tuple[str, int], RolloutReport] = {}
+        self._early = EarlyReports()
         self.on_order: list[Callable[[], None]] = []
         peers.on_message.append(self.receive)
         peers.on_restart.append(self._forget_peer)
@@ -79,10 +74,10 @@
         elif order.is_repeated(current.order):
             current.replace_order(order)
             self._apply_early_report(order)
-        elif self._is_of_copy(order, current.order):
+        elif self._replaced.is_of_copy(order, current.order):
             self._log_order('rollout_order_of_copy', order)
         else:
-            self._remember(current.order)
+            self._replaced.add(current.order)
             self._begin(order)
 
     def _begin(self, order: RolloutOrder) -> None:
@@ -105,25 +100,8 @@
             row_version=order.row_version,
         )
 
-    def _remember(self, replaced: RolloutOrder) -> None:
-        orders = self._replaced.setdefault(replaced.service, [])
-        orders.append(replaced)
-        del orders[:-_MAX_REPLACED_ORDERS]
-
-    def _is_of_copy(self, order: RolloutOrder, current: RolloutOrder) -> bool:
-        """Return whether a restored store has an order that was replaced.
-
-        Once operators have written the current one again, an equal order is
-        a new one.
-        """
-        if find_era(order.row_version) <= find_era(current.row_version):
-            return False
-        replaced = self._replaced.get(order.service, ())
-        return any(order.is_repeated(before) for before in replaced)
-
     def _apply_early_report(self, order: RolloutOrder) -> None:
-        key = (order.service, order.row_version)
-        early = self._early_reports.pop(key, None)
+        early = self._early.pop(order)
         if early is not None:
             self._apply_report(early)
 
@@ -235,31 +213,16 @@
     # -- Messages.
 
     def export(self, is_driver: bool) -> list[RolloutReport]:
-        """Return the reports for a message.
-
-        The VM that drives reports on running roll-outs; hubs pass that on.
-        All VMs report bans, that they have handed over and, for a time,
-        final stages.
-        """
+        """Return the reports for a message of the driving VM or another."""
         passes_on = is_driver or (
             not self._peers.is_mesh() and self._peers.is_hub()
         )
         now = self._clock.now()
-        reports = []
-        for rollout in self.by_service.values():
-            if rollout.stage.is_running():
-                is_reported = passes_on or rollout.hand_over.is_begun
-                if not is_reported or not rollout.is_driven(now):
-                    continue
-            elif rollout.stage is Stage.UNKNOWN:
-                continue
-            elif (
-                rollout.is_resolved()
-                and now - rollout.changed_at > _FINAL_REPORT_S
-            ):
-                continue
-            reports.append(_make_report(rollout))
-        return reports
+        return [
+            make_report(rollout)
+            for rollout in self.by_service.values()
+            if is_reported(rollout, now, passes_on)
+        ]
 
     def receive(self, message: GossipMessage) -> None:
         """Apply the reports of another VM."""
@@ -276,13 +239,13 @@
         if (
             rollout is not None
             and rollout.order.row_version == report.order
-            and _is_handed_over(report)
+            and is_handed_over(report)
         ):
             turn = Turn(report.fence, report.tick)
             rollout.hand_over.confirm(node, turn)
 
     def _apply_report(self, report: RolloutReport) -> None:
-        if report.stage not in _STAGES:
+        if not has_known_stage(report):
             return
         stage = Stage(report.stage)
         rollout = self.by_service.get(report.service)
@@ -296,39 +259,16 @@
             return
         if self.record_driver(rollout, Turn(report.fence, report.tick)):
             self.set_stage(rollout, stage, '')
-            self.set_handed_over(rollout, _is_handed_over(report))
+            self.set_handed_over(rollout, is_handed_over(report))
 
     def _keep_early(self, report: RolloutReport) -> None:
-        """Keep a report on an order that this VM has not read yet.
-
-        Of several, that of the furthest stage counts.
-        """
-        stage = Stage(report.stage)
-        key = (report.service, report.order)
-        known = self._early_reports.get(key)
-        if stage.is_running() or (known is not None and known.stage >= stage):
+        """Keep a report on an order that this VM has not read yet."""
+        if not self._early.keep(report):
             return
-        self._early_reports[key] = report
-        if stage is Stage.COMPLETED:
+        if report.stage == Stage.COMPLETED:
             self._retired.discard(report.service, report.version)
         else:
             self._retired.add(report.service, [report.version])
 
 
-def _is_handed_over(report: RolloutReport) -> bool:
-    return report.stage == Stage.RAMP and report.reason == HANDED_OVER
-
-
-def _make_report(rollout: Rollout) -> RolloutReport:
-    is_handed_over = rollout.stage is Stage.RAMP and rollout.hand_over.is_begun
-    return RolloutReport(
-        rollout.order.service,
-        rollout.order.row_version,
-        rollout.version,
-        int(rollout.stage),
-        *rollout.driver_turn,
-        HANDED_OVER if is_handed_over else rollout.reason,
-    )
-
-
 __all__ = ['Rollouts']
