Move the greetings of a starting process out of the peers' module

Cause: src/lentilrun/gateway/peers.py holds several jobs; one of them is to whom a starting process sends its messages.

Change: Greetings has this and STARTING_S, which is still a name of peers.py, where tests read it. No behaviour changes.

--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -21,6 +21,8 @@
 from .endedprocesses import EndedProcesses
 from .endedprocesses import VmProcess
 from .events import wait_for_event
+from .greetings import Greetings
+from .greetings import STARTING_S
 from .messagedelays import add_delay
 from .messagedelays import MessageDelays
 from .messages import BadMessageError
@@ -54,13 +56,6 @@
 _PEER_REMOVAL_S = 60.0
 # A hub that timed out is not picked as a hub for this time.
 _HUB_SUSPECT_S = 8.0
-# For this time after its start, a process adopts the usage that peers
-# report, and sends to all VMs that it has found, so that they add it.
-STARTING_S = 3.0
-# A starting process sends to VMs of other data centres that are no hubs at
-# this interval. They only need to know that it is there, and in a fleet that
-# starts as a whole each VM would send to all others four times a second.
-_REMOTE_GREETING_INTERVAL_S = 1.0
 # A requested message is sent at least this time after the previous one.
 _MIN_INTERVAL_S = 0.04
 _MAX_DATAGRAM_BYTES = 60_000
@@ -117,9 +112,7 @@
         self._clock = clock
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
-        self._started_at = clock.now()
-        # By VM, when this process last sent to it as it started.
-        self._greeted_at: dict[str, float] = {}
+        self._greetings = Greetings(own.data_centre, clock)
         # By hub, the time since which it should send to this VM.
         self._expected_since: dict[str, float] = {}
         self._send_requested = asyncio.Event()
@@ -269,7 +262,7 @@
 
     def is_starting(self) -> bool:
         """Return whether this process started within ``STARTING_S``."""
-        return self._clock.now() - self._started_at < STARTING_S
+        return self._greetings.is_starting()
 
     def list_responsive(self) -> list[str]:
         """Return the VMs from which a message came within the timeout."""
@@ -370,15 +363,11 @@
     def _send_now(self) -> None:
         recipients = self._pick_recipients()
         if self.is_starting():
-            self._record_greetings(recipients.vm)
+            self._greetings.record(recipients.vm)
         self._send_messages(recipients.vm, Scope.VM)
         self._send_messages(recipients.data_centre, Scope.DATA_CENTRE)
         self._send_messages(recipients.fleet, Scope.FLEET)
 
-    def _record_greetings(self, names: Iterable[str]) -> None:
-        now = self._clock.now()
-        self._greeted_at.update(dict.fromkeys(names, now))
-
     def _pick_recipients(self) -> Recipients:
         members = [p.member for p in self.by_name.values()]
         recipients = pick_recipients(self.own_member, members, self.hubs())
@@ -391,16 +380,9 @@
         """Return the VMs that a starting process sends its message to now."""
         if self.is_mesh():
             return list(self.by_name)
-        own = self.own_member.data_centre
         hubs = {n for names in self.hubs().values() for n in names}
-        due_before = self._clock.now() - _REMOTE_GREETING_INTERVAL_S
-        return [
-            n
-            for n, p in self.by_name.items()
-            if n in hubs
-            or p.member.data_centre == own
-            or self._greeted_at.get(n, float('-inf')) <= due_before
-        ]
+        members = [p.member for p in self.by_name.values()]
+        return self._greetings.list_due(members, hubs)
 
     def list_recipients(self) -> list[str]:
         """Return the VMs that this one sends gossip messages to."""
