--- a/tests/gateway/test_late_row_requests.py
+++ b/tests/gateway/test_late_row_requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 from deployments import BOUNDS
 from deployments import MODEL
@@ -31,8 +32,11 @@
 
 
 @pytest.mark.parametrize('data_centres', [SMALL_FLEET, LARGE_FLEET])
+@pytest.mark.parametrize('seed', range(4))
 def test_all_vms_stood_still_and_one_asks_for_an_announcement(
-    data_centres: dict[str, int], monkeypatch: pytest.MonkeyPatch
+    seed: int,
+    data_centres: dict[str, int],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The age that a VM states with requested rows is that of the rows.
 
@@ -62,4 +66,5 @@
             ]
             assert max(delays) == 0.0
 
+    random.seed(seed)
     timeloop.run(main)
