Parse versions in messages as numbers in headers are parsed

The version of an assumed announcement was parsed by hand, beside web/numbers, and without its limit: a number of thousands of digits would have ended the reading of the message.

Change: parse_number in its place; a blank line less in node.py. No check and no expectation changes.

--- a/src/lentilrun/gateway/messages.py
+++ b/src/lentilrun/gateway/messages.py
@@ -18,6 +18,7 @@
 from ..decisions.quarantine import Crash
 from ..errors import LentilrunError
 from ..records import PositionalRecord
+from ..web.numbers import parse_number
 from .compression import BadCompressionError
 from .compression import compress
 from .compression import decompress
@@ -243,12 +244,11 @@
             if not name.startswith(_ASSUMED_ANNOUNCEMENT):
                 continue
             parts = name.removeprefix(_ASSUMED_ANNOUNCEMENT)
-            version, _, model = parts.partition('/')
-            if version.isdecimal():
+            number, _, model = parts.partition('/')
+            version = parse_number(number)
+            if version is not None:
                 seconds = max(0.0, age / _US_PER_S)
-                reports.append(
-                    AnnouncementReport(model, int(version), seconds)
-                )
+                reports.append(AnnouncementReport(model, version, seconds))
         return reports
 
     def find_progress(self, table: str) -> TableProgress | None:
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -346,7 +346,6 @@
             self.usage_checkpointer,
             self.log,
         )
-
         self.announcement_rows = AnnouncementRows(
             self.store, self.clock, self.peers, self.view, self.log
         )
