Require API keys also once no workspace has one

Cause: admission required a key if the map of keys had entries. It is empty both for a configuration without workspaces and for one whose workspaces have no key.

Change: the configuration states whether keys are required, from the presence of the operators' field, whatever it holds. Admission asks for that. It is the same code for calls that another VM forwards.

Ruled out: the route's exemption (a case of the test), and the own entrance, where only a route that says so is open.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -135,7 +135,8 @@
     """One version of the configuration that the operators write.
 
     ``routes`` holds the routes by host, those with longer prefixes
-    first; ``workspaces_by_key`` the workspaces by API key.
+    first; ``workspaces_by_key`` the workspaces by API key. If
+    ``requires_key``, requests need a valid API key, even if there is none.
     """
 
     version: int
@@ -143,6 +144,7 @@
     services: dict[str, Service]
     workspaces: dict[str, Workspace]
     workspaces_by_key: dict[str, Workspace]
+    requires_key: bool
     kv_cache_stores: tuple[KvCacheStore, ...]
     limits: RequestLimits
 
--- a/src/lentilrun/gateway/admission.py
+++ b/src/lentilrun/gateway/admission.py
@@ -119,7 +119,7 @@
         workspace = configuration.workspaces_by_key.get(caller_headers.api_key)
         if (
             workspace is None
-            and configuration.workspaces_by_key
+            and configuration.requires_key
             and not route.is_auth_exempt
         ):
             raise Refusal(_UNAUTHORIZED, Reason.KEY_REFUSED)
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -123,7 +123,8 @@
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     limits: _WireLimits = _WireLimits()
-    tenants: list[_WireTenant] = []
+    # Requests need API keys if the field is there, even if it is empty.
+    tenants: list[_WireTenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 class _WireLoadedModel(msgspec.Struct):
@@ -240,10 +241,10 @@
         )
     except _DECODE_ERRORS as error:
         raise BadDocumentError(f'malformed configuration: {error}') from error
-    workspaces = {t.name: _make_workspace(t) for t in document.tenants}
-    keys = {
-        k: workspaces[t.name] for t in document.tenants for k in t.api_keys
-    }
+    requires_key = document.tenants is not msgspec.UNSET
+    tenants = document.tenants or []
+    workspaces = {t.name: _make_workspace(t) for t in tenants}
+    keys = {k: workspaces[t.name] for t in tenants for k in t.api_keys}
     limits = document.limits
     return Configuration(
         document.version,
@@ -251,6 +252,7 @@
         {s.name: s for s in services},
         workspaces,
         keys,
+        requires_key,
         stores,
         RequestLimits(limits.max_header_bytes, limits.max_body_bytes),
     )
