Separate the shared cache from a workspace that becomes isolated

Cause: the salt of workspaces that are not isolated was the version of the weights alone, so that what the isolated one had left under it stayed shared.

Change: the salt is made in decisions/cachesalts.py. The shared one has a digest of the set of isolated workspaces of the newest configuration. A workspace counts as isolated if it was as its request was admitted or is now. Its name comes last, as it could look like the tag of allowed regions.

Why it works: a shared salt is used only by workspaces outside the set that it names. It needs no history, so all VMs make the same one, also those that restarted, skipped versions or read a restored store.

Ruled out: the salt of the isolated workspace itself, which nobody else had.

--- a/src/lentilrun/decisions/facts.py
+++ b/src/lentilrun/decisions/facts.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from ..config.ini import Address
+    from .cachesalts import Isolation
 
 
 class RouteKind(enum.StrEnum):
@@ -137,6 +138,7 @@
     ``routes`` holds the routes by host, those with longer prefixes
     first; ``workspaces_by_key`` the workspaces by API key. If
     ``requires_key``, requests need a valid API key, even if there is none.
+    ``isolation`` holds which workspaces share no cached segments.
     """
 
     version: int
@@ -145,6 +147,7 @@
     workspaces: dict[str, Workspace]
     workspaces_by_key: dict[str, Workspace]
     requires_key: bool
+    isolation: Isolation
     kv_cache_stores: tuple[KvCacheStore, ...]
     limits: RequestLimits
 
--- a/src/lentilrun/gateway/prefillplans.py
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ..decisions.cachesalts import format_salt
+from ..decisions.cachesalts import NO_ISOLATION
 from ..decisions.sources import CacheHolder
 from ..decisions.sources import estimate_cached
 from ..decisions.sources import NO_CACHE
@@ -39,6 +41,7 @@
 
     def __init__(self, call: Call, context: DispatchContext) -> None:
         self._call = call
+        self._view = context.view
         self._targets = context.targets
         self._stored_segments = context.stored_segments
 
@@ -61,12 +64,13 @@
         if weights_version is None:
             return ''
         call = self._call
-        salt = str(weights_version)
-        if call.workspace is not None and call.workspace.is_isolated:
-            salt += f'/{call.workspace.name}'
-        if call.restriction is not None:
-            salt += f'@{call.restriction.tag}'
-        return salt
+        configuration = self._view.configuration
+        return format_salt(
+            str(weights_version),
+            call.workspace,
+            NO_ISOLATION if configuration is None else configuration.isolation,
+            call.restriction,
+        )
 
     def _list_salts(
         self, prompt: Prompt, states: list[TargetState]
--- a/src/lentilrun/platform/documents.py
+++ b/src/lentilrun/platform/documents.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..config.ini import parse_address
+from ..decisions.cachesalts import make_isolation
 from ..decisions.facts import Configuration
 from ..decisions.facts import EngineSpec
 from ..decisions.facts import KvCacheStore
@@ -253,6 +254,7 @@
         workspaces,
         keys,
         requires_key,
+        make_isolation([t.name for t in tenants if t.isolated]),
         stores,
         RequestLimits(limits.max_header_bytes, limits.max_body_bytes),
     )
--- /dev/null
+++ b/tests/gateway/test_isolated_workspaces.py
@@ -0,0 +1,85 @@
+"""Workspaces that become isolated share no cached segments any more."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from deployments import Deployment
+from deployments import make_configuration
+from deployments import wait_until
+from lentilrun.gateway.node import Node
+import pytest
+
+_TOKENS = '1000,20'
+_KEYS = {'north': 'key-1', 'south': 'key-2'}
+_STORE = '127.0.0.1:9'
+
+
+def _make_isolating(version: int, *isolated: str) -> dict[str, Any]:
+    tenants = [
+        {'name': n, 'api-keys': [k], 'isolated': n in isolated}
+        for n, k in _KEYS.items()
+    ]
+    configuration = make_configuration(version, tenants=tenants)
+    store = {'name': 'kv', 'zone': 'a', 'kv-store-addr': _STORE}
+    configuration['services'].append(store)
+    return configuration
+
+
+async def _configure(
+    deployment: Deployment, configuration: dict[str, Any]
+) -> None:
+    """Write a configuration and wait until all VMs have it."""
+    deployment.configure(configuration)
+    version = configuration['version']
+
+    def is_in_force() -> bool:
+        in_force = [n.view.configuration for n in deployment.nodes.values()]
+        return all(c and c.version == version for c in in_force)
+
+    await wait_until(is_in_force)
+
+
+async def _list_salts(
+    deployment: Deployment, node: Node, workspace: str
+) -> set[str]:
+    """Return the salts of a workspace's requests, with those it saves."""
+    engine = deployment.replicas['e1']
+    engine.runs.clear()
+    for _ in range(2):
+        response = await deployment.ask(
+            node, '/talk/x', b'{}', _TOKENS, Api_Key=_KEYS[workspace]
+        )
+        assert response.status == 200
+    return {r.headers['X-Cache-Salt'] for r in engine.runs}
+
+
+@pytest.mark.parametrize('isolated', ['north', 'south'])
+def test_cache_from_before_is_not_used(isolated: str) -> None:
+    """Guards against segments of a workspace that others still find."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            deployment.add_replica('e1', 'llm')
+            node = await deployment.start_node('vm1')
+            await _configure(deployment, _make_isolating(2))
+            before = await _list_salts(deployment, node, 'north')
+            assert before == await _list_salts(deployment, node, 'south')
+            await _configure(deployment, _make_isolating(3, isolated))
+            # This VM has not seen the configurations before.
+            late_node = await deployment.start_node('vm2')
+            salts = {
+                n: await _list_salts(deployment, node, n)
+                | await _list_salts(deployment, late_node, n)
+                for n in _KEYS
+            }
+            assert all(len(s) == 1 for s in salts.values())
+            assert not before & (salts['north'] | salts['south'])
+            assert salts['north'] != salts['south']
+            await _configure(deployment, _make_isolating(4))
+            released = await _list_salts(deployment, node, 'north')
+            assert released == await _list_salts(deployment, node, 'south')
+            assert not released & (salts['north'] | salts['south'])
+
+    asyncio.run(body())
