Send a salt also with requests that state no tokens

Engines then find cached segments of all workspaces, isolated ones included, and of any weights.

Cause: without stated tokens the VM knows neither prompt nor model, and the salt was empty where the version of the weights is not known.

Change: each call to a service of engines has a salt. Where the version is not known, it names the start of the target instead, whose segments no other target finds, and the workspace if that is isolated.

Why it works: a target discards its segments when it loads other weights, so that one start's segments are of one version.

Evidence: three cases of tests/gateway/test_isolated_workspaces.py failed before and pass (no workspace isolated, one, both).

--- a/src/lentilrun/decisions/cachesalts.py
+++ b/src/lentilrun/decisions/cachesalts.py
@@ -49,6 +49,17 @@
     return Isolation(names, digest.hexdigest())
 
 
+def name_unknown_weights(incarnation: str, started_at_ms: int) -> str:
+    """Return the name of the weights that one start of a target has.
+
+    No other target's segments are found under it. A target discards its own
+    when it loads other weights.
+    """
+    start = f'{incarnation}/{started_at_ms}'.encode()
+    digest = hashlib.blake2b(start, digest_size=_DIGEST_BYTES)
+    return f'of-{digest.hexdigest()}'
+
+
 def format_salt(
     weights: str,
     workspace: Workspace | None,
@@ -74,4 +85,10 @@
     return salt
 
 
-__all__ = ['format_salt', 'Isolation', 'make_isolation', 'NO_ISOLATION']
+__all__ = [
+    'format_salt',
+    'Isolation',
+    'make_isolation',
+    'name_unknown_weights',
+    'NO_ISOLATION',
+]
--- a/src/lentilrun/gateway/choice.py
+++ b/src/lentilrun/gateway/choice.py
@@ -116,7 +116,7 @@
             choice,
             demand,
             self._planner.find_weights_version(state),
-            self._planner.make_salt(state),
+            self._planner.make_salt(state, service),
             is_trial,
         )
 
--- a/src/lentilrun/gateway/prefillplans.py
+++ b/src/lentilrun/gateway/prefillplans.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..decisions.cachesalts import format_salt
+from ..decisions.cachesalts import name_unknown_weights
 from ..decisions.cachesalts import NO_ISOLATION
 from ..decisions.sources import CacheHolder
 from ..decisions.sources import estimate_cached
@@ -36,6 +37,14 @@
     ]
 
 
+def _name_weights(version: int | None, state: TargetState) -> str:
+    """Return what a salt states of the weights that a target has."""
+    if version is not None:
+        return str(version)
+    target = state.target
+    return name_unknown_weights(target.incarnation, target.started_at_ms)
+
+
 class PrefillPlanner:
     """Plans the prefill of one call's prompt at targets of a service."""
 
@@ -52,21 +61,22 @@
             return None
         return state.weights_versions.get(prompt.model)
 
-    def make_salt(self, state: TargetState) -> str:
+    def make_salt(self, state: TargetState, service: Service) -> str:
         """Return what separates cached segments that must not be shared.
 
-        It is empty if the call states no prompt or the target has no weights
-        of its model.
+        It is empty if the service runs no models. An engine may find
+        segments also of a prompt that this VM can't read.
         """
-        return self._format_salt(self.find_weights_version(state))
-
-    def _format_salt(self, weights_version: int | None) -> str:
-        if weights_version is None:
+        if service.engine is None:
             return ''
+        version = self.find_weights_version(state)
+        return self._format_salt(_name_weights(version, state))
+
+    def _format_salt(self, weights: str) -> str:
         call = self._call
         configuration = self._view.configuration
         return format_salt(
-            str(weights_version),
+            weights,
             call.workspace,
             NO_ISOLATION if configuration is None else configuration.isolation,
             call.restriction,
@@ -79,9 +89,12 @@
 
         Many targets have few versions, so each is formatted once.
         """
-        versions = [s.weights_versions.get(prompt.model) for s in states]
-        salts = {v: self._format_salt(v) for v in set(versions)}
-        return [salts[v] for v in versions]
+        weights = [
+            _name_weights(s.weights_versions.get(prompt.model), s)
+            for s in states
+        ]
+        salts = {w: self._format_salt(w) for w in set(weights)}
+        return [salts[w] for w in weights]
 
     def count_cached_tokens(
         self, states: list[TargetState], service: Service
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -117,8 +117,9 @@
     ``incarnation`` and ``weights_version`` are those that the target must
     have; ``weights_version`` is nothing for services that run no model.
     ``salt`` separates the cached prompts of weights versions and of isolated
-    workspaces. ``fetch_from`` and ``save_to`` are the addresses that stored
-    KV cache is read from and written to.
+    workspaces; it is empty for such services. ``fetch_from`` and
+    ``save_to`` are the addresses that stored KV cache is read from and
+    written to.
     """
 
     workspace: str
@@ -254,8 +255,9 @@
         headers[_WORKSPACE] = forwarded.workspace
     if forwarded.weights_version is not None:
         headers[_EXPECTED_WEIGHTS_VERSION] = str(forwarded.weights_version)
-        headers[_CACHE_SALT] = forwarded.salt
         headers[_URGENCY] = str(min(_MAX_URGENCY, forwarded.urgency))
+    if forwarded.salt:
+        headers[_CACHE_SALT] = forwarded.salt
     if forwarded.fetch_from is not None:
         headers[_FETCH_FROM] = str(forwarded.fetch_from)
     if forwarded.save_to is not None:
--- a/tests/gateway/test_isolated_workspaces.py
+++ b/tests/gateway/test_isolated_workspaces.py
@@ -9,6 +9,7 @@
 from deployments import make_configuration
 from deployments import wait_until
 from lentilrun.gateway.node import Node
+from lentilrun.standins.configuration import MODEL
 import pytest
 
 _TOKENS = '1000,20'
@@ -83,3 +84,39 @@
             assert not released & (salts['north'] | salts['south'])
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize('isolated', [(), ('north',), ('north', 'south')])
+def test_prompt_without_stated_tokens(isolated: tuple[str, ...]) -> None:
+    """Guards against a call without a salt: one cache is shared by all."""
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            for name in ('e1', 'e2'):
+                deployment.add_replica(name, 'llm')
+            node = await deployment.start_node('vm1')
+            await _configure(deployment, _make_isolating(2, *isolated))
+            salts: dict[str, set[str]] = {n: set() for n in _KEYS}
+            for workspace in [*_KEYS] * 6:
+                response = await deployment.ask(
+                    node,
+                    '/talk/x',
+                    b'{}',
+                    Api_Key=_KEYS[workspace],
+                    X_Model=MODEL,
+                    X_Prefix_Hash='aa:500,bb:300,cc:200',
+                )
+                assert response.status == 200
+            for name, engine in deployment.replicas.items():
+                assert engine.runs, name
+                for run in engine.runs:
+                    salt = run.headers['X-Cache-Salt']
+                    salts[run.headers['X-Tenant-Id']].add(f'{name}:{salt}')
+                    assert salt
+            if isolated:
+                assert not salts['north'] & salts['south']
+            texts = [s.partition(':')[2] for s in salts['south']]
+            # The version is not known, so each engine has its own segments.
+            assert len(texts) == len(set(texts)) == 2
+
+    asyncio.run(body())
