Refuse an empty list of workspaces in the operators' file

Cause: the list was empty both where the key is absent and where it names nothing.

Change: a list that is there without a name is a finding, so that the file is not applied.

--- a/src/lentilrun/config/ini.py
+++ b/src/lentilrun/config/ini.py
@@ -160,9 +160,15 @@
             return None
 
     def names(self, key: str) -> tuple[str, ...]:
-        """Return the names of a comma-separated list."""
-        names = [n.strip() for n in self.text(key, '').split(',')]
-        return tuple(n for n in names if n)
+        """Return the names of a comma-separated list, none if it is absent.
+
+        A list that is there without a name has a finding.
+        """
+        parts = [n.strip() for n in self.text(key, '').split(',')]
+        names = tuple(n for n in parts if n)
+        if key in self._values and not names:
+            self.add_finding(key, 'missing', 'a list needs a name')
+        return names
 
     def digest(self, key: str) -> str:
         """Return a SHA-256 digest in lower-case hexadecimal."""
--- a/tests/config/test_declaration.py
+++ b/tests/config/test_declaration.py
@@ -51,6 +51,9 @@
     ('slots = 4', 'slots = 4\nslots = 5', 11, 'duplicate'),
     ('[model m]', '[workspace solo]\n[model m]', 9, 'duplicate'),
     ('slots = 4', 'slots', 10, 'unreadable'),
+    # A list that lost its last name would open the route to all.
+    ('path = /v1', 'workspaces =\npath = /v1', 17, 'missing'),
+    ('path = /v1', 'workspaces = ,\npath = /v1', 17, 'missing'),
 ]
 
 
