Ask in one place whether a VM writes for the whole fleet

Cause: the question stood twice, word for word, in the writers of the use and of the announcements; a third writer needs it. Change: Peers.is_first_candidate. No change of behaviour.

--- a/src/lentilrun/gateway/announcementrows.py
+++ b/src/lentilrun/gateway/announcementrows.py
@@ -114,7 +114,7 @@
 
     async def _write_missing(self) -> None:
         """Write what is not written; raises ``PlatformError``."""
-        if not self._is_writer():
+        if not self._peers.is_first_candidate():
             return
         for is_assumed in (False, True):
             for report in self._view.export_announcements(is_assumed):
@@ -122,10 +122,6 @@
                 if version not in self._written:
                     await self._write(version, report.age, is_assumed)
 
-    def _is_writer(self) -> bool:
-        candidates = self._peers.list_lease_candidates()
-        return candidates[:1] == [self._peers.own_member.name]
-
     async def _write(
         self, version: _ModelVersion, age: float, is_assumed: bool
     ) -> None:
--- a/src/lentilrun/gateway/peers.py
+++ b/src/lentilrun/gateway/peers.py
@@ -320,6 +320,10 @@
             ranked = [(0, name) for _, name in ranked]
         return [name for _, name in sorted(ranked) if name not in unfit]
 
+    def is_first_candidate(self) -> bool:
+        """Return whether this VM is the first that may take a lease over."""
+        return self.list_lease_candidates()[:1] == [self.own_member.name]
+
     def list_readers(self) -> list[str]:
         """Return the hubs that read the store for the fleet, in order."""
         return pick_readers(self.hubs(), self._list_unfit_hubs())
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -61,7 +61,7 @@
         while True:
             await asyncio.sleep(_CHECKPOINT_INTERVAL_S)
             uses = self._quotas.export_for_checkpoint()
-            if not uses or not self._is_writer():
+            if not uses or not self._peers.is_first_candidate():
                 continue
             row = _UsageRow(uses, self._store.estimate_clock())
             value = msgspec.json.encode(row)
@@ -72,10 +72,6 @@
             except PlatformError as error:
                 self._log.write('usage_unwritten', error=error)
 
-    def _is_writer(self) -> bool:
-        candidates = self._peers.list_lease_candidates()
-        return candidates[:1] == [self._peers.own_member.name]
-
     def restore(self, table_rows: Rows) -> None:
         """Adopt the usage that was written before this process started."""
         for row in table_rows.rows:
