Keep crashing requests in the store over a restart of all VMs

Cause: crashes were in the memory of VMs and in their messages only. When all start at one moment, no VM is left that knows of them.

Change: from its second crash on, a request has a row in the fleet's table with the starts of targets that crashed under it, dated by the store's clock. The VM that saw the crash writes it at once, the first lease candidate again after a second. VMs read it as they start and judge by it. A response to the request, or of a start that is said to have crashed, clears it; it expires 300 s after the last crash. gateway/rowsaver.py writes rows for state that must outlast all processes. Segments of prompts are not kept.

Why it works: what VMs judge by is the same before and after the restart.

Ruled out: the restart of a single VM, which learns of crashes from others. Store calls: none without a second crash, 2 at most for each of four crashes of a request in 60 s (test_store_calls).

--- a/src/lentilrun/decisions/quarantine.py
+++ b/src/lentilrun/decisions/quarantine.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import enum
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from ..records import PositionalRecord
@@ -61,6 +62,16 @@
     target_start: str
 
 
+class CrashHistory(NamedTuple):
+    """The target starts that crashed under a suspect.
+
+    The last one crashed at ``crashed_at``, in seconds.
+    """
+
+    target_starts: tuple[str, ...]
+    crashed_at: float
+
+
 class Verdict(enum.Enum):
     """Whether a request may be sent; ``TRIAL`` only once in a while."""
 
@@ -91,7 +102,7 @@
     def __init__(self) -> None:
         self.crashes: dict[str, float] = {}
         self.cleared: set[str] = set()
-        self.changed_at = 0.0
+        self.changed_at = float('-inf')
         self.convicted_at = 0.0
         self.tried_at: float | None = None
         # Whether a target crashed under a trial of this VM.
@@ -148,6 +159,38 @@
         record.convicted_at = now
         return True
 
+    def find_history(
+        self, suspect: Suspect, now: float
+    ) -> CrashHistory | None:
+        """Return the crashes under a suspect that count, if any do."""
+        record = self._find(suspect, now)
+        if record is None or not record.crashes:
+            return None
+        return CrashHistory(
+            tuple(record.crashes), max(record.crashes.values())
+        )
+
+    def restore(
+        self, suspect: Suspect, history: CrashHistory, now: float
+    ) -> bool:
+        """Record crashes that were saved; return whether any is new.
+
+        They expire as if they had been recorded when they happened. Those
+        that were cleared since do not count.
+        """
+        record = self._find(suspect, now)
+        if record is None:
+            self._make_room(now)
+            record = self._records[suspect] = _Record()
+        known = record.crashes.keys() | record.cleared
+        new = [s for s in history.target_starts if s not in known]
+        room = _MAX_CRASHES_PER_RECORD - len(record.crashes)
+        for start in new[:room]:
+            record.crashes[start] = history.crashed_at
+            self._remember_crashed(start, history.crashed_at)
+        record.changed_at = max(record.changed_at, history.crashed_at)
+        return bool(new) and self._find(suspect, now) is not None
+
     def record_response(
         self, suspects: Sequence[Suspect], now: float
     ) -> list[Crash]:
@@ -308,6 +351,7 @@
 
 __all__ = [
     'Crash',
+    'CrashHistory',
     'list_segments',
     'Quarantine',
     'Suspect',
--- a/src/lentilrun/gateway/build.py
+++ b/src/lentilrun/gateway/build.py
@@ -33,8 +33,8 @@
     'row_request': 1,
     'statement': 1,
     'forwarded_call': 1,
-    # 2: the times of announcements are kept.
-    'fleet_rows': 2,
+    # 2: the times of announcements are kept. 3: so are crashing requests.
+    'fleet_rows': 3,
 }
 
 
--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -14,10 +14,12 @@
 from .recent import RecentReports
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from ..coordination.clock import Clock
     from ..decisions.facts import Target
+    from ..decisions.quarantine import CrashHistory
     from .call import Call
     from .logs import Log
 
@@ -45,6 +47,8 @@
         self._quarantine = Quarantine()
         self.recent: RecentReports[Crash] = RecentReports(clock)
         self.recent_cleared: RecentReports[Crash] = RecentReports(clock)
+        # Called with a suspect whose crashes changed, and where they did.
+        self.on_change: list[Callable[[Suspect, Origin], None]] = []
 
     def record_crash(
         self, suspects: Sequence[Suspect], target: Target, sent_at: float
@@ -69,6 +73,11 @@
             return
         if self._quarantine.record_crash(crash, self._clock.now(), sent_at):
             self._write('quarantine_began', crash)
+        self._notify(crash.suspect, origin)
+
+    def _notify(self, suspect: Suspect, origin: Origin) -> None:
+        for callback in self.on_change:
+            callback(suspect, origin)
 
     def record_response(
         self, suspects: Sequence[Suspect], target: Target, sent_at: float
@@ -91,6 +100,23 @@
                 continue
             if self._quarantine.clear(crash, self._clock.now()):
                 self._write('quarantine_ended', crash)
+            self._notify(crash.suspect, origin)
+
+    def find_history(self, suspect: Suspect) -> CrashHistory | None:
+        """Return the crashes under a suspect that count, if any do."""
+        return self._quarantine.find_history(suspect, self._clock.now())
+
+    def restore(self, suspect: Suspect, history: CrashHistory) -> None:
+        """Record crashes that were saved before this process started."""
+        now = self._clock.now()
+        if self._quarantine.restore(suspect, history, now):
+            self._log.write(
+                'crashes_restored',
+                kind=suspect.kind.name.lower(),
+                suspect=suspect.identity,
+                targets=history.target_starts,
+                age=round(now - history.crashed_at, 3),
+            )
 
     def repeat_reports(self) -> None:
         """Report all crashes that count again, as a VM has started."""
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -35,6 +35,7 @@
 from .call import Refusal
 from .context import DispatchContext
 from .crashes import CrashTracker
+from .crashrows import CrashRows
 from .discovery import Discovery
 from .dispatch import Dispatcher
 from .explanations import RoutingExplainer
@@ -350,6 +351,10 @@
             self.store, self.clock, self.peers, self.view, self.log
         )
         self.discovery.on_read.append(self.announcement_rows.apply_rows)
+        self.crash_rows = CrashRows(
+            self.store, self.clock, self.peers, self.crashes, self.log
+        )
+        self.discovery.on_read.append(self.crash_rows.apply_rows)
 
     def _build_entry(self) -> None:
         regions = Regions(self.settings.regions, self.log)
@@ -620,6 +625,7 @@
             self.rollout_driver,
             self.usage_checkpointer,
             self.announcement_rows,
+            self.crash_rows,
             self.reachability,
             self.guard,
         )
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -337,7 +337,11 @@
 
     def _list_more(self, node: Node) -> list[Coroutine[Any, Any, None]]:
         """Return what not every build of a VM runs."""
-        return [node.builds.run(), node.announcement_rows.run()]
+        return [
+            node.builds.run(),
+            node.announcement_rows.run(),
+            node.crash_rows.run(),
+        ]
 
     def stop(self, name: str) -> None:
         """Stop a VM without an announcement."""
