End a quarantine in time although VMs repeat their reports

Cause: VMs repeat all crashes to each VM that starts. A report of a crash that was known already set the time of the record anew, and a crash that was learned late counted from then on.

Change: reports of other VMs do not renew what is known. The time of a row in the store goes before that of a later report.

Evidence: test_repeated_reports_do_not_renew and test_saved_crash_is_as_old_as_it_is failed before and pass. A fleet whose VMs restart one by one for 300 s (test_single_restarts) passed before too; it stays as a check of the whole.

--- a/src/lentilrun/decisions/quarantine.py
+++ b/src/lentilrun/decisions/quarantine.py
@@ -141,8 +141,11 @@
 
         ``sent_at`` is when this VM sent the request, if it was this one.
         """
-        record = self._touch(crash.suspect, now)
         start = crash.target_start
+        if sent_at is None and self._knows(crash, now):
+            # VMs repeat their reports to those that start.
+            return False
+        record = self._touch(crash.suspect, now)
         if (
             start in record.cleared
             or start in record.crashes
@@ -159,6 +162,13 @@
         record.convicted_at = now
         return True
 
+    def _knows(self, crash: Crash, now: float) -> bool:
+        record = self._find(crash.suspect, now)
+        if record is None:
+            return False
+        start = crash.target_start
+        return start in record.crashes or start in record.cleared
+
     def find_history(
         self, suspect: Suspect, now: float
     ) -> CrashHistory | None:
@@ -175,20 +185,25 @@
     ) -> bool:
         """Record crashes that were saved; return whether any is new.
 
-        They expire as if they had been recorded when they happened. Those
-        that were cleared since do not count.
+        They expire as if they had been recorded when they happened, also if
+        another VM reported them meanwhile. Those that were cleared since do
+        not count.
         """
         record = self._find(suspect, now)
         if record is None:
             self._make_room(now)
             record = self._records[suspect] = _Record()
-        known = record.crashes.keys() | record.cleared
+        crashes = record.crashes
+        known = crashes.keys() | record.cleared
         new = [s for s in history.target_starts if s not in known]
-        room = _MAX_CRASHES_PER_RECORD - len(record.crashes)
+        room = _MAX_CRASHES_PER_RECORD - len(crashes)
         for start in new[:room]:
-            record.crashes[start] = history.crashed_at
+            crashes[start] = history.crashed_at
             self._remember_crashed(start, history.crashed_at)
-        record.changed_at = max(record.changed_at, history.crashed_at)
+        for start in crashes.keys() & history.target_starts:
+            crashes[start] = min(crashes[start], history.crashed_at)
+        if crashes:
+            record.changed_at = max(crashes.values())
         return bool(new) and self._find(suspect, now) is not None
 
     def record_response(
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -13,6 +13,7 @@
 from lentilrun.coordination.clock import ManualClock
 from lentilrun.decisions.facts import Target
 from lentilrun.decisions.quarantine import Crash
+from lentilrun.decisions.quarantine import CrashHistory
 from lentilrun.decisions.quarantine import Suspect
 from lentilrun.decisions.quarantine import SuspectKind
 from lentilrun.gateway.crashes import CrashTracker
@@ -71,6 +72,31 @@
     assert not crashes.is_quarantined([_REQUEST])
 
 
+def test_repeated_reports_do_not_renew() -> None:
+    """Guards against a quarantine that lasts as long as VMs restart."""
+    clock = ManualClock()
+    crashes = _make_tracker(clock)
+    for _ in range(3):
+        crashes.receive(_REPORTS, Origin.LOCAL)
+        assert crashes.is_quarantined([_REQUEST])
+        clock.advance(99.0)
+    clock.advance(4.0)
+    assert not crashes.is_quarantined([_REQUEST])
+
+
+def test_saved_crash_is_as_old_as_it_is() -> None:
+    """Guards against a report that makes a saved crash seem newer."""
+    clock = ManualClock()
+    crashes = _make_tracker(clock)
+    clock.advance(290.0)
+    crashes.receive(_REPORTS, Origin.LOCAL)
+    starts = tuple(r.target_start for r in _REPORTS)
+    crashes.restore(_REQUEST, CrashHistory(starts, clock.now() - 290.0))
+    assert crashes.is_quarantined([_REQUEST])
+    clock.advance(11.0)
+    assert not crashes.is_quarantined([_REQUEST])
+
+
 def test_response_clears_a_request() -> None:
     """A request that got a response from any target is cleared."""
     crashes = _make_tracker(ManualClock())
--- a/tests/gateway/test_kept_crashes.py
+++ b/tests/gateway/test_kept_crashes.py
@@ -206,6 +206,24 @@
     _play(monkeypatch, main)
 
 
+def test_single_restarts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against VMs that renew a conviction as others start."""
+
+    async def main(play: _Play) -> None:
+        play.crash(_FIRST, 'e0', 'e1', 'e2')
+        crashed_at = play.loop.time()
+        while play.loop.time() < crashed_at + _QUARANTINE_S:
+            for node in list(play.fleet):
+                await asyncio.sleep(5.0)
+                name = node.settings.name
+                play.fleet.stop(name)
+                play.fleet.replace(name)
+        await asyncio.sleep(STARTED_S)
+        assert not play.count_refusing()
+
+    _play(monkeypatch, main)
+
+
 @pytest.mark.parametrize('is_cleared', [False, True])
 def test_store_is_restored(
     is_cleared: bool, monkeypatch: pytest.MonkeyPatch
