Simplify how saved rows are repeated, and bound what is remembered

Cause: reading the change as a newcomer would. A second interval for repeated writes did nothing that the first does not, and a VM remembered requests whose rows another VM had removed after they expired.

Change: one interval; requests without crashes that count are forgotten when the table is read; a step with a name of its own.

--- a/src/lentilrun/gateway/crashrows.py
+++ b/src/lentilrun/gateway/crashrows.py
@@ -27,7 +27,7 @@
     from .peers import Peers
 
 _KEY_PREFIX = 'crashes/'
-# The requests that a crash breaks off are many; few are there at a second.
+# One crash breaks off many requests, few of which are at a second one.
 _MIN_SAVED_CRASHES = 2
 
 
@@ -113,6 +113,11 @@
         for row in table_rows.rows:
             if row.key.startswith(_KEY_PREFIX):
                 self._apply(row)
+        self._forget_expired()
+
+    def _forget_expired(self) -> None:
+        """Forget the requests whose rows another VM has removed."""
+        self._saved = {s for s in self._saved if self._find_saved(s)}
 
     def _apply(self, row: Row) -> None:
         suspect = _name_suspect(row.key)
--- a/src/lentilrun/gateway/rowsaver.py
+++ b/src/lentilrun/gateway/rowsaver.py
@@ -19,10 +19,8 @@
     from .logs import Log
     from .peers import Peers
 
-# A VM writes at once, and then at most this often.
+# A VM writes at once, and then at most this often; so it repeats a write too.
 _WRITE_INTERVAL_S = 1.0
-# Without a response, a write is repeated after this time.
-_RETRY_INTERVAL_S = 0.5
 # After this time a VM writes what another one should have written.
 _TAKEOVER_DELAY_S = 1.0
 _MAX_ROWS_PER_CALL = 50
@@ -83,7 +81,6 @@
                 await self._write_due()
             except PlatformError as error:
                 self._log.write('rows_unsaved', error=error)
-                self._may_write_at = self._clock.now() + _RETRY_INTERVAL_S
 
     def _time_until_due(self) -> float:
         now = self._clock.now()
@@ -117,9 +114,7 @@
         """Remove and return the keys of rows that this VM is to write now."""
         now = self._clock.now()
         if not self._peers.is_first_candidate():
-            # The first candidate has them too.
-            for key in [k for k, at in self._others.items() if at <= now]:
-                del self._others[key]
+            self._leave_to_candidate(now)
         due = [
             k
             for pending in (self._own, self._others)
@@ -132,5 +127,10 @@
             self._others.pop(key, None)
         return keys
 
+    def _leave_to_candidate(self, now: float) -> None:
+        """Drop due rows of other VMs, which the first candidate has too."""
+        for key in [k for k, at in self._others.items() if at <= now]:
+            del self._others[key]
+
 
 __all__ = ['RowSaver']
