Count the slack of the retry budget as spent after a restart

Cause: the part of the slack that a VM may spend in a window was free again with each process. A VM that starts knows few others, so its part was larger.

Change: a process that starts while the system runs counts the slack as spent for one window; the platform's settings say whether the whole system starts. Retries by the share of a VM's own requests stay.

Why it works: what was spent before the restart, plus the shares after it, is within the limit, as the slack was at most used once in a window.

Ruled out: rows in the store, which would be written as targets fail.

--- a/src/lentilrun/decisions/retries.py
+++ b/src/lentilrun/decisions/retries.py
@@ -16,15 +16,23 @@
 class RetryBudget:
     """One service's retry budget at this VM, over a sliding window."""
 
-    def __init__(self, ratio: float, slack: float, window: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window: float,
+        slack_from: float = float('-inf'),
+    ) -> None:
         """Allow ``ratio`` retries per request, plus ``slack``.
 
         ``slack`` is a number of retries that all VMs share in a window, and
-        ``window`` is in seconds.
+        ``window`` is in seconds. Before the time ``slack_from`` the slack
+        counts as spent, as by VMs that have forgotten that they did.
         """
         self._ratio = ratio
         self._slack = slack
         self._window = window
+        self._slack_from = slack_from
         self._requests: collections.deque[float] = collections.deque()
         self._retries: collections.deque[float] = collections.deque()
 
@@ -51,7 +59,8 @@
         """
         self._discard_expired(now)
         allowed_retries = self._ratio * len(self._requests)
-        allowed_retries += self._slack / max(1, members)
+        if now >= self._slack_from:
+            allowed_retries += self._slack / max(1, members)
         limit = allowed_retries * _USED_LIMIT_SHARE * max_share
         if len(self._retries) + 1 > limit:
             return False
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -20,9 +20,17 @@
 class Dispatcher:
     """Sends calls to targets and relays their responses."""
 
-    def __init__(self, context: DispatchContext) -> None:
+    def __init__(
+        self, context: DispatchContext, is_first_start: bool = True
+    ) -> None:
+        """Send calls for a VM that no process has run on, or some have."""
         self._context = context
         self._budgets: dict[str, RetryBudget] = {}
+        self._slack_from = float('-inf')
+        if not is_first_start:
+            self._slack_from = (
+                context.clock.now() + context.bounds.retry_window
+            )
         # Calls by service that wait for targets which limit their requests.
         self.waiting_for_turns: collections.Counter[str] = (
             collections.Counter()
@@ -61,7 +69,10 @@
         if budget is None:
             bounds = self._context.bounds
             budget = RetryBudget(
-                bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+                bounds.retry_ratio,
+                bounds.retry_slack,
+                bounds.retry_window,
+                self._slack_from,
             )
             self._budgets[service] = budget
         return budget
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -379,7 +379,7 @@
             self.metrics,
             self.log,
         )
-        self.dispatcher = Dispatcher(context)
+        self.dispatcher = Dispatcher(context, self.settings.is_first_start)
         limited_log = LimitedLog(self.log, self.clock)
         plan = self.connection_plan = plan_connections(
             _limit_descriptors(self.settings.descriptors)
--- a/src/lentilrun/platform/node.py
+++ b/src/lentilrun/platform/node.py
@@ -78,7 +78,8 @@
 
     ``power`` is in processor cores, ``memory_bytes`` and ``descriptors`` the
     most that the process may use; ``host`` is the IP of the VM. ``regions``
-    holds the region of each data centre, its own one included.
+    holds the region of each data centre, its own one included. It
+    ``is_first_start`` if the whole system starts for the first time.
     """
 
     name: str
@@ -93,6 +94,7 @@
     memory_bytes: int = _DEFAULT_MEMORY_MB * _BYTES_PER_MB
     descriptors: int = _DEFAULT_MAX_FDS
     regions: RegionMap = NO_REGIONS
+    is_first_start: bool = True
 
 
 class BadSettingsError(LentilrunError):
@@ -155,6 +157,7 @@
     bounds: _WireBounds
     region: str = ''
     zones: dict[str, str] = {}
+    bootstrap: bool = True
 
 
 def _make_bounds(wire: _WireBounds) -> Bounds:
@@ -203,6 +206,7 @@
         regions=RegionMap(
             wire.zones, wire.region or wire.zones.get(wire.zone, '')
         ),
+        is_first_start=wire.bootstrap,
     )
 
 
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -39,3 +39,12 @@
     spent = sum(budget.spend(1.0, 1, max_share) for _ in range(50))
     assert spent == expected
     assert sum(budget.spend(1.0, 1) for _ in range(50)) == 15 - spent
+
+
+def test_slack_counts_as_spent_at_first() -> None:
+    """Guards against VMs that spend their slack again after a restart."""
+    budget = RetryBudget(0.2, 56.0, 10.0, slack_from=20.0)
+    for _ in range(100):
+        budget.record_request(12.0)
+    assert sum(budget.spend(12.0, 1) for _ in range(50)) == 15
+    assert sum(budget.spend(23.0, 1) for _ in range(60)) == 42
--- a/tests/gateway/modelledfleets.py
+++ b/tests/gateway/modelledfleets.py
@@ -291,7 +291,9 @@
         """Return the running VMs."""
         return iter([self.nodes[name] for name in self._tasks])
 
-    def _add(self, name: str, data_centre: str) -> None:
+    def _add(
+        self, name: str, data_centre: str, is_first_start: bool = True
+    ) -> None:
         names = [*self.nodes, name]
         port = _FIRST_PORT + names.index(name)
         address = Address(_HOST, port)
@@ -308,6 +310,7 @@
             regions=RegionMap(
                 self._regions, self._regions.get(data_centre, '')
             ),
+            is_first_start=is_first_start,
         )
         node = self._make_node(settings)
         store = ModelledStore(self.state, self._loop)
@@ -354,7 +357,8 @@
 
     def replace(self, name: str) -> None:
         """Build a new process of a VM that was stopped, and start it."""
-        self._add(name, self.nodes[name].settings.data_centre)
+        data_centre = self.nodes[name].settings.data_centre
+        self._add(name, data_centre, is_first_start=False)
         self.start(name)
 
     def transmit(self, sender: str, data: bytes, address: Address) -> None:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -166,3 +166,12 @@
     """Guards against limits on times that a VM keeps too late."""
     bounds = parse(_TEXT + 'stable-window-ms = 4000').bounds
     assert bounds.undisturbed_time == pytest.approx(4.0)
+
+
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [('', True), ('bootstrap = true', True), ('bootstrap = false', False)],
+)
+def test_first_start(line: str, expected: bool) -> None:
+    """Settings tell a restart from the first start of the system."""
+    assert parse(f'{line}\n{_TEXT}').is_first_start is expected
