Send no unsafe request after a rejection that states no request

Cause: a late copy of a rejection without a request ID was taken for the answer to the next request on the same connection, as any rejection counted as identified.

Change: a connection remembers such a rejection. Requests that can't be repeated don't use it, and it is closed after a second one, or if the rejected request itself can't be repeated.

Why it works: a copy comes where the next response is due; the next request on that connection may be repeated, or there is none.

Ruled out: responses with an ID, and failures without one, which were rejected on kept connections before.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -157,6 +157,7 @@
             max(MIN_ATTEMPT_TIME_S, self._time_left()),
             choose_ack_timeout(self._call),
             self._call.request_id,
+            self._call.route.is_idempotent(),
         )
         move = StreamMove(
             self._assignment.state,
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -91,13 +91,15 @@
         """Return whether a response belongs to the request."""
         return dialect.is_response_to(headers, self._request_id)
 
-    def is_identified(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return whether a response has an ID, or states "not run".
+    def is_identified(self, headers: HTTPHeaders) -> bool:
+        """Return whether a response states which request it is for."""
+        return dialect.has_request_id(headers)
+
+    def is_rejection(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a response states that the request was not run.
 
         Targets that refuse a request may not echo its ID.
         """
-        if dialect.has_request_id(headers):
-            return True
         return dialect.read_response_head(status, headers).not_run
 
     def receive_head(
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -88,7 +88,9 @@
     must acknowledge what it is sent, or the connection is closed.
     A request with an ``identity`` isn't sent over the connection whose last
     request had the same one: a late copy of the response to that would be
-    taken for the response to this.
+    taken for the response to this. For the same reason one that isn't
+    ``idempotent`` isn't sent over a connection with a rejection that stated
+    no request.
     """
 
     method: str
@@ -98,6 +100,7 @@
     timeout: float
     ack_timeout: float = DEFAULT_ACK_TIMEOUT_S
     identity: str = ''
+    idempotent: bool = True
 
 
 class Response(NamedTuple):
@@ -150,14 +153,22 @@
         """
         return True
 
-    def is_identified(self, status: int, headers: HTTPHeaders) -> bool:
-        """Return whether a response can't be that to an earlier request.
+    def is_identified(self, headers: HTTPHeaders) -> bool:
+        """Return whether a response states which request it is for.
 
-        Any other response is believed only as the first on its connection,
-        which isn't used again. Servers may send a response twice.
+        Any other response, unless it is a rejection, is believed only as the
+        first on its connection, which isn't used again. Servers may send a
+        response twice.
         """
         return True
 
+    def is_rejection(self, status: int, headers: HTTPHeaders) -> bool:
+        """Return whether a response states that the request was not run.
+
+        Without the request that it is for, it is believed, but may be a copy.
+        """
+        return False
+
     def receive_head(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
@@ -253,6 +264,8 @@
         self._is_reused = is_reused
         self.is_mismatched = False
         self.is_rejected = False
+        # Whether a late copy of the response would be taken for the next one.
+        self.is_copyable = False
         self.finished = False
         self.keep_alive = False
         self.idle_timeout = 0.0
@@ -278,11 +291,14 @@
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
-        if not self._handler.is_identified(start_line.code, headers):
-            self.keep_alive = False
-            if self._is_reused:
-                self._reject()
-                return None
+        if not self._handler.is_identified(headers):
+            if self._handler.is_rejection(start_line.code, headers):
+                self.is_copyable = True
+            else:
+                self.keep_alive = False
+                if self._is_reused:
+                    self._reject()
+                    return None
         return self._handler.receive_head(start_line.code, headers)
 
     def _reject(self) -> None:
@@ -372,16 +388,54 @@
 class _IdleConnection(NamedTuple):
     """An open connection, usable until ``expires_at`` in monotonic seconds.
 
-    ``identity`` is that of its last request.
+    ``identity`` is that of its last request. A copy of a rejection may follow
+    if it ``may_have_copy``.
     """
 
     stream: IOStream
     expires_at: float
     identity: str
+    may_have_copy: bool = False
+
+    def may_carry(self, request: Request) -> bool:
+        """Return whether a request may be sent over the connection."""
+        if self.may_have_copy and not request.idempotent:
+            return False
+        return not request.identity or self.identity != request.identity
+
+
+class _KeptConnection(NamedTuple):
+    """How to keep a connection after an exchange.
+
+    The server keeps it for ``idle_timeout`` seconds; 0 means that it can't be
+    used again.
+    """
 
-    def has_carried(self, identity: str) -> bool:
-        """Return whether the last request had this identity."""
-        return bool(identity) and self.identity == identity
+    idle_timeout: float
+    may_have_copy: bool = False
+
+
+_NOT_KEPT = _KeptConnection(0.0)
+
+
+def _plan_reuse(
+    request: Request,
+    delegate: _ResponseDelegate,
+    idle: _IdleConnection | None,
+) -> _KeptConnection:
+    """Return how to keep a connection after a response to a request.
+
+    ``idle`` is how it was kept before, nothing if it is new. After a rejection
+    that may have been a copy itself, the response is still to come.
+    """
+    had_copy = idle is not None and idle.may_have_copy
+    if not delegate.keep_alive:
+        return _NOT_KEPT
+    if delegate.is_copyable and (had_copy or not request.idempotent):
+        return _NOT_KEPT
+    return _KeptConnection(
+        delegate.idle_timeout, had_copy or delegate.is_copyable
+    )
 
 
 class Client:
@@ -429,20 +483,23 @@
         for address in list(self._idle):
             self.close_idle(address)
 
-    def _pop_idle(self, address: Address, identity: str) -> IOStream | None:
+    def _pop_idle(
+        self, address: Address, request: Request
+    ) -> _IdleConnection | None:
         idle = self._idle.get(address, [])
         for index in reversed(range(len(idle))):
-            if idle[index].has_carried(identity):
+            if not idle[index].may_carry(request):
                 continue
-            stream, expires_at, _ = idle.pop(index)
+            connection = idle.pop(index)
+            stream = connection.stream
             stream.set_close_callback(None)
             if stream.closed():
                 continue
             # Bytes received while idle belong to no request: the stream
             # can't be used again.
             is_clean = not stream._read_buffer_size and not has_input(stream)
-            if expires_at > time.monotonic() and is_clean:
-                return stream
+            if connection.expires_at > time.monotonic() and is_clean:
+                return connection
             stream.close()
         return None
 
@@ -450,21 +507,24 @@
         self,
         address: Address,
         stream: IOStream,
-        idle_timeout: float,
+        kept: _KeptConnection,
         identity: str = '',
     ) -> None:
         idle = self._idle.setdefault(address, [])
         if (
             len(idle) >= self._max_idle
-            or idle_timeout <= _IDLE_TIMEOUT_MARGIN_S
+            or kept.idle_timeout <= _IDLE_TIMEOUT_MARGIN_S
         ):
             stream.close()
             return
         # Only with a close callback does a stream notice that the server
         # closes the connection.
         stream.set_close_callback(lambda: None)
-        expires_at = time.monotonic() + idle_timeout - _IDLE_TIMEOUT_MARGIN_S
-        idle.append(_IdleConnection(stream, expires_at, identity))
+        idle_timeout = kept.idle_timeout - _IDLE_TIMEOUT_MARGIN_S
+        expires_at = time.monotonic() + idle_timeout
+        idle.append(
+            _IdleConnection(stream, expires_at, identity, kept.may_have_copy)
+        )
 
     async def _connect(
         self, address: Address, timeout: float
@@ -503,7 +563,9 @@
     async def _add_unused(self, address: Address) -> None:
         """Open a connection and keep it; raises ``NotSentError``."""
         stream = await self._connect(address, self._connect_timeout)
-        self._add_idle(address, stream, _UNUSED_IDLE_TIMEOUT_S)
+        self._add_idle(
+            address, stream, _KeptConnection(_UNUSED_IDLE_TIMEOUT_S)
+        )
 
     async def exchange(
         self,
@@ -518,27 +580,28 @@
         idle connection, which the server may close at the same time.
         Raises ``NotSentError`` or ``InterruptedExchangeError``.
         """
-        stream = None
+        idle = None
         # HEAD uses a connection of its own: beside its response, which has a
         # length but no body, the end of a late copy can't be found.
         if reuse and request.method != 'HEAD':
-            stream = self._pop_idle(address, request.identity)
-        is_reused = stream is not None
-        if stream is None:
+            idle = self._pop_idle(address, request)
+        if idle is not None:
+            stream = idle.stream
+        else:
             stream = await self._connect(address, request.timeout)
         if handler.is_stopped:
             stream.close()
             raise NotSentError(f'stopped before it was sent to {address}')
         set_ack_timeout(stream, request.ack_timeout)
-        handler.is_on_kept_connection = is_reused
+        handler.is_on_kept_connection = idle is not None
         handler.start(lambda: abort(stream), self._memory)
-        idle_timeout = 0.0
+        kept = _NOT_KEPT
         is_complete = False
         try:
             async with asyncio.timeout(request.timeout):
                 with _KeptCancellation():
-                    idle_timeout = await self._send_and_receive(
-                        stream, address, request, handler, is_reused
+                    kept = await self._send_and_receive(
+                        stream, address, request, handler, idle
                     )
             is_complete = True
         except TimeoutError as error:
@@ -554,10 +617,10 @@
             handler.end()
             if not is_complete:
                 abort(stream)
-            elif not idle_timeout:
+            elif not kept.idle_timeout:
                 stream.close()
-        if idle_timeout:
-            self._add_idle(address, stream, idle_timeout, request.identity)
+        if kept.idle_timeout:
+            self._add_idle(address, stream, kept, request.identity)
 
     async def _send_and_receive(
         self,
@@ -565,25 +628,22 @@
         address: Address,
         request: Request,
         handler: ResponseHandler,
-        is_reused: bool,
-    ) -> float:
-        """Return how long the server keeps the connection, in seconds.
-
-        0 means that the connection can't be used again.
-        """
+        idle: _IdleConnection | None,
+    ) -> _KeptConnection:
+        """Return whether and how the connection can be used again."""
         connection = _ClientConnection(stream, True, self._parameters)
         try:
             self._write_request(connection, address, request)
         except ValueError as error:
             raise NotSentError(f'no HTTP request: {error!r}') from error
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            delegate = _ResponseDelegate(stream, handler, is_reused)
+            delegate = _ResponseDelegate(stream, handler, idle is not None)
             try:
                 is_open = await connection.read_response(delegate)
             except StreamClosedError:
                 if not delegate.finished or delegate.is_mismatched:
                     raise
-                return 0.0
+                return _NOT_KEPT
             if (
                 not delegate.finished
                 or delegate.is_rejected
@@ -593,10 +653,9 @@
                 # handler closes its connection.
                 break
             if not delegate.is_mismatched:
-                is_kept = is_open and delegate.keep_alive
-                if request.method == 'HEAD':
-                    is_kept = False
-                return delegate.idle_timeout if is_kept else 0.0
+                if not is_open or request.method == 'HEAD':
+                    return _NOT_KEPT
+                return _plan_reuse(request, delegate, idle)
             if not is_open:
                 break
             connection = connection.make_successor()
