--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -98,6 +98,17 @@
         value = msgspec.json.encode(configuration)
         self.store.put('op', 'config', value)
 
+    async def put_in_force(self, configuration: dict[str, Any]) -> None:
+        """Write a configuration and wait until all VMs have it."""
+        self.configure(configuration)
+        version = configuration['version']
+
+        def is_in_force() -> bool:
+            in_force = [n.view.configuration for n in self.nodes.values()]
+            return all(c and c.version == version for c in in_force)
+
+        await wait_until(is_in_force)
+
     def announce_weights(self, version: int) -> None:
         """Announce a version of the model's weights."""
         self.store.put(
--- a/tests/gateway/test_isolated_workspaces.py
+++ b/tests/gateway/test_isolated_workspaces.py
@@ -7,7 +7,6 @@
 
 from deployments import Deployment
 from deployments import make_configuration
-from deployments import wait_until
 from lentilrun.gateway.node import Node
 from lentilrun.standins.configuration import MODEL
 import pytest
@@ -28,20 +27,6 @@
     return configuration
 
 
-async def _configure(
-    deployment: Deployment, configuration: dict[str, Any]
-) -> None:
-    """Write a configuration and wait until all VMs have it."""
-    deployment.configure(configuration)
-    version = configuration['version']
-
-    def is_in_force() -> bool:
-        in_force = [n.view.configuration for n in deployment.nodes.values()]
-        return all(c and c.version == version for c in in_force)
-
-    await wait_until(is_in_force)
-
-
 async def _list_salts(
     deployment: Deployment, node: Node, workspace: str
 ) -> set[str]:
@@ -64,10 +49,10 @@
         async with Deployment() as deployment:
             deployment.add_replica('e1', 'llm')
             node = await deployment.start_node('vm1')
-            await _configure(deployment, _make_isolating(2))
+            await deployment.put_in_force(_make_isolating(2))
             before = await _list_salts(deployment, node, 'north')
             assert before == await _list_salts(deployment, node, 'south')
-            await _configure(deployment, _make_isolating(3, isolated))
+            await deployment.put_in_force(_make_isolating(3, isolated))
             # This VM has not seen the configurations before.
             late_node = await deployment.start_node('vm2')
             salts = {
@@ -78,7 +63,7 @@
             assert all(len(s) == 1 for s in salts.values())
             assert not before & (salts['north'] | salts['south'])
             assert salts['north'] != salts['south']
-            await _configure(deployment, _make_isolating(4))
+            await deployment.put_in_force(_make_isolating(4))
             released = await _list_salts(deployment, node, 'north')
             assert released == await _list_salts(deployment, node, 'south')
             assert not released & (salts['north'] | salts['south'])
@@ -95,7 +80,7 @@
             for name in ('e1', 'e2'):
                 deployment.add_replica(name, 'llm')
             node = await deployment.start_node('vm1')
-            await _configure(deployment, _make_isolating(2, *isolated))
+            await deployment.put_in_force(_make_isolating(2, *isolated))
             salts: dict[str, set[str]] = {n: set() for n in _KEYS}
             for workspace in [*_KEYS] * 6:
                 response = await deployment.ask(
--- a/tests/gateway/test_removed_keys.py
+++ b/tests/gateway/test_removed_keys.py
@@ -49,30 +49,14 @@
     return configuration
 
 
-async def _change(
-    deployment: Deployment, nodes: list[Node], case: _RemovalCase
-) -> None:
+async def _change(deployment: Deployment, case: _RemovalCase) -> None:
     """Write workspaces with keys, then those of a case."""
     tenants = [
         {'name': n, 'api-keys': [k]}
         for n, k in zip(('north', 'south'), _KEYS, strict=True)
     ]
-    await _configure(deployment, nodes, make_configuration(2, tenants=tenants))
-    await _configure(deployment, nodes, _make_changed(3, case))
-
-
-async def _configure(
-    deployment: Deployment, nodes: list[Node], configuration: dict[str, Any]
-) -> None:
-    """Write a configuration and wait until it is in force at VMs."""
-    deployment.configure(configuration)
-    version = configuration['version']
-
-    def is_in_force() -> bool:
-        in_force = [n.view.configuration for n in nodes]
-        return all(c and c.version == version for c in in_force)
-
-    await wait_until(is_in_force)
+    await deployment.put_in_force(make_configuration(2, tenants=tenants))
+    await deployment.put_in_force(_make_changed(3, case))
 
 
 @pytest.mark.parametrize('case', _CASES.values(), ids=_CASES)
@@ -84,7 +68,7 @@
             app = deployment.add_replica('a1', 'app')
             deployment.add_replica('e1', 'llm')
             node = await deployment.start_node('vm1')
-            await _change(deployment, [node], case)
+            await _change(deployment, case)
             for key in (*_KEYS, _NEVER_HELD_KEY, ''):
                 response = await deployment.ask(
                     node, '/once/x', b'x', Api_Key=key
@@ -109,7 +93,7 @@
             node = await deployment.start_node('vm1')
             helper = await deployment.start_node('vm2')
             await wait_until(lambda: bool(node.peers.list_responsive()))
-            await _change(deployment, [helper], _CASES['all_keys'])
+            await _change(deployment, _CASES['all_keys'])
             # The helper's port for other VMs takes what a VM stated there.
             headers = {
                 'Lentilrun-Forwarded': msgspec.json.encode(
