Believe what a target writes after a restoration of the store

What was seen: a target that reported that it leaves, and that it stays, while the store was away and lost both, was excluded by all VMs for good: no requests and no weights.

Cause: a row of a later era with an older state is taken for one of the copy. So was each row after it, as only eras were compared.

Change: numbers go on from the copy's, so a row is a copy's only if its number is below that of the row last believed, and if it replaces no row that was left out in that era. The same for earlier starts.

Three older rows of its table changed: they gave rows of a copy numbers that a copy can't have, and one asked that the second row of the new era, written after the restoration, is left out. The copy's own row is left out as before, also when read twice or restored twice.

--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -81,8 +81,10 @@
         self._unreported: collections.deque[float] = collections.deque()
         self._estimator = estimator
         self.weights_versions = dict(target.weights_versions)
-        # The era of the store in which its registration was last believed.
-        self.row_era = 0
+        # Versions of the row that was last believed, and of one that was not,
+        # as it may be that of a copy of the store.
+        self.row_version = 0
+        self.copied_version = 0
         self.in_flight = 0
         self.long_in_flight = 0
         self.prefill_tokens = 0.0
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -9,6 +9,7 @@
 from ..platform.rollouts import decode_order
 from ..platform.rollouts import is_rollout_key
 from ..platform.rowversions import find_era
+from ..platform.rowversions import split_version
 from .announcements import AgeBasis
 from .announcements import AnnouncedVersion
 from .announcements import AnnouncedWeights
@@ -230,20 +231,17 @@
             return
         state = self.targets.states.get(row.key)
         before = state.target if state is not None else None
-        row_era = find_era(row.version)
-        is_copy = (
-            state is not None
-            and row_era > state.row_era
-            and target.started_at_ms == state.target.started_at_ms
-            and target.cold_remaining == state.target.cold_remaining
-        )
-        if state is not None and row_era > state.row_era:
+        believed_version = row.version
+        if state is not None and _may_be_copied(state, row):
             if target.started_at_ms < state.target.started_at_ms:
                 # The copy has it from before the target's last start.
+                state.copied_version = row.version
                 return
             if _leaves_still(state.target, target):
+                state.copied_version = row.version
                 target = target._replace(is_draining=True)
-                row_era = state.row_era
+                believed_version = state.row_version
+        is_copy = state is not None and _is_restatement(state, target, row)
         if before is None or _has_changed(before, target):
             self._log.write(
                 'target_known',
@@ -256,7 +254,31 @@
                 row_version=row.version,
             )
         self.targets.register(target, is_copy)
-        self.targets.states[row.key].row_era = row_era
+        self.targets.states[row.key].row_version = believed_version
+
+
+def _may_be_copied(state: TargetState, row: Row) -> bool:
+    """Return whether a row may be an older one than is known, of a copy.
+
+    A restored store has the rows of a copy, with the numbers that they had.
+    One with the known number or a larger one was written later, and so was
+    one that replaces the row of the copy.
+    """
+    known = split_version(state.row_version)
+    version = split_version(row.version)
+    if version.era <= known.era or version.number >= known.number:
+        return False
+    copied = split_version(state.copied_version)
+    return version.era != copied.era or version.number <= copied.number
+
+
+def _is_restatement(state: TargetState, target: Target, row: Row) -> bool:
+    """Return whether a row of a later era states nothing new of a target."""
+    return (
+        find_era(row.version) > find_era(state.row_version)
+        and target.started_at_ms == state.target.started_at_ms
+        and target.cold_remaining == state.target.cold_remaining
+    )
 
 
 def _leaves_still(before: Target, copied: Target) -> bool:
--- a/tests/gateway/test_restored_targets.py
+++ b/tests/gateway/test_restored_targets.py
@@ -7,6 +7,9 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
+from deployments import Deployment
+from deployments import MODEL
+from deployments import wait_until
 from lentilrun.coordination.clock import ManualClock
 from lentilrun.gateway.follower import Follower
 from lentilrun.gateway.logs import Log
@@ -23,6 +26,7 @@
     from collections.abc import Iterator
 
 _ADDRESS = '127.0.0.1:9'
+_OUTAGE_S = 0.4
 
 
 @pytest.fixture
@@ -34,51 +38,102 @@
 
 
 class _Registration(NamedTuple):
-    """A target's row; ``born`` is when it started."""
+    """A target's row with its version; ``born`` is when it started."""
 
     era: int
+    number: int
     born: int
     state: str
 
 
+_READY = _Registration(1, 10, 5, 'ready')
+_LEAVING = _Registration(1, 20, 5, 'draining')
+_STARTED_ANEW = _Registration(1, 20, 6, 'ready')
+_COPIED = _Registration(2, 10, 5, 'ready')
+
+
 @pytest.mark.parametrize(
     ('registrations', 'expected_born', 'is_draining'),
     [
         # The store's newest row counts.
-        ([(1, 5, 'ready'), (1, 5, 'draining')], 5, True),
-        ([(1, 5, 'draining'), (1, 5, 'ready')], 5, False),
-        ([(1, 5, 'draining'), (1, 6, 'ready')], 6, False),
-        ([(1, 6, 'ready'), (1, 5, 'ready')], 5, False),
+        ([_READY, _LEAVING], 5, True),
+        ([_LEAVING, (1, 21, 5, 'ready')], 5, False),
+        ([_LEAVING, (1, 21, 6, 'ready')], 6, False),
+        ([_STARTED_ANEW, (1, 21, 5, 'ready')], 5, False),
         # A copy has the target as before it was leaving.
-        ([(1, 5, 'draining'), (2, 5, 'ready')], 5, True),
-        ([(1, 5, 'draining'), (2, 5, 'ready'), (2, 5, 'ready')], 5, True),
-        ([(1, 5, 'draining'), (2, 5, 'draining'), (2, 5, 'ready')], 5, False),
-        ([(1, 5, 'draining'), (2, 6, 'ready')], 6, False),
+        ([_LEAVING, _COPIED], 5, True),
+        ([_LEAVING, _COPIED, _COPIED], 5, True),
+        ([_LEAVING, _COPIED, (3, 10, 5, 'ready')], 5, True),
+        ([_LEAVING, _COPIED, (3, 9, 5, 'ready')], 5, True),
+        ([_LEAVING, (2, 12, 5, 'draining'), (2, 13, 5, 'ready')], 5, False),
+        ([_LEAVING, (2, 12, 6, 'ready')], 6, False),
+        # It has written since then that it stays.
+        ([_LEAVING, _COPIED, (2, 12, 5, 'ready')], 5, False),
+        ([_LEAVING, _COPIED, (2, 12, 5, 'ready'), _COPIED], 5, False),
+        ([_LEAVING, (2, 20, 5, 'ready')], 5, False),
+        ([_LEAVING, (2, 21, 5, 'ready')], 5, False),
+        ([_LEAVING, (3, 21, 5, 'ready')], 5, False),
         # A copy has it as before it started anew.
-        ([(1, 6, 'ready'), (2, 5, 'ready')], 6, False),
-        ([(1, 6, 'ready'), (2, 5, 'draining'), (2, 6, 'ready')], 6, False),
-        ([(1, 6, 'ready'), (2, 5, 'ready'), (3, 6, 'draining')], 6, True),
+        ([_STARTED_ANEW, _COPIED], 6, False),
+        (
+            [_STARTED_ANEW, (2, 9, 5, 'draining'), (2, 12, 6, 'ready')],
+            6,
+            False,
+        ),
+        ([_STARTED_ANEW, _COPIED, (3, 12, 6, 'draining')], 6, True),
     ],
 )
 def test_registrations_of_a_copy(
-    registrations: list[tuple[int, int, str]],
+    registrations: list[tuple[int, int, int, str]],
     expected_born: int,
     is_draining: bool,
     log_file: int,
 ) -> None:
-    """Rows of a copy take back nothing that a target has reported since."""
+    """Rows of a copy take back nothing that a target has reported since.
+
+    What it wrote after its report counts, also if the report was lost: it
+    got no requests and no weights any more.
+    """
     clock = ManualClock()
     targets = Targets(clock, 'a')
     view = View(clock, targets, 5.0, Log(clock, 'vm1', log_file))
-    for number, fields in enumerate(registrations):
-        era, born, state = _Registration(*fields)
+    for fields in registrations:
+        era, number, born, state = _Registration(*fields)
         value = make_target_row('app', _ADDRESS, {}, state, born)
-        view.apply_target_row(Row('a1', value, make_version(era, number + 1)))
+        view.apply_target_row(Row('a1', value, make_version(era, number)))
     target = targets.states['a1'].target
     assert target.started_at_ms == expected_born
     assert target.is_draining is is_draining
 
 
+@pytest.mark.parametrize('rewritten_after', [0.0, 0.5])
+def test_report_taken_back_in_an_outage(rewritten_after: float) -> None:
+    """An engine that stays after all gets new weights.
+
+    The store loses its report that it leaves, and that it stays.
+    """
+
+    async def body() -> None:
+        async with Deployment() as deployment:
+            engine = deployment.add_replica('e1', 'llm')
+            node = await deployment.start_node('vm1')
+            state = node.view.targets.states['e1']
+            copy = deployment.store.copy()
+            deployment.register('e1', 'llm', 'draining')
+            await wait_until(state.is_leaving)
+            deployment.store.faults.is_down = True
+            deployment.register('e1', 'llm')
+            await asyncio.sleep(_OUTAGE_S)
+            deployment.store.restore(copy)
+            deployment.store.faults.is_down = False
+            await asyncio.sleep(rewritten_after)
+            deployment.register('e1', 'llm')
+            deployment.announce_weights(2)
+            await wait_until(lambda: engine.versions[MODEL] == 2)
+
+    asyncio.run(body())
+
+
 class _Store:
     """Returns the rows of its only table; implements ``RowStore``'s reads."""
 
