Bound the segments of prompts by number and length

The prompts of one client, inside all limits and its quota, took each process over 150 MB every 20 s.

Cause: what an engine is assumed to have cached was bounded in tokens, not in segments or bytes; segments of one token, of none, or with identities of 16 KB took what they liked.

Change: a prompt has 256 segments at most, the rest counts as its own tokens; identities over 64 characters become digests; the caches of all targets together keep 65,536 segments.

--- a/src/lentilrun/gateway/prefixcache.py
+++ b/src/lentilrun/gateway/prefixcache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -16,6 +17,17 @@
 _CACHE_MEMORY_SHARE = 0.85
 
 
+class CacheLimits(NamedTuple):
+    """What bounds the segments that an engine is assumed to have.
+
+    ``memory_tokens`` is the size of the engine's memory. No more than
+    ``segments`` are kept, however short they are.
+    """
+
+    memory_tokens: int
+    segments: int
+
+
 class PrefixCache:
     """Segments by salt, evicting the least recently prefilled first."""
 
@@ -35,19 +47,19 @@
         return float(tokens)
 
     def record_prefill(
-        self, salt: str, segments: Iterable[PromptSegment], memory_tokens: int
+        self, salt: str, segments: Iterable[PromptSegment], limits: CacheLimits
     ) -> None:
-        """Record that ``segments`` of a prompt were sent for prefill.
-
-        ``memory_tokens`` is the size of the engine's memory.
-        """
+        """Record that ``segments`` of a prompt were sent for prefill."""
         for segment in segments:
             key = (salt, segment.identity)
             if key not in self._segments:
                 self._segments[key] = segment.tokens
                 self._tokens += segment.tokens
             self._segments.move_to_end(key)
-        while self._tokens > memory_tokens * _CACHE_MEMORY_SHARE:
+        max_tokens = limits.memory_tokens * _CACHE_MEMORY_SHARE
+        while (
+            self._tokens > max_tokens or len(self._segments) > limits.segments
+        ):
             _, tokens = self._segments.popitem(last=False)
             self._tokens -= tokens
 
@@ -58,5 +70,6 @@
 
 
 __all__ = [
+    'CacheLimits',
     'PrefixCache',
 ]
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -24,6 +24,7 @@
 from ..decisions.speeds import SpeedEstimator
 from .messages import LeavingReport
 from .messages import PrefillReport
+from .prefixcache import CacheLimits
 from .ratelimits import ColdLimit
 from .ratelimits import RoundRobin
 from .ratelimits import SingleVm
@@ -48,6 +49,8 @@
 _MIN_COLD_CHANGE_S = 1.0
 # A VM that has started hears from others within about this time.
 _REPORT_WAIT_S = 0.25
+# Of all targets together; each takes about 0.2 KB.
+_MAX_CACHED_SEGMENTS = 65_536
 
 
 class Targets:
@@ -114,10 +117,11 @@
         state = self.states.get(report.incarnation)
         if state is None or not self.prefills.add(report, origin):
             return
-        memory_tokens = self._memory_tokens.get(state.target.service, 0)
-        state.prefix_cache.record_prefill(
-            report.salt, report.segments, memory_tokens
+        limits = CacheLimits(
+            self._memory_tokens.get(state.target.service, 0),
+            _MAX_CACHED_SEGMENTS // len(self.states),
         )
+        state.prefix_cache.record_prefill(report.salt, report.segments, limits)
 
     def notify_changed(self) -> None:
         """Call the callbacks for a change of the targets."""
--- a/src/lentilrun/platform/dialect.py
+++ b/src/lentilrun/platform/dialect.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 
 from ..decisions.facts import Prompt
 from ..decisions.facts import PromptSegment
+from ..web.numbers import MAX_NUMBER
 from ..web.numbers import parse_decimal
 from ..web.numbers import parse_number
 
@@ -42,6 +44,11 @@
 _MISDIRECTED_STATUS = 421
 _UNAVAILABLE_STATUS = 503
 _MAX_URGENCY = 9
+# More segments of a prompt are counted as its own, which nobody shares.
+_MAX_SEGMENTS = 256
+# Longer identities are replaced by digests, in characters.
+_MAX_IDENTITY_LENGTH = 64
+_DIGEST_BYTES = 16
 
 _HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -166,8 +173,27 @@
         identity, _, text = item.strip().partition(':')
         tokens = parse_number(text)
         if identity and tokens is not None:
+            identity = _shorten_identity(identity)
             segments.append(PromptSegment(identity, tokens))
-    return tuple(segments)
+    return _merge_last(segments)
+
+
+def _shorten_identity(identity: str) -> str:
+    """Return an identity of bounded length, unique for the given one."""
+    if len(identity) <= _MAX_IDENTITY_LENGTH:
+        return identity
+    digest = hashlib.blake2b(identity.encode(), digest_size=_DIGEST_BYTES)
+    return digest.hexdigest()
+
+
+def _merge_last(segments: list[PromptSegment]) -> tuple[PromptSegment, ...]:
+    """Return a bounded number of segments with the same tokens in all."""
+    if len(segments) <= _MAX_SEGMENTS:
+        return tuple(segments)
+    first = segments[: _MAX_SEGMENTS - 1]
+    own_tokens = sum(s.tokens for s in segments[_MAX_SEGMENTS - 1 :])
+    own_tokens = min(MAX_NUMBER, own_tokens)
+    return (*first, PromptSegment(segments[-1].identity, own_tokens))
 
 
 def _read_prompt(headers: HTTPHeaders) -> Prompt | None:
--- a/src/lentilrun/web/numbers.py
+++ b/src/lentilrun/web/numbers.py
@@ -6,6 +6,7 @@
 
 # Longer numbers are not sent, and would not fit into 64 bits.
 _MAX_DIGITS = 18
+MAX_NUMBER = 10**_MAX_DIGITS - 1
 _DECIMAL = re.compile(r'[0-9]{1,18}(\.[0-9]{0,18})?|\.[0-9]{1,18}')
 
 
@@ -24,4 +25,4 @@
     return float(text)
 
 
-__all__ = ['parse_decimal', 'parse_number']
+__all__ = ['MAX_NUMBER', 'parse_decimal', 'parse_number']
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -78,6 +78,51 @@
     assert 'Api-Key' not in forwarded
 
 
+@pytest.mark.parametrize(
+    ('count', 'tokens', 'expected_count', 'expected_tokens'),
+    [
+        (0, 7, 0, 0),
+        (1, 7, 1, 7),
+        (256, 7, 256, 7 * 256),
+        (257, 7, 256, 7 * 257),
+        (1300, 1, 256, 1300),
+        (300, 10**18 - 1, 256, 256 * (10**18 - 1)),
+    ],
+)
+def test_segments_of_a_prompt(
+    count: int, tokens: int, expected_count: int, expected_tokens: int
+) -> None:
+    """Guards against many segments, each of which takes memory.
+
+    Those that are left out count as the request's own, and all sums fit
+    into messages between VMs.
+    """
+    text = ','.join(f'{n:x}:{tokens}' for n in range(count))
+    headers = HTTPHeaders({'X-Token-Usage': '9,1', 'X-Prefix-Hash': text})
+    prompt = dialect.read_caller_headers(headers).prompt
+    assert prompt is not None
+    segments = prompt.segments
+    assert len(segments) == expected_count
+    assert sum(s.tokens for s in segments) == expected_tokens
+    assert all(s.tokens < _MAX_NUMBER for s in segments)
+    if count:
+        assert segments[-1].identity == f'{count - 1:x}'
+        assert segments[0].identity == '0'
+
+
+@pytest.mark.parametrize('length', [1, 64, 65, 16_000])
+def test_identities_of_segments(length: int) -> None:
+    """Guards against long identities, each of which takes memory."""
+    pair = ['a' * length, 'a' * (length - 1) + 'b']
+    text = ','.join(f'{identity}:1' for identity in (*pair, pair[0]))
+    headers = HTTPHeaders({'X-Token-Usage': '9,1', 'X-Prefix-Hash': text})
+    prompt = dialect.read_caller_headers(headers).prompt
+    assert prompt is not None
+    first, second, repeated = (s.identity for s in prompt.segments)
+    assert first == repeated != second
+    assert max(len(first), len(second)) <= 64
+
+
 @given(st.integers(0, 999), _TARGET_HEADERS)
 @example(200, {'X-Weight-Versions': '9' * 5000})
 @example(200, {'Server-Limit': '9' * 5000})
