Tell a VM that counts a cleared crash that it was cleared

A VM whose connections are reset as it starts refused all streams alone, for five minutes.

Cause: a cleared crash does not count again, so other VMs ignore a report of it. A VM that started since then does not know that it was cleared, counts it, and is told by nobody.

Change: such a report is answered with the clearing.

Two of four cases of test_started_vm_is_not_alone failed before.

--- a/src/lentilrun/decisions/quarantine.py
+++ b/src/lentilrun/decisions/quarantine.py
@@ -169,6 +169,11 @@
         start = crash.target_start
         return start in record.crashes or start in record.cleared
 
+    def is_cleared(self, crash: Crash, now: float) -> bool:
+        """Return whether a crash came before a response that is known."""
+        record = self._find(crash.suspect, now)
+        return record is not None and crash.target_start in record.cleared
+
     def find_history(
         self, suspect: Suspect, now: float
     ) -> CrashHistory | None:
--- a/src/lentilrun/gateway/crashes.py
+++ b/src/lentilrun/gateway/crashes.py
@@ -62,8 +62,15 @@
             self._add(Crash(suspect, start), Origin.OWN, sent_at)
 
     def receive(self, crashes: list[Crash], origin: Origin) -> None:
-        """Record the crashes that another VM reports."""
+        """Record the crashes that another VM reports.
+
+        One that was cleared does not count again. The other VM may have
+        started since then, and would count it alone.
+        """
+        now = self._clock.now()
         for crash in crashes:
+            if self._quarantine.is_cleared(crash, now):
+                self.recent_cleared.add(crash, Origin.OWN)
             self._add(crash, origin, None)
 
     def _add(
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -112,6 +112,49 @@
 _MAX_POISON_RUNS = 5 + 3
 
 
+_SEGMENT = Suspect(SuspectKind.SEGMENT, 'shared')
+
+
+def _exchange(*trackers: CrashTracker) -> None:
+    """Let VMs receive each other's reports."""
+    for receiver in trackers:
+        for sender in trackers:
+            if sender is not receiver:
+                reports = sender.recent.export(Origin.OWN)
+                cleared = sender.recent_cleared.export(Origin.OWN)
+                receiver.receive(reports, Origin.LOCAL)
+                receiver.receive_cleared(cleared, Origin.LOCAL)
+
+
+@pytest.mark.parametrize('others', [1, 3])
+@pytest.mark.parametrize('is_cleared_before', [False, True])
+def test_started_vm_is_not_alone(others: int, is_cleared_before: bool) -> None:
+    """Guards against a VM that alone refuses what the others serve.
+
+    It has started since targets broke off as they began to answer, and
+    answered later; its own connections to them are reset as well.
+    """
+    clock = ManualClock()
+    serving = [_make_tracker(clock) for _ in range(others)]
+    targets = [_TARGET, *_OTHERS]
+    for target in targets if is_cleared_before else []:
+        serving[0].record_crash([_SEGMENT], target, clock.now())
+        _exchange(*serving)
+        clock.advance(0.1)
+        serving[0].record_response([_SEGMENT], target, clock.now())
+        _exchange(*serving)
+    clock.advance(5.0)
+    started = _make_tracker(clock)
+    for target in targets:
+        started.record_crash([_SEGMENT], target, clock.now())
+    assert started.is_quarantined([_SEGMENT])
+    for _ in range(3):
+        _exchange(started, *serving)
+        clock.advance(0.2)
+        serving[-1].record_response([_SEGMENT], _TARGET, clock.now())
+    assert not started.is_quarantined([_SEGMENT])
+
+
 def _count_poison_runs(deployment: Deployment) -> int:
     return sum(
         _POISON in run.headers['X-Prefix-Hash']
