Split the server for callers from those for operators

gateway/server.py held three jobs in 726 lines: it reads requests, writes responses and serves operators. The writer is in connectionwriter.py, the ports for readiness, metrics and explanations in operatorports.py; 477 lines stay.

--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -47,6 +47,8 @@
 from .limitedlog import LimitedLog
 from .listener import GuardedServer
 from .logs import Log
+from .operatorports import MetricsPort
+from .operatorports import ReadinessPort
 from .orderlease import OrderLease
 from .peers import Peers
 from .quotas import Quotas
@@ -60,9 +62,7 @@
 from .rowrelay import RowRelay
 from .server import CallerPort
 from .server import CallHandler
-from .server import MetricsPort
 from .server import PortLimits
-from .server import ReadinessPort
 from .storedsegments import StoredSegments
 from .supervision import Runnable
 from .supervision import supervise
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -1,10 +1,9 @@
-"""HTTP servers of the daemon: for callers, readiness and metrics."""
+"""The HTTP server for callers: reads requests and runs them as calls."""
 
 from __future__ import annotations
 
 import asyncio
 import functools
-from http.client import responses
 import sys
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -22,24 +21,21 @@
 
 from ..decisions.memory import list_owners
 from ..platform import dialect
-from ..platform.routingquery import EXPLAIN_PATH
 from ..web.body import release_body
-from ..web.sockets import abort
 from .bodies import BodyCollector
 from .bodies import BodyRules
 from .call import Cancellation
 from .call import IncomingRequest
 from .call import Reason
 from .call import Refusal
+from .connectionwriter import ConnectionWriter
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from tornado.iostream import IOStream
 
     from ..coordination.clock import Clock
     from ..decisions.connections import ConnectionTable
-    from ..metrics.registry import Metrics
     from ..web.memory import ProcessMemory
     from .call import Call
     from .call import ResponseWriter
@@ -49,18 +45,12 @@
 _REQUEST_TIMEOUT = 408
 _INTERNAL_ERROR = 500
 _BAD_GATEWAY = 502
-_OK = 200
 _UNAVAILABLE = 503
 _LEAVING_RETRY_S = 0.1
 # A caller that has not read its response this long after its deadline is
 # disconnected.
 _DELIVERY_GRACE_S = 1.0
-_NO_BODY = frozenset((204, 304))
 _HTTP_1_0 = 'HTTP/1.0'
-# A query holds a body of up to 4 MiB, the usual limit, in Base64.
-_MAX_QUERY_BYTES = 6 * 1024 * 1024
-# Larger bodies are written apart from the head, as joining copies them.
-_JOINED_BODY_BYTES = 16 * 1024
 # A refused request's body is discarded for this long and up to this size, as
 # callers that send it would otherwise not read the response.
 _MAX_DISCARDED_BYTES = 4 * 1024 * 1024
@@ -114,103 +104,6 @@
         return dialect.make_refusal_headers(request_id, refusal.retry_after)
 
 
-class _ConnectionWriter:
-    """Writes the response to one request; a ``ResponseWriter``."""
-
-    def __init__(
-        self,
-        connection: HTTP1Connection,
-        is_leaving: Callable[[], bool],
-        is_head: bool = False,
-        is_chunked: bool = True,
-    ) -> None:
-        """Send no body if the request ``is_head``.
-
-        A stream ``is_chunked`` unless the caller speaks HTTP/1.0.
-        """
-        self._connection = connection
-        self._is_leaving = is_leaving
-        self._is_head = is_head
-        self._is_chunked = is_chunked
-        self.has_begun = False
-
-    def _start_response(
-        self,
-        status: int,
-        headers: HTTPHeaders,
-        body: bytes | bytearray | None,
-    ) -> asyncio.Future[None]:
-        self.has_begun = True
-        if self._is_leaving():
-            headers['Connection'] = 'close'
-        reason = responses.get(status, 'Unknown')
-        line = ResponseStartLine('HTTP/1.1', status, reason)
-        if (
-            body is None
-            or len(body) <= _JOINED_BODY_BYTES
-            or self._connection.stream.closed()
-        ):
-            joined = None if body is None else bytes(body)
-            return self._connection.write_headers(line, headers, joined)
-        self._connection.write_headers(line, headers)
-        return self._connection.write(memoryview(body))  # type: ignore
-
-    async def begin(
-        self, status: int, headers: HTTPHeaders, data: bytes
-    ) -> None:
-        """Send the status, headers and first data of a stream."""
-        await self._start_response(status, headers, data)
-
-    async def write(self, data: bytes) -> None:
-        """Send a chunk of a stream."""
-        await self._connection.write(data)
-
-    def _finish_exchange(self) -> None:
-        # A caller may send another request before it reads
-        # ``Connection: close``.
-        if self._is_leaving():
-            self._connection._disconnect_on_finish = True
-        self._connection.finish()
-
-    async def finish(self) -> None:
-        """Complete a stream."""
-        self._finish_exchange()
-
-    async def send(
-        self, status: int, headers: HTTPHeaders, body: bytes | bytearray
-    ) -> None:
-        """Send a whole response; a ``bytearray`` is not changed later."""
-        if status not in _NO_BODY:
-            headers['Content-Length'] = str(len(body))
-        written = self._start_response(
-            status, headers, None if self._is_head else body or None
-        )
-        self._finish_exchange()
-        await written
-
-    def send_unread(
-        self, status: int, headers: HTTPHeaders, body: bytes
-    ) -> None:
-        """Send a whole response before the request was read.
-
-        The connection is to be closed once no more of it is discarded.
-        """
-        # States ``Connection: close`` too.
-        self._connection._disconnect_on_finish = True
-        headers['Content-Length'] = str(len(body))
-        self._start_response(status, headers, None if self._is_head else body)
-
-    def abort(self) -> None:
-        """Close the connection, so that the response is seen as incomplete.
-
-        HTTP/1.0 has no chunks: the end of the connection would look like
-        that of the response, so that it is reset.
-        """
-        if not self._is_chunked:
-            abort(self._connection.stream)
-        self._connection.close()
-
-
 class _RequestReceiver(HTTPMessageDelegate):
     """Receives one request, then starts the task that responds."""
 
@@ -301,8 +194,8 @@
         self._port.receivers.pop(self._server_connection.stream, None)
         self._port.refused.pop(self, None)
 
-    def _make_writer(self) -> _ConnectionWriter:
-        return _ConnectionWriter(
+    def _make_writer(self) -> ConnectionWriter:
+        return ConnectionWriter(
             self._connection,
             lambda: self._port.is_leaving,
             self._line.method == 'HEAD',
@@ -421,7 +314,7 @@
     def refuse_unread(
         self,
         headers: HTTPHeaders,
-        writer: _ConnectionWriter,
+        writer: ConnectionWriter,
         refusal: Refusal,
     ) -> None:
         """Refuse a request whose body was not read."""
@@ -491,7 +384,7 @@
     async def respond(
         self,
         incoming: IncomingRequest,
-        writer: _ConnectionWriter,
+        writer: ConnectionWriter,
         cancellation: Cancellation,
     ) -> None:
         """Answer one request: run it as a call, or refuse it."""
@@ -522,7 +415,7 @@
             raise Refusal(_INTERNAL_ERROR, Reason.INTERNAL) from error
 
     async def _run(
-        self, call: Call, writer: _ConnectionWriter, cancellation: Cancellation
+        self, call: Call, writer: ConnectionWriter, cancellation: Cancellation
     ) -> Refusal | None:
         time_left = max(0.0, call.deadline - self.clock.now())
         try:
@@ -553,7 +446,7 @@
     async def _refuse(
         self,
         incoming: IncomingRequest,
-        writer: _ConnectionWriter,
+        writer: ConnectionWriter,
         refusal: Refusal,
     ) -> None:
         request_id = dialect.read_request_id(incoming.headers)
@@ -576,151 +469,9 @@
             self._log.write('caller_gone', id=request_id)
 
 
-class _PlainResponder(HTTPMessageDelegate):
-    """Answers any request with the status and body of ``respond``."""
-
-    def __init__(
-        self,
-        connection: HTTPConnection,
-        respond: Callable[[], tuple[int, bytes]],
-    ) -> None:
-        self._connection = connection
-        self._respond = respond
-
-    def finish(self) -> None:
-        status, body = self._respond()
-        line = ResponseStartLine('HTTP/1.1', status, responses[status])
-        headers = HTTPHeaders({'Content-Length': str(len(body))})
-        self._connection.write_headers(line, headers, body)
-        self._connection.finish()
-
-
-class ReadinessPort(HTTPServerConnectionDelegate):
-    """Answers 200 while this VM accepts new callers, and 503 otherwise."""
-
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
-        self._is_ready = is_ready
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        return _PlainResponder(request_conn, self._respond)
-
-    def _respond(self) -> tuple[int, bytes]:
-        return (_OK if self._is_ready() else _UNAVAILABLE), b''
-
-
-class _OperatorResponder(_PlainResponder):
-    """Answers queries for where a request would be routed, or ``respond``."""
-
-    def __init__(
-        self,
-        connection: HTTPConnection,
-        respond: Callable[[], tuple[int, bytes]],
-        explain: Callable[[bytes], tuple[int, bytes]],
-        collector: BodyCollector,
-        address: str,
-    ) -> None:
-        """Collect a query that an ``address`` sends."""
-        super().__init__(connection, respond)
-        self._explain = explain
-        self._collector = collector
-        self._address = address
-        self._is_query = False
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        assert isinstance(start_line, RequestStartLine)
-        path = start_line.path.partition('?')[0]
-        self._is_query = path == EXPLAIN_PATH and start_line.method == 'POST'
-        if not self._is_query:
-            return
-        assert isinstance(self._connection, HTTP1Connection)
-        self._connection.set_max_body_size(_MAX_QUERY_BYTES)
-        owners = list_owners(self._address, '')
-        rules = BodyRules(_MAX_QUERY_BYTES, owners)
-        try:
-            self._collector.start(headers, rules, self._end_unread)
-        except Refusal as refusal:
-            self._refuse(refusal)
-
-    def data_received(self, chunk: bytes) -> None:
-        if not self._is_query:
-            return
-        try:
-            self._collector.add(chunk)
-        except Refusal as refusal:
-            self._refuse(refusal)
-
-    def _refuse(self, refusal: Refusal) -> None:
-        """Discard a query that does not fit into the memory."""
-        self._is_query = False
-        self._collector.abandon()
-        error = {'code': refusal.reason, 'message': 'no memory for the query'}
-        body = msgspec.json.encode({'error': error})
-        self._respond = lambda: (refusal.status, body)
-
-    def _end_unread(self, is_timeout: bool) -> None:
-        """Close the connection of a query that makes no progress."""
-        self._collector.abandon()
-        assert isinstance(self._connection, HTTP1Connection)
-        self._connection.stream.close()
-
-    def on_connection_close(self) -> None:
-        self._collector.abandon()
-
-    def finish(self) -> None:
-        if not self._is_query:
-            super().finish()
-            return
-        body = self._collector.finish()
-        self._respond = lambda: self._explain(bytes(body.data))
-        try:
-            super().finish()
-        finally:
-            body.release()
-
-
-class MetricsPort(HTTPServerConnectionDelegate):
-    """Serves operators: the metrics of this process, and explanations."""
-
-    def __init__(
-        self,
-        metrics: Metrics,
-        explain: Callable[[bytes], tuple[int, bytes]],
-        memory: ProcessMemory,
-        clock: Clock,
-    ) -> None:
-        """Answer a query with the status and body that ``explain`` returns.
-
-        Queries count in the ``memory`` of the process.
-        """
-        self._metrics = metrics
-        self._explain = explain
-        self._memory = memory
-        self._clock = clock
-
-    def start_request(
-        self, server_conn: object, request_conn: HTTPConnection
-    ) -> HTTPMessageDelegate:
-        assert isinstance(server_conn, HTTP1ServerConnection)
-        return _OperatorResponder(
-            request_conn,
-            lambda: (_OK, self._metrics.render()),
-            self._explain,
-            BodyCollector(self._memory, self._clock),
-            server_conn.context.remote_ip,  # type: ignore[attr-defined]
-        )
-
-
 __all__ = [
     'CallerPort',
     'CallHandler',
     'DEFAULT_BODY_BYTES',
-    'MetricsPort',
     'PortLimits',
-    'ReadinessPort',
 ]
