--- a/tests/web/test_connection_end.py
+++ b/tests/web/test_connection_end.py
@@ -13,6 +13,7 @@
 from lentilrun.web.client import Request
 from lentilrun.web.client import Response
 import pytest
+from rawservers import ServedConnection
 
 _LINGER_OFF = struct.pack('ii', 1, 0)
 # The client reads in the meantime, so that packets aren't joined.
@@ -43,7 +44,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
-        try:
+        async with ServedConnection(writer):
             while True:
                 await reader.readuntil(b'\r\n\r\n')
                 self.requests += 1
@@ -58,12 +59,6 @@
                         socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_OFF
                     )
                 break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        except asyncio.CancelledError:
-            # The test has ended.
-            pass
-        writer.close()
 
 
 async def _fetch(
--- a/tests/web/test_copied_rejections.py
+++ b/tests/web/test_copied_rejections.py
@@ -13,6 +13,8 @@
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
 import pytest
+from rawservers import read_request_id
+from rawservers import ServedConnection
 from tornado.httputil import HTTPHeaders
 
 _TIMEOUT_S = 2.0
@@ -62,10 +64,9 @@
     ) -> None:
         self.connections += 1
         copy = b''
-        try:
+        async with ServedConnection(writer):
             while True:
-                head = (await reader.readuntil(b'\r\n\r\n')).decode()
-                name = head.split('X-Request-Id: ')[1].split('\r\n')[0]
+                name = await read_request_id(reader)
                 if name in self._rejected:
                     writer.write(copy + self._rejection)
                     copy = self._rejection
@@ -77,11 +78,6 @@
                     % name.encode()
                 )
                 copy = b''
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-        except asyncio.CancelledError:
-            # The test has ended.
-            writer.close()
 
 
 async def _ask(
--- a/tests/web/test_late_copies.py
+++ b/tests/web/test_late_copies.py
@@ -14,6 +14,8 @@
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
 import pytest
+from rawservers import read_request_id
+from rawservers import ServedConnection
 from tornado.httputil import HTTPHeaders
 
 _TIMEOUT_S = 2.0
@@ -97,15 +99,9 @@
     ) -> None:
         self.connections += 1
         copy = b''
-        try:
+        async with ServedConnection(writer):
             while True:
                 copy = await self._respond(reader, writer, copy)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        except asyncio.CancelledError:
-            # The test has ended.
-            pass
-        writer.close()
 
     async def _respond(
         self,
@@ -115,8 +111,7 @@
     ) -> bytes:
         """Respond to a request; return what the connection owes late."""
         plan = self._plan
-        head = (await reader.readuntil(b'\r\n\r\n')).decode()
-        name = head.split('X-Request-Id: ')[1].split('\r\n')[0]
+        name = await read_request_id(reader)
         response = _make_response(plan.kind, name, plan.echoes_id)
         await self._send(writer, copy + response)
         if name != 'first':
@@ -217,15 +212,12 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connections.append(writer)
-        try:
+        async with ServedConnection(writer):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 body = b'' if head.startswith(b'HEAD') else b'ok'
                 writer.write(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n')
                 writer.write(body)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
 
     async def body() -> None:
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
@@ -282,13 +274,10 @@
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         connections.append(writer)
-        try:
+        async with ServedConnection(writer):
             while True:
                 await reader.readuntil(b'\r\n\r\n')
                 writer.write(_make_response('body', 'first', True))
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
 
     async def body() -> None:
         server = await asyncio.start_server(serve, '127.0.0.1', 0)
