Believe an engine that repeatedly states older weights

What was seen: an engine that carries out an older order late, after its restart, stays at the older weights. VMs believe the newest version that it ever had, so it refuses all requests and gets no order.

Cause: what a VM knows of an engine's version only grows.

Change: the engine's own report of the same older version, twice and at least 1 s apart, is believed. For 5 s others are not, up to that version, so that VMs don't pass on to each other what they knew.

--- a/src/lentilrun/gateway/gossip.py
+++ b/src/lentilrun/gateway/gossip.py
@@ -319,8 +319,8 @@
         for report in message.weights_versions:
             state = states.get(report.incarnation)
             if state is not None:
-                changed |= state.record_weights_version(
-                    report.model, report.version
+                changed |= state.record_stated_version(
+                    report.model, report.version, now
                 )
         for weights_load in message.weights_loads:
             state = states.get(weights_load.incarnation)
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -31,7 +31,6 @@
 from .connectionwriter import ConnectionWriter
 
 if TYPE_CHECKING:
-
     from tornado.iostream import IOStream
 
     from ..coordination.clock import Clock
--- a/src/lentilrun/gateway/targets.py
+++ b/src/lentilrun/gateway/targets.py
@@ -141,8 +141,9 @@
         else:
             coldness = self.find_coldness(state)
             state.target = target
+            now = self._clock.now()
             for model, version in target.weights_versions.items():
-                state.record_weights_version(model, version)
+                state.record_stated_version(model, version, now)
         state = self.states[target.incarnation]
         if not is_copy:
             state.record_cold(self._clock.now())
--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -9,6 +9,7 @@
 from ..decisions.speeds import NO_PACE
 from ..decisions.speeds import PaceCounts
 from ..decisions.speeds import SpeedEstimator
+from .olderversions import OlderVersions
 from .prefixcache import PrefixCache
 
 if TYPE_CHECKING:
@@ -81,6 +82,7 @@
         self._unreported: collections.deque[float] = collections.deque()
         self._estimator = estimator
         self.weights_versions = dict(target.weights_versions)
+        self._older_versions = OlderVersions()
         # Versions of the row that was last believed, and of one that was not,
         # as it may be that of a copy of the store.
         self.row_version = 0
@@ -242,13 +244,51 @@
         return failures / (successes + failures + _ASSUMED_SUCCESSES)
 
     def record_weights_version(self, model: str, version: int) -> bool:
-        """Record a version that the target has; return if it is newer."""
+        """Record a version that the target itself states.
+
+        Return whether it is newer than known.
+        """
+        if version >= self.weights_versions.get(model, 0):
+            self._older_versions.forget(model)
+        return self._raise_weights_version(model, version)
+
+    def record_stated_version(
+        self, model: str, version: int, now: float
+    ) -> bool:
+        """Record a version that a row or another VM states.
+
+        Return whether it is newer than known. The target may have gone back
+        since.
+        """
+        if self._older_versions.is_doubted(model, version, now):
+            return False
+        return self._raise_weights_version(model, version)
+
+    def _raise_weights_version(self, model: str, version: int) -> bool:
         if version <= self.weights_versions.get(model, 0):
             return False
+        self._set_weights_version(model, version)
+        return True
+
+    def record_older_version(
+        self, model: str, version: int, now: float
+    ) -> bool:
+        """Record that the target itself states a version older than known.
+
+        Return whether it is believed.
+        """
+        if not self._older_versions.confirm(model, version, now):
+            return False
+        known = self.weights_versions[model]
+        self._older_versions.forget(model)
+        self._older_versions.doubt(model, known, now)
+        self._set_weights_version(model, version)
+        return True
+
+    def _set_weights_version(self, model: str, version: int) -> None:
         self.weights_versions[model] = version
         self.end_cordon()
         self.prefix_cache.clear()
-        return True
 
 
 __all__ = ['Expectation', 'PeerLoad', 'TargetState']
--- a/src/lentilrun/gateway/versionreader.py
+++ b/src/lentilrun/gateway/versionreader.py
@@ -77,12 +77,30 @@
             self._log.write('version_unread', target=name, error=error)
             return
         for model, version in report.weights_versions.items():
-            state.record_weights_version(model, version)
+            if not state.record_weights_version(model, version):
+                self._check_older(state, model, version, report.is_busy)
         self._log.write(
             'version_read', target=name, versions=report.weights_versions
         )
         state.blocked_until = self._clock.now()
         self._targets.notify_changed()
 
+    def _check_older(
+        self, state: TargetState, model: str, version: int, is_busy: bool
+    ) -> None:
+        """Believe an engine that has older weights, if it is sure."""
+        known = state.weights_versions[model]
+        if is_busy or version >= known:
+            return
+        now = self._clock.now()
+        if state.record_older_version(model, version, now):
+            self._log.write(
+                'version_fell',
+                target=state.target.incarnation,
+                model=model,
+                version=version,
+                known=known,
+            )
+
 
 __all__ = ['VersionReader']
