Read reports of models without a known version

A report that states version 0 of a model that a VM doesn't know ended the task that reads it with KeyError, so the engine's other models were not read.

--- a/src/lentilrun/gateway/versionreader.py
+++ b/src/lentilrun/gateway/versionreader.py
@@ -89,7 +89,7 @@
         self, state: TargetState, model: str, version: int, is_busy: bool
     ) -> None:
         """Believe an engine that has older weights, if it is sure."""
-        known = state.weights_versions[model]
+        known = state.weights_versions.get(model, 0)
         if is_busy or version >= known:
             return
         now = self._clock.now()
--- a/tests/gateway/test_older_weights.py
+++ b/tests/gateway/test_older_weights.py
@@ -38,7 +38,8 @@
             await wait_until(lambda: engine.versions[MODEL] == newest)
             deployment.register('e1', 'llm')
             await asyncio.sleep(_SETTLED_S)
-            engine.versions[MODEL] = 1
+            # The first one is a model that nobody has announced.
+            engine.versions = {'other': 0, MODEL: 1}
             engine.orders.clear()
             deployment.register('e1', 'llm')
             for _ in range(_ASKS):
