Decode the rows that VMs keep in one place

Cause: the rows of kept crashes decoded and logged unreadable values with the same lines that stood for announcements and for usage already.

Change: decode_row serves all three; errors caught and the event logged are the same. Not changed, as they differ: the order lease and roll-outs catch fewer errors, and the list of VMs parses an address too.

--- a/src/lentilrun/gateway/announcementrows.py
+++ b/src/lentilrun/gateway/announcementrows.py
@@ -18,11 +18,11 @@
 from ..records import PositionalRecord
 from .discovery import FLEET_TABLE
 from .events import wait_for_event
+from .fleetrows import decode_row
 from .messages import AnnouncementReport
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
-    from ..platform.rows import Row
     from ..platform.rows import Rows
     from ..platform.rows import RowStore
     from .logs import Log
@@ -51,7 +51,6 @@
 
 
 _decoder = msgspec.json.Decoder(_AnnouncementRow)
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class _ModelVersion(NamedTuple):
@@ -159,17 +158,12 @@
     def apply_rows(self, table_rows: Rows) -> None:
         """Take over the announcements among the rows of the fleet."""
         rows = [r for r in table_rows.rows if r.key.startswith(_KEY_PREFIX)]
-        for announcement in filter(None, map(self._decode, rows)):
-            self._record(announcement)
+        for row in rows:
+            announcement = decode_row(_decoder, row, self._log)
+            if announcement is not None:
+                self._record(announcement)
         self._pass_to_view()
 
-    def _decode(self, row: Row) -> _AnnouncementRow | None:
-        try:
-            return _decoder.decode(row.value)
-        except _DECODE_ERRORS as error:
-            self._log.write('row_unreadable', key=row.key, error=error)
-            return None
-
     def _record(self, row: _AnnouncementRow) -> None:
         """Record a row, unless its time is after the store's own."""
         age = self._store.latest_clock() - row.announced_at
--- a/src/lentilrun/gateway/crashrows.py
+++ b/src/lentilrun/gateway/crashrows.py
@@ -14,6 +14,7 @@
 from ..decisions.quarantine import Suspect
 from ..decisions.quarantine import SuspectKind
 from ..records import PositionalRecord
+from .fleetrows import decode_row
 from .recent import Origin
 from .rowsaver import RowSaver
 
@@ -42,7 +43,6 @@
 
 
 _decoder = msgspec.json.Decoder(_CrashRow)
-_DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 
 
 class CrashRows:
@@ -130,10 +130,8 @@
             self._save(suspect, Origin.REMOTE)
 
     def _decode(self, row: Row) -> CrashHistory | None:
-        try:
-            crash_row = _decoder.decode(row.value)
-        except _DECODE_ERRORS as error:
-            self._log.write('row_unreadable', key=row.key, error=error)
+        crash_row = decode_row(_decoder, row, self._log)
+        if crash_row is None:
             return None
         age = self._store.latest_clock() - crash_row.crashed_at
         if not age >= 0.0:
--- a/src/lentilrun/gateway/usage.py
+++ b/src/lentilrun/gateway/usage.py
@@ -11,6 +11,7 @@
 from ..platform.rows import Write
 from ..records import PositionalRecord
 from .discovery import FLEET_TABLE
+from .fleetrows import decode_row
 from .messages import UsePerSecond
 
 if TYPE_CHECKING:
@@ -77,14 +78,8 @@
         for row in table_rows.rows:
             if row.key != _KEY:
                 continue
-            try:
-                checkpoint = _decoder.decode(row.value)
-            except (
-                msgspec.MsgspecError,
-                ValueError,
-                RecursionError,
-            ) as error:
-                self._log.write('row_unreadable', key=row.key, error=error)
+            checkpoint = decode_row(_decoder, row, self._log)
+            if checkpoint is None:
                 continue
             age = max(0.0, table_rows.store_time - checkpoint.written)
             self._log.write('usage_taken', uses=checkpoint.uses, age=age)
