Record in one place that a target's row may be a copy's

Cause: both branches of apply_target_row recorded the row's version.

Change: it is recorded before them. That also records rows that are then believed; their version becomes the believed one, which is compared first, so nothing else follows from it.

--- a/src/lentilrun/gateway/targetstate.py
+++ b/src/lentilrun/gateway/targetstate.py
@@ -83,8 +83,8 @@
         self._estimator = estimator
         self.weights_versions = dict(target.weights_versions)
         self._older_versions = OlderVersions()
-        # Versions of the row that was last believed, and of one that was not,
-        # as it may be that of a copy of the store.
+        # Versions of the row that was last believed, and of the last one that
+        # may be that of a copy of the store.
         self.row_version = 0
         self.copied_version = 0
         self.in_flight = 0
--- a/src/lentilrun/gateway/view.py
+++ b/src/lentilrun/gateway/view.py
@@ -233,12 +233,11 @@
         before = state.target if state is not None else None
         believed_version = row.version
         if state is not None and _may_be_copied(state, row):
+            state.copied_version = row.version
             if target.started_at_ms < state.target.started_at_ms:
                 # The copy has it from before the target's last start.
-                state.copied_version = row.version
                 return
             if _leaves_still(state.target, target):
-                state.copied_version = row.version
                 target = target._replace(is_draining=True)
                 believed_version = state.row_version
         is_copy = state is not None and _is_restatement(state, target, row)
