Flatten the check of responses that state no request

Cause: three levels of conditions in headers_received.

Change: whether the response is a rejection decides both what is kept and whether it is believed; the outcomes are the same in all four cases.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -292,13 +292,13 @@
         if self.is_mismatched:
             return None
         if not self._handler.is_identified(headers):
-            if self._handler.is_rejection(start_line.code, headers):
-                self.is_copyable = True
-            else:
-                self.keep_alive = False
-                if self._is_reused:
-                    self._reject()
-                    return None
+            self.is_copyable = self._handler.is_rejection(
+                start_line.code, headers
+            )
+            self.keep_alive &= self.is_copyable
+            if self._is_reused and not self.is_copyable:
+                self._reject()
+                return None
         return self._handler.receive_head(start_line.code, headers)
 
     def _reject(self) -> None:
