Check that callers of modelled roll-outs get whole responses with 200

Cause: the tests of roll-outs on real time, which replaced, checked that all callers get 200. On simulated time they checked only that no call is refused, so a response that breaks off would have passed.

Change: callers record the status of a response that ended as complete, and the test asks for 200 from all.

--- a/tests/gateway/modelledtargets.py
+++ b/tests/gateway/modelledtargets.py
@@ -49,13 +49,15 @@
 class Ending(NamedTuple):
     """How a call ended, ``held`` seconds after it arrived.
 
-    ``status`` and ``retry_after`` are those of a refusal, 0 without one.
+    ``status`` and ``retry_after`` are those of a refusal, 0 without one;
+    ``delivered_status`` is that of a response that ended as complete, or 0.
     """
 
     at: float
     held: float
     status: int
     retry_after: float
+    delivered_status: int
 
 
 class ModelledTargets:
@@ -184,23 +186,33 @@
 
 
 class _Writer:
-    """Receives the response to a call; implements ``ResponseWriter``."""
+    """Receives the response to a call; implements ``ResponseWriter``.
+
+    ``delivered_status`` is its status once it is complete.
+    """
+
+    def __init__(self) -> None:
+        self._status = 0
+        self.delivered_status = 0
 
     async def begin(
         self, status: int, headers: HTTPHeaders, data: bytes = b''
     ) -> None:
         """Receive the head of a streamed response and its first data."""
+        self._status = status
 
     async def write(self, data: bytes) -> None:
         """Receive data of a streamed response."""
 
     async def finish(self) -> None:
         """Receive the end of a streamed response."""
+        self.delivered_status = self._status
 
     async def send(
         self, status: int, headers: HTTPHeaders, body: bytes
     ) -> None:
         """Receive a whole response."""
+        self.delivered_status = status
 
     def abort(self) -> None:
         """Receive the end of a response that broke off."""
@@ -248,15 +260,22 @@
         build = find_module(node, 'gateway.call')
         incoming = build.IncomingRequest('GET', path, headers, b'', now)
         status, retry_after = 0, 0.0
+        writer = _Writer()
         try:
             call = node.admission.admit(incoming)
-            await node.dispatcher.run(call, _Writer())
+            await node.dispatcher.run(call, writer)
         except build.Refusal as refusal:
             status = refusal.status
             retry_after = refusal.retry_after or 0.0
         ended_at = self._loop.time()
         self.endings.append(
-            Ending(ended_at, ended_at - now, status, retry_after)
+            Ending(
+                ended_at,
+                ended_at - now,
+                status,
+                retry_after,
+                writer.delivered_status,
+            )
         )
 
     def _make_prefix(self) -> str:
--- a/tests/gateway/test_modelled_rollouts.py
+++ b/tests/gateway/test_modelled_rollouts.py
@@ -95,7 +95,8 @@
             fleet.start()
             await asyncio.sleep(STARTED_S)
             await main(play)
-            assert {e.status for e in play.callers.endings} == {0}
+            statuses = {e.delivered_status for e in play.callers.endings}
+            assert statuses == {200}
 
     timeloop.run(run)
 
