--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -68,8 +68,14 @@
 """
 
 
+_picked: set[int] = set()
+
+
 def pick_port() -> int:
-    """Return a free port of loopback, for TCP and for UDP."""
+    """Return a free port of loopback, for TCP and for UDP.
+
+    It is another one with each call.
+    """
     while True:
         with socket.socket() as tcp, socket.socket(
             socket.AF_INET, socket.SOCK_DGRAM
@@ -80,7 +86,9 @@
                 udp.bind((LOOPBACK, port))
             except OSError:
                 continue
-            return port
+            if port not in _picked:
+                _picked.add(port)
+                return port
 
 
 class Store:
