Review: clients that stall take a process over its memory (case 15)

Seen: 1,400 clients that send a head inside the limits and a part of a body take a VM's process over its 150 MB within 3 s, each time that it starts. Cause: the headers of requests whose body is still to come are not counted.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 set -e
 cd "$(dirname "$0")/.."
 python3 -m compileall -q src/lentilrun soak review/standins3 \
-    review/11 review/12 review/13 review/14
+    review/11 review/12 review/13 review/14 review/15
 PYTHONPATH="$PWD/target/deps:$PWD/src:$PWD" python3 -c '
 import review.standins3.client
 import review.standins3.copyreplica
@@ -13,5 +13,6 @@
 import review.standins3.fleet
 import review.standins3.splitreplica
 import review.standins3.tricklers
+import review.standins3.uploaders
 import soak.proxy
 '
