--- a/review/11/case.py
+++ b/review/11/case.py
@@ -157,9 +157,7 @@
         """Judge the requests that lasted longer than ``timeout-ms``."""
         plain = [o for o, is_plain in self._asked if is_plain]
         lasting = [
-            o
-            for o, _ in self._asked
-            if o.seconds > _TIMEOUT_S or not o.status
+            o for o, _ in self._asked if o.seconds > _TIMEOUT_S or not o.status
         ]
         unanswered = [
             o
@@ -174,9 +172,7 @@
             f'service, {len(lost)} got no answer at all; readiness failed '
             f'{self._ready.count(False)} of {len(self._ready)} times'
         )
-        is_broken = (
-            len(unanswered) >= 8 and len(unanswered) > len(lasting) / 4
-        )
+        is_broken = len(unanswered) >= 8 and len(unanswered) > len(lasting) / 4
         self._record.write('CONFIG is broken' if is_broken else 'CONFIG holds')
         return BROKEN if is_broken else HELD
 
--- a/review/standins3/endlessengine.py
+++ b/review/standins3/endlessengine.py
@@ -34,9 +34,7 @@
 class Engine:
     """Serves one port; writes a line for each run."""
 
-    def __init__(
-        self, name: str, version: int, trouble: pathlib.Path
-    ) -> None:
+    def __init__(self, name: str, version: int, trouble: pathlib.Path) -> None:
         self._name = name
         self._version = version
         self._trouble = trouble
--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -77,9 +77,10 @@
     It is another one with each call.
     """
     while True:
-        with socket.socket() as tcp, socket.socket(
-            socket.AF_INET, socket.SOCK_DGRAM
-        ) as udp:
+        with (
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
             tcp.bind((LOOPBACK, 0))
             port: int = tcp.getsockname()[1]
             try:
