Believe unidentified responses only on connections of their own

A replica at a reused address sent its 421 to the router's report request again, late; the copy was taken for the answer to the request that came next on that connection.

Cause: the router's own requests to targets state no ID, share connections with callers' requests, and ResponseHandler.is_identified held any response as identified unless a subclass said otherwise. The same made copies of reports new reports, and a copied 200 the acceptance of an order that the engine had refused with 409.

Change: a response that doesn't state its request is by default believed only as the first on its connection, which is then closed. A fetch opens a connection of its own, unless the client's servers respond once: the store, and the platform's tables at the product's own interface, whose loads and calls without an attempt ID had the same fault.

Why it works: a copy comes on the connection of the response that it repeats, and that carries nothing else any more.

Ruled out: a second attempt after a timeout or failure; the second run began 3 ms after the first, behind the copy.

--- a/src/lentilrun/daemon/node.py
+++ b/src/lentilrun/daemon/node.py
@@ -72,7 +72,10 @@
         self.clock = SystemClock()
         self.metrics = Metrics()
         self.client = Client()
-        tables = PlatformService(self.client, settings.platform.tables)
+        self.platform_client = Client(responds_once=True)
+        tables = PlatformService(
+            self.platform_client, settings.platform.tables
+        )
         self.table = HttpTable(tables)
         self.state = FleetState(settings, self.clock, self.table)
         sender = Sender(settings.name, self.state.incarnation)
@@ -197,6 +200,7 @@
 
     async def __aenter__(self) -> Node:
         self._stack.enter_context(self.client)
+        self._stack.enter_context(self.platform_client)
         self._stack.enter_context(self.mesh)
         self.mesh.listen(self.settings.listen.peers)
         self.membership.connect_members(self.state.roster)
@@ -206,7 +210,9 @@
 
     def _start_tasks(self) -> None:
         state = self.state
-        service = PlatformService(self.client, self.settings.platform.vms)
+        service = PlatformService(
+            self.platform_client, self.settings.platform.vms
+        )
         vm_poller = VmPoller(
             VmList(service), self.agreement, self.pool, state, self.metrics
         )
--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -12,6 +12,7 @@
 
 from ..targets.requests import INCARNATION_HEADER
 from ..targets.requests import is_response_to
+from ..targets.requests import names_attempt
 from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
 from .eventorder import EventOrder
@@ -146,6 +147,10 @@
         self.writer = writer
         self._buffer = EventBuffer()
 
+    def is_identified(self, headers: HTTPHeaders) -> bool:
+        """Return whether a response states which attempt it is for."""
+        return names_attempt(headers)
+
     def receive_head(
         self, status: int, headers: HTTPHeaders
     ) -> Awaitable[None] | None:
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -221,7 +221,7 @@
         self.memory = ProcessMemory(plan_memory(settings.memory_bytes))
         self.target_client = self._make_client(_TARGET_CONNECT_S)
         self.store_client = self._make_client(
-            _STORE_CONNECT_S, Kind.STORE_RESPONSE
+            _STORE_CONNECT_S, Kind.STORE_RESPONSE, responds_once=True
         )
         self.peer_client = self._make_client(_PEER_CONNECT_S)
         self.store = RowStore(self.store_client, settings.store, self.clock)
@@ -247,7 +247,10 @@
         self._stack = contextlib.AsyncExitStack()
 
     def _make_client(
-        self, connect_timeout: float, kind: Kind = Kind.RESPONSE
+        self,
+        connect_timeout: float,
+        kind: Kind = Kind.RESPONSE,
+        responds_once: bool = False,
     ) -> Client:
         return Client(
             connect_timeout,
@@ -255,6 +258,7 @@
             _make_memory_limits(self.settings.memory_bytes),
             self.memory,
             kind,
+            responds_once,
         )
 
     def _build_fleet(self) -> None:
--- a/src/lentilrun/targets/requests.py
+++ b/src/lentilrun/targets/requests.py
@@ -116,12 +116,18 @@
     return headers.get(ATTEMPT_HEADER, attempt_id) == attempt_id
 
 
+def names_attempt(headers: HTTPHeaders) -> bool:
+    """Return whether a response states which attempt it is for."""
+    return ATTEMPT_HEADER in headers
+
+
 __all__ = [
     'ATTEMPT_HEADER',
     'cancel',
     'ForwardedHeaders',
     'INCARNATION_HEADER',
     'is_response_to',
+    'names_attempt',
     'OutgoingRequest',
     'resume',
     'send',
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -157,10 +157,10 @@
         """Return whether a response states which request it is for.
 
         Any other response, unless it is a rejection, is believed only as the
-        first on its connection, which isn't used again. Servers may send a
-        response twice.
+        first on its connection, which isn't used again: servers may send a
+        response twice. A client whose servers don't never asks.
         """
-        return True
+        return False
 
     def is_rejection(self, status: int, headers: HTTPHeaders) -> bool:
         """Return whether a response states that the request was not run.
@@ -257,11 +257,17 @@
 
 class _ResponseDelegate(HTTPMessageDelegate):
     def __init__(
-        self, stream: IOStream, handler: ResponseHandler, is_reused: bool
+        self,
+        stream: IOStream,
+        handler: ResponseHandler,
+        is_reused: bool,
+        has_copies: bool,
     ) -> None:
+        """Expect copies of responses on the stream if it ``has_copies``."""
         self._stream = stream
         self._handler = handler
         self._is_reused = is_reused
+        self._has_copies = has_copies
         self.is_mismatched = False
         self.is_rejected = False
         # Whether a late copy of the response would be taken for the next one.
@@ -291,7 +297,7 @@
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
             return None
-        if not self._handler.is_identified(headers):
+        if self._has_copies and not self._handler.is_identified(headers):
             self.is_copyable = self._handler.is_rejection(
                 start_line.code, headers
             )
@@ -448,12 +454,15 @@
         memory_limits: MemoryLimits = DEFAULT_MEMORY_LIMITS,
         memory: ProcessMemory | None = None,
         kind: Kind = Kind.RESPONSE,
+        responds_once: bool = False,
     ) -> None:
         """Keep up to ``max_idle`` idle connections for each address.
 
         ``connect_timeout`` is in seconds. Responses count in the ``memory``
-        of the process, if there is one, as this ``kind``.
+        of the process, if there is one, as this ``kind``. Servers may send a
+        response twice, unless each of them ``responds_once``.
         """
+        self._responds_once = responds_once
         self._memory = MemoryBudget(memory_limits, memory, kind)
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
@@ -637,7 +646,9 @@
         except ValueError as error:
             raise NotSentError(f'no HTTP request: {error!r}') from error
         for _ in range(_MAX_MISMATCHED_RESPONSES):
-            delegate = _ResponseDelegate(stream, handler, idle is not None)
+            delegate = _ResponseDelegate(
+                stream, handler, idle is not None, not self._responds_once
+            )
             try:
                 is_open = await connection.read_response(delegate)
             except StreamClosedError:
@@ -683,9 +694,12 @@
     ) -> Response:
         """Send a request once and return the complete response.
 
+        Its response states no request. If it could be a copy of another one,
+        the exchange has a connection of its own, even with ``reuse``.
         Raises ``NotSentError`` or ``InterruptedExchangeError``.
         """
         handler = ResponseHandler()
+        reuse = reuse and self._responds_once
         await self.exchange(address, request, handler, reuse)
         return handler.response()
 
