Share the event loop with responses that never end

Cause: reads and handlers that are done at once never give way, so that a body without a length keeps the loop while bytes wait; and a chunk of small events cost so much, judged one by one, that bodies in chunks, for which the library gives way, held the loop too.

Change: each response gives way after 64 KiB and queues for its next turn, one in an iteration of the loop. Events without a number are judged at once. A response to another request that ends with its connection isn't read. A VM logs loop_stalled.

Why it works: what others wait for is one turn, however many such responses there are, and a turn is cheap; timers and closes are served between turns.

--- a/src/lentilrun/decisions/streamorder.py
+++ b/src/lentilrun/decisions/streamorder.py
@@ -18,14 +18,18 @@
 from ..web.eventstream import has_data
 from ..web.eventstream import split_events
 
+# What a run may send between two events that have a number or data. Comments
+# that keep a connection open take some bytes a second.
+MAX_BYTES_WITHOUT_EVENT = 64 * 1024
+
 
 class Verdict(enum.StrEnum):
     """What becomes of an event; ``SKIP`` is one that the caller has.
 
     The others end the run: ``GAP`` is an event with another one missing
-    before it, ``REPETITION`` a number that the run has sent before, and
+    before it, ``REPETITION`` a number that the run has sent before,
     ``UNNUMBERED`` an event of a further run of which nothing tells whether
-    the caller has it.
+    the caller has it, and ``FLOOD`` what exceeds ``MAX_BYTES_WITHOUT_EVENT``.
     """
 
     PASS = 'pass'
@@ -33,6 +37,7 @@
     GAP = 'gap'
     REPETITION = 'repetition'
     UNNUMBERED = 'unnumbered'
+    FLOOD = 'flood'
 
 
 _FAULTS = frozenset((Verdict.GAP, Verdict.REPETITION, Verdict.UNNUMBERED))
@@ -145,6 +150,7 @@
     def __init__(self, progress: StreamProgress) -> None:
         self._progress = progress
         self._position = progress.make_position()
+        self._bytes_without_event = 0
         self.first_id: int | None = None
 
     @property
@@ -155,13 +161,25 @@
     def select(self, events: bytes) -> Selection:
         """Return which of complete events are to be passed on."""
         ids = find_event_ids(events)
+        if self._is_flood(ids, events):
+            return Selection(b'', self._position, Verdict.FLOOD)
         if self._are_next(ids):
             position = self._position
             if ids:
                 position = position.advance(ids[-1], Verdict.PASS)
             return Selection(events, position)
+        if not ids:
+            return self._select_unnumbered(events)
         return self._select_each(events)
 
+    def _is_flood(self, ids: list[int], events: bytes) -> bool:
+        """Count bytes; return whether too many came without an event."""
+        if ids or has_data(events):
+            self._bytes_without_event = 0
+            return False
+        self._bytes_without_event += len(events)
+        return self._bytes_without_event > MAX_BYTES_WITHOUT_EVENT
+
     def record(self, selection: Selection) -> None:
         """Record that a selection is passed on."""
         self._position = selection.position
@@ -175,6 +193,15 @@
         first = position.last_id + 1
         return ids == list(range(first, first + len(ids)))
 
+    def _select_unnumbered(self, events: bytes) -> Selection:
+        """Judge all events at once, as they may be many and small."""
+        position = self._position
+        verdict = position.judge(None, events)
+        if verdict in _FAULTS:
+            return Selection(b'', position, verdict)
+        passed = events if verdict is Verdict.PASS else b''
+        return Selection(passed, position)
+
     def _select_each(self, events: bytes) -> Selection:
         position = self._position
         chosen: list[bytes] = []
--- a/src/lentilrun/gateway/guard.py
+++ b/src/lentilrun/gateway/guard.py
@@ -13,6 +13,8 @@
     from .server import CallerPort
 
 _INTERVAL_S = 0.25
+# A check that is late by more shows that one task kept the event loop.
+_MAX_LATENESS_S = 0.25
 # Longer than operators let connections idle, so that no client inside their
 # limits reaches it.
 _BODY_TIMEOUT_S = 40.0
@@ -39,9 +41,16 @@
     async def run(self) -> None:
         """Check until cancelled."""
         while True:
+            due_at = self._clock.now() + _INTERVAL_S
             await asyncio.sleep(_INTERVAL_S)
+            self._record_lateness(self._clock.now() - due_at)
             self.check()
 
+    def _record_lateness(self, lateness: float) -> None:
+        """Log that nothing else ran for some time, in seconds."""
+        if lateness > _MAX_LATENESS_S:
+            self._log.write('loop_stalled', seconds=round(lateness, 3))
+
     def check(self) -> None:
         """End what has stalled, and let servers accept again."""
         now = self._clock.now()
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -32,6 +32,7 @@
 from .sockets import make_socket
 from .sockets import RequestStream
 from .sockets import set_ack_timeout
+from .turns import TurnQueue
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -52,6 +53,10 @@
 _MAX_BUFFERED_BYTES = 1024 * 1024
 _MAX_IDLE_CONNECTIONS = 64
 _READ_CHUNK_BYTES = 64 * 1024
+# What a response may take of the event loop before others have their turn.
+# The least that handling a chunk costs counts as this many bytes.
+_TURN_BYTES = 64 * 1024
+_CHUNK_COST_BYTES = 1024
 # Larger bodies are written apart from the head, as joining copies them.
 _JOINED_BODY_BYTES = 16 * 1024
 _MAX_MISMATCHED_RESPONSES = 4
@@ -262,8 +267,11 @@
         handler: ResponseHandler,
         is_reused: bool,
         has_copies: bool,
+        turns: TurnQueue,
     ) -> None:
         """Expect copies of responses on the stream if it ``has_copies``."""
+        self._turns = turns
+        self._turn_bytes = 0
         self._stream = stream
         self._handler = handler
         self._is_reused = is_reused
@@ -296,6 +304,9 @@
         )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
+            if not is_framed(headers):
+                # No response follows one that ends with its connection.
+                self._reject()
             return None
         if self._has_copies and not self._handler.is_identified(headers):
             self.is_copyable = self._handler.is_rejection(
@@ -314,9 +325,20 @@
         self._stream.close()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        if self.is_mismatched:
-            return None
-        return self._handler.receive_chunk(chunk)
+        handling = None
+        if not self.is_mismatched:
+            handling = self._handler.receive_chunk(chunk)
+        self._turn_bytes += len(chunk) + _CHUNK_COST_BYTES
+        if self._turn_bytes < _TURN_BYTES:
+            return handling
+        self._turn_bytes = 0
+        return self._end_turn(handling)
+
+    async def _end_turn(self, handling: Awaitable[None] | None) -> None:
+        """Finish handling a chunk, then give way to other tasks."""
+        if handling is not None:
+            await handling
+        await self._turns.wait()
 
     def finish(self) -> None:
         self.finished = True
@@ -463,6 +485,7 @@
         response twice, unless each of them ``responds_once``.
         """
         self._responds_once = responds_once
+        self._turns = TurnQueue()
         self._memory = MemoryBudget(memory_limits, memory, kind)
         self._connect_timeout = connect_timeout
         self._max_idle = max_idle
@@ -647,7 +670,11 @@
             raise NotSentError(f'no HTTP request: {error!r}') from error
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             delegate = _ResponseDelegate(
-                stream, handler, idle is not None, not self._responds_once
+                stream,
+                handler,
+                idle is not None,
+                not self._responds_once,
+                self._turns,
             )
             try:
                 is_open = await connection.read_response(delegate)
--- a/tests/decisions/test_streamorder.py
+++ b/tests/decisions/test_streamorder.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
+from lentilrun.decisions.streamorder import MAX_BYTES_WITHOUT_EVENT
 from lentilrun.decisions.streamorder import StreamProgress
 from lentilrun.decisions.streamorder import StreamRun
 from lentilrun.decisions.streamorder import Verdict
@@ -151,3 +152,65 @@
     if numbers:
         _play(progress, _Sent((_Packet(numbers),)))
     assert progress.may_continue() is may_continue
+
+
+_COMMENT = b': \n\n'
+_KEEP_ALIVE_S = 1
+_FILLED = _COMMENT * (MAX_BYTES_WITHOUT_EVENT // len(_COMMENT))
+
+
+class _Flood(NamedTuple):
+    """Packets of a run that goes on after some event, and its end."""
+
+    packets: list[bytes]
+    last_event: int
+    fault: Verdict | None
+
+
+_FLOODS = {
+    'new': _Flood([_FILLED, _COMMENT], 0, Verdict.FLOOD),
+    'resumed': _Flood([_FILLED, _COMMENT], 2, Verdict.FLOOD),
+    'after_an_event': _Flood(
+        [_make_event(3), _FILLED, _COMMENT], 2, Verdict.FLOOD
+    ),
+    'at_the_limit': _Flood([_FILLED], 2, None),
+    'events_between': _Flood(
+        [_FILLED, _make_event(3), _FILLED, _make_event(4)], 2, None
+    ),
+    'numbers_alone_between': _Flood([_FILLED, b'id: 3\n\n', _FILLED], 2, None),
+    'an_hour_of_keep_alive_comments': _Flood(
+        [b': keep-alive\n\n'] * (3600 // _KEEP_ALIVE_S), 2, None
+    ),
+}
+
+
+@pytest.mark.parametrize('flood', _FLOODS.values(), ids=_FLOODS)
+def test_comments_without_end(flood: _Flood) -> None:
+    """Guards against runs that send comments without end and no event."""
+    run = StreamRun(StreamProgress(flood.last_event))
+    faults = []
+    for packet in flood.packets:
+        selection = run.select(packet)
+        run.record(selection)
+        faults.append(selection.fault)
+    assert faults[-1] is flood.fault
+    assert not any(faults[:-1])
+
+
+@given(
+    st.lists(st.sampled_from([_COMMENT, _make_event(None), b'event: x\n\n'])),
+    st.integers(0, 3),
+)
+def test_events_without_numbers_are_judged_at_once(
+    events: list[bytes], last_event: int
+) -> None:
+    """One by one, they get the same verdicts."""
+    together = StreamRun(StreamProgress(last_event)).select(b''.join(events))
+    one_by_one = StreamRun(StreamProgress(last_event))
+    passed = b''
+    fault = None
+    for event in events:
+        selection = one_by_one.select(event)
+        passed += selection.events
+        fault = fault or selection.fault
+    assert (together.events, together.fault) == (passed, fault)
