Split the client by what its parts do

Now exchangeerrors, responses, responsereading and idleconnections hold these, and client the exchange itself and the pool.

--- a/src/lentilrun/daemon/polling.py
+++ b/src/lentilrun/daemon/polling.py
@@ -15,8 +15,8 @@
 from ..routing.placements import BlockHolder
 from ..targets import events
 from ..targets import loads
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 
 if TYPE_CHECKING:
     from ..config.configuration import Target
--- a/src/lentilrun/entry/attempt.py
+++ b/src/lentilrun/entry/attempt.py
@@ -20,10 +20,10 @@
 from ..routing import prefix
 from . import streamtokens
 from ..targets import requests
-from ..web.client import InterruptedExchangeError
-from ..web.client import is_framed
-from ..web.client import NotSentError
-from ..web.client import Response
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
+from ..web.responses import is_framed
+from ..web.responses import Response
 from .crashprobe import has_crashed
 from .feedback import AttemptMeasurement
 from .feedback import FAILED_ATTEMPT
--- a/src/lentilrun/entry/claimedcalls.py
+++ b/src/lentilrun/entry/claimedcalls.py
@@ -15,7 +15,7 @@
 from ..errors import Code
 from ..errors import PlatformError
 from ..errors import RunStatus
-from ..web.client import Response
+from ..web.responses import Response
 from .attempt import CallResult
 from .relay import TokenUsage
 
--- a/src/lentilrun/entry/crashprobe.py
+++ b/src/lentilrun/entry/crashprobe.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ..targets import loads
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 
 if TYPE_CHECKING:
     from ..config.ini import Address
--- a/src/lentilrun/entry/relay.py
+++ b/src/lentilrun/entry/relay.py
@@ -13,8 +13,8 @@
 from ..targets.requests import INCARNATION_HEADER
 from ..targets.requests import is_response_to
 from ..targets.requests import names_attempt
-from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
+from ..web.responses import ResponseHandler
 from .eventorder import EventOrder
 from .eventorder import is_last
 from .eventorder import NewEvents
--- a/src/lentilrun/entry/resumption.py
+++ b/src/lentilrun/entry/resumption.py
@@ -15,8 +15,8 @@
 from . import streamtokens
 from ..targets import requests
 from ..targets.requests import OutgoingRequest
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 from ..web.numbers import parse_number
 from .call import Call
 from .call import OPEN_WORKSPACE
--- a/src/lentilrun/gateway/exchange.py
+++ b/src/lentilrun/gateway/exchange.py
@@ -8,9 +8,9 @@
 from tornado.iostream import StreamClosedError
 
 from ..decisions.facts import RouteKind
-from ..web.client import ExchangeTimeoutError
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
+from ..web.exchangeerrors import ExchangeTimeoutError
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 from ..web.sockets import DEFAULT_ACK_TIMEOUT_S
 from .attemptoutcome import AttemptOutcome
 from .timers import Timer
--- a/src/lentilrun/gateway/relay.py
+++ b/src/lentilrun/gateway/relay.py
@@ -10,9 +10,9 @@
 from ..decisions.streamorder import StreamRun
 from ..platform import dialect
 from ..platform.dialect import ResponseHead
-from ..web.client import is_framed
-from ..web.client import ResponseHandler
 from ..web.eventstream import EventBuffer
+from ..web.responses import is_framed
+from ..web.responses import ResponseHandler
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/src/lentilrun/gateway/streammoves.py
+++ b/src/lentilrun/gateway/streammoves.py
@@ -13,7 +13,7 @@
     from types import TracebackType
 
     from ..coordination.clock import Clock
-    from ..web.client import ResponseHandler
+    from ..web.responses import ResponseHandler
     from .targetstate import TargetState
 
 
--- a/src/lentilrun/platform/engines.py
+++ b/src/lentilrun/platform/engines.py
@@ -8,9 +8,9 @@
 import msgspec
 
 from ..errors import PlatformError
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 from .dialect import EXPECTED_INCARNATION
 from .documents import Number
 
--- a/src/lentilrun/platform/rows.py
+++ b/src/lentilrun/platform/rows.py
@@ -15,9 +15,9 @@
 from ..errors import ConflictError
 from ..errors import LentilrunError
 from ..errors import PlatformError
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 from ..web.numbers import parse_number
 from .rowversions import find_era
 from .rowversions import make_version
@@ -34,7 +34,7 @@
     from ..config.ini import Address
     from ..coordination.clock import Clock
     from ..web.client import Client
-    from ..web.client import Response
+    from ..web.responses import Response
 
 _REQUEST_TIMEOUT_S = 1.5
 # Added to the wait of a feed request, as its response may arrive later.
--- a/src/lentilrun/platform/service.py
+++ b/src/lentilrun/platform/service.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 
 from ..errors import PlatformError
-from ..web.client import InterruptedExchangeError
-from ..web.client import is_framed
-from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
+from ..web.responses import is_framed
 
 if TYPE_CHECKING:
     from ..config.ini import Address
     from ..web.client import Client
-    from ..web.client import Response
+    from ..web.responses import Response
 
 DEFAULT_TIMEOUT_S = 2.0
 _SERVER_ERROR_STATUS = 500
--- a/src/lentilrun/session/connection.py
+++ b/src/lentilrun/session/connection.py
@@ -13,9 +13,9 @@
 from ..errors import Code
 from ..errors import LentilrunError
 from ..web.client import Client
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 from .exits import Exit
 
 DEFAULT_OPERATOR = '127.0.0.1:8081'
--- a/src/lentilrun/targets/orders.py
+++ b/src/lentilrun/targets/orders.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from ..web.client import InterruptedExchangeError
-from ..web.client import NotSentError
 from ..web.client import Request
+from ..web.exchangeerrors import InterruptedExchangeError
+from ..web.exchangeerrors import NotSentError
 
 if TYPE_CHECKING:
     from ..config.ini import Address
--- a/src/lentilrun/targets/requests.py
+++ b/src/lentilrun/targets/requests.py
@@ -15,7 +15,7 @@
 
     from ..config.ini import Address
     from ..web.client import Client
-    from ..web.client import ResponseHandler
+    from ..web.responses import ResponseHandler
 
 ATTEMPT_HEADER = 'X-Attempt-Id'
 INCARNATION_HEADER = 'X-Incarnation'
