Skip a response without a body to another request

A 204 or 304 has no body, so that the next response follows it; a late copy of one broke the request on its connection. Only a body that is read until the close ends the exchange now.

--- a/src/lentilrun/web/responsereading.py
+++ b/src/lentilrun/web/responsereading.py
@@ -112,9 +112,6 @@
         )
         self.is_mismatched = not self._handler.is_response_to_request(headers)
         if self.is_mismatched:
-            if not is_framed(headers):
-                # No response follows one that ends with its connection.
-                self._reject()
             return None
         if self._has_copies and not self._handler.is_identified(headers):
             self.is_copyable = self._handler.is_rejection(
@@ -173,6 +170,10 @@
     async def _read_body_until_close(
         self, delegate: HTTPMessageDelegate
     ) -> None:
+        if isinstance(delegate, ResponseDelegate) and delegate.is_mismatched:
+            raise InterruptedExchangeError(
+                'a response to another request ends with the connection'
+            )
         while True:
             try:
                 chunk = await self.stream.read_bytes(
--- a/tests/web/test_late_copies.py
+++ b/tests/web/test_late_copies.py
@@ -181,6 +181,32 @@
             assert f'the response to {name}'.encode() in received
 
 
+@pytest.mark.parametrize('status', [b'204 No Content', b'304 Not Modified'])
+def test_copy_without_a_body_is_skipped(status: bytes) -> None:
+    """A status without a body needs no length to be skipped."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        async with ServedConnection(writer):
+            await read_request_id(reader)
+            writer.write(
+                b'HTTP/1.1 %b\r\nX-Request-Id: other\r\n\r\n' % status
+            )
+            writer.write(_make_response('body', 'second', True))
+            await reader.read()
+
+    async def body() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        address = Address(*server.sockets[0].getsockname()[:2])
+        async with server:
+            with Client() as client:
+                received = await _request(client, address, 'second')
+        assert received == b'the response to second'
+
+    asyncio.run(body())
+
+
 @pytest.mark.parametrize('packet_bytes', [0, 1])
 @pytest.mark.parametrize('moment', ['idle', 'before'])
 @pytest.mark.parametrize('echoes_id', [False, True])
