Wait for a turn before a large chunk is handled

Each of many endless responses handled its first chunk at once and took turns only afterwards. What a response handles without a turn is 32 KiB now.

--- a/src/lentilrun/web/responsereading.py
+++ b/src/lentilrun/web/responsereading.py
@@ -25,9 +25,9 @@
     from .turns import TurnQueue
 
 _READ_CHUNK_BYTES = 64 * 1024
-# What a response may take of the event loop before others have their turn.
+# What a response may handle before it waits for its turn of the event loop.
 # The least that handling a chunk costs counts as this many bytes.
-_TURN_BYTES = 64 * 1024
+_TURN_BYTES = 32 * 1024
 _CHUNK_COST_BYTES = 1024
 _DEFAULT_IDLE_TIMEOUT_S = 60.0
 _MIN_STATUS = 100
@@ -130,20 +130,23 @@
         self._stream.close()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        handling = None
-        if not self.is_mismatched:
-            handling = self._handler.receive_chunk(chunk)
-        self._turn_bytes += len(chunk) + _CHUNK_COST_BYTES
+        cost = len(chunk) + _CHUNK_COST_BYTES
+        self._turn_bytes += cost
         if self._turn_bytes < _TURN_BYTES:
-            return handling
-        self._turn_bytes = 0
-        return self._end_turn(handling)
+            return self._handle(chunk)
+        self._turn_bytes = cost
+        return self._handle_in_turn(chunk)
+
+    def _handle(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.is_mismatched:
+            return None
+        return self._handler.receive_chunk(chunk)
 
-    async def _end_turn(self, handling: Awaitable[None] | None) -> None:
-        """Finish handling a chunk, then give way to other tasks."""
+    async def _handle_in_turn(self, chunk: bytes) -> None:
+        await self._turns.wait()
+        handling = self._handle(chunk)
         if handling is not None:
             await handling
-        await self._turns.wait()
 
     def finish(self) -> None:
         self.finished = True
--- a/tests/web/test_unyielding_responses.py
+++ b/tests/web/test_unyielding_responses.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import contextlib
+import functools
 import time
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from endlessservers import EndlessServer
 from lentilrun.decisions.streamorder import StreamProgress
+from lentilrun.entry import relay
+from lentilrun.entry.relay import StreamState
 from lentilrun.gateway.relay import ResponseReceiver
 from lentilrun.web.client import Client
 from lentilrun.web.client import ExchangeTimeoutError
@@ -20,6 +23,8 @@
 from tornado.httputil import HTTPHeaders
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lentilrun.config.ini import Address
 
 _TIMEOUT_S = 1.0
@@ -69,8 +74,14 @@
         pass
 
 
-def _make_dropping(_: int) -> ResponseHandler:
-    return _DroppingHandler()
+class _NoProductWriter:
+    """Ignores what a caller of the product's own interface gets."""
+
+    def begin(self, status: int, headers: HTTPHeaders) -> None:
+        pass
+
+    async def write(self, data: bytes) -> None:
+        pass
 
 
 def _make_receiver(last_event: int) -> ResponseHandler:
@@ -79,13 +90,20 @@
     )
 
 
+def _make_product_receiver() -> ResponseHandler:
+    return relay.ResponseReceiver(StreamState('own'), _NoProductWriter())
+
+
+_make_new = functools.partial(_make_receiver, 0)
+_make_resumed = functools.partial(_make_receiver, 2)
+
+
 class _Case(NamedTuple):
-    """What a server sends; a stream that ``is_relayed`` is resumed."""
+    """What a server sends, and what makes the handler of the response."""
 
     head: bytes
     data: bytes
-    is_relayed: bool = False
-    last_event: int = 0
+    make_handler: Callable[[], ResponseHandler] = _DroppingHandler
 
 
 _CASES = {
@@ -104,20 +122,27 @@
     'informational': _Case(b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 8192),
     'head': _Case(b'HTTP/1.1 200 OK\r\nX: ', _COMMENTS),
     'resumed_stream_until_close': _Case(
-        _STREAM_HEAD + b'\r\n', _COMMENTS, True, 2
+        _STREAM_HEAD + b'\r\n', _COMMENTS, _make_resumed
     ),
     'resumed_stream_in_chunks': _Case(
-        _STREAM_HEAD + _CHUNKED, _list_chunk(_COMMENTS), True, 2
+        _STREAM_HEAD + _CHUNKED, _list_chunk(_COMMENTS), _make_resumed
+    ),
+    'new_stream_until_close': _Case(
+        _STREAM_HEAD + b'\r\n', _COMMENTS, _make_new
     ),
-    'new_stream_until_close': _Case(_STREAM_HEAD + b'\r\n', _COMMENTS, True),
     'new_stream_in_chunks': _Case(
-        _STREAM_HEAD + _CHUNKED, _list_chunk(_COMMENTS), True
+        _STREAM_HEAD + _CHUNKED, _list_chunk(_COMMENTS), _make_new
     ),
     'stream_of_data': _Case(
-        _STREAM_HEAD + b'\r\n', b'data: x\n\n' * 8192, True
+        _STREAM_HEAD + b'\r\n', b'data: x\n\n' * 8192, _make_new
     ),
     'stream_with_rare_events': _Case(
-        _STREAM_HEAD + b'\r\n', b'data: x\n\n' + b': \n\n' * 8192, True
+        _STREAM_HEAD + b'\r\n', b'data: x\n\n' + b': \n\n' * 8192, _make_new
+    ),
+    'product_stream': _Case(
+        _OK_HEAD + b'Content-Type: text/event-stream\r\n\r\n',
+        _COMMENTS,
+        _make_product_receiver,
     ),
 }
 
@@ -125,8 +150,7 @@
 async def _exchange(
     client: Client, address: Address, case: _Case
 ) -> ResponseHandler:
-    make = _make_receiver if case.is_relayed else _make_dropping
-    handler = make(case.last_event)
+    handler = case.make_handler()
     request = Request('GET', '/', {'X-Request-Id': 'own'}, b'', _TIMEOUT_S)
     with contextlib.suppress(InterruptedExchangeError):
         await client.exchange(address, request, handler)
