--- a/tests/web/endlessservers.py
+++ b/tests/web/endlessservers.py
@@ -13,14 +13,12 @@
     from types import TracebackType
 
 _ACCEPT_TIMEOUT_S = 0.1
+_MAX_REQUEST_BYTES = 65536
 _LOOPBACK = '127.0.0.1'
 
 
 class EndlessServer:
-    """A context manager that serves a head, and then data without end.
-
-    ``closed`` counts the connections that their clients closed.
-    """
+    """A context manager that serves a head, and then data without end."""
 
     def __init__(self, head: bytes, data: bytes) -> None:
         self._head = head
@@ -28,13 +26,13 @@
         self._listener = socket.create_server((_LOOPBACK, 0))
         self._listener.settimeout(_ACCEPT_TIMEOUT_S)
         self._connections: list[socket.socket] = []
-        self._threads = [threading.Thread(target=self._accept)]
+        self._accepting = threading.Thread(target=self._accept)
+        self._threads: list[threading.Thread] = []
         self._is_closed = threading.Event()
-        self.closed = 0
         self.address = Address(*self._listener.getsockname()[:2])
 
     def __enter__(self) -> EndlessServer:
-        self._threads[0].start()
+        self._accepting.start()
         return self
 
     def __exit__(
@@ -44,11 +42,11 @@
         trace: TracebackType | None,
     ) -> None:
         self._is_closed.set()
-        self._threads[0].join()
+        self._accepting.join()
         for connection in self._connections:
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
-        for thread in self._threads[1:]:
+        for thread in self._threads:
             thread.join()
         self._listener.close()
 
@@ -66,11 +64,10 @@
 
     def _serve(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
-            connection.recv(65536)
+            connection.recv(_MAX_REQUEST_BYTES)
             connection.sendall(self._head)
             while True:
                 connection.sendall(self._data)
-        self.closed += 1
 
 
 __all__ = ['EndlessServer']
--- a/tests/web/test_copied_reports.py
+++ b/tests/web/test_copied_reports.py
@@ -55,7 +55,10 @@
 
 
 class _Behaviour(NamedTuple):
-    """How a target responds; it rejects callers' requests with a status."""
+    """How a target responds to requests for reports, and to callers' ones.
+
+    It runs the latter unless there is a ``rejection``.
+    """
 
     is_misdirected: bool = False
     rejection: bytes = b''
