--- a/tests/web/test_copied_rejections.py
+++ b/tests/web/test_copied_rejections.py
@@ -13,9 +13,9 @@
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
 import pytest
+from rawservers import NoWriter
 from rawservers import read_request_id
 from rawservers import ServedConnection
-from tornado.httputil import HTTPHeaders
 
 _TIMEOUT_S = 2.0
 _OK = 200
@@ -26,26 +26,6 @@
 }
 
 
-class _NoWriter:
-    """Gets nothing, as no stream is relayed."""
-
-    async def begin(
-        self, status: int, headers: HTTPHeaders, data: bytes
-    ) -> None:
-        raise AssertionError
-
-    async def write(self, data: bytes) -> None:
-        raise AssertionError
-
-    async def finish(self) -> None:
-        raise AssertionError
-
-    async def send(
-        self, status: int, headers: HTTPHeaders, body: bytes
-    ) -> None:
-        raise AssertionError
-
-
 class _Server:
     """Rejects some requests; a copy comes before the next response.
 
@@ -85,7 +65,7 @@
 ) -> int:
     """Return the status that a request gets, 0 if it broke."""
     receiver = ResponseReceiver(
-        name, _NoWriter(), StreamProgress(0), lambda: None
+        name, NoWriter(), StreamProgress(0), lambda: None
     )
     request = Request(
         'POST',
--- a/tests/web/test_copied_reports.py
+++ b/tests/web/test_copied_reports.py
@@ -23,6 +23,7 @@
 from lentilrun.web.client import InterruptedExchangeError
 from lentilrun.web.client import Request
 import pytest
+from rawservers import NoWriter
 from rawservers import ServedConnection
 from tornado.httputil import HTTPHeaders
 
@@ -34,26 +35,6 @@
 _ORDER = WeightsLoadOrder('model', 9, 'wait', 'vm', 1, 0)
 
 
-class _NoWriter:
-    """Gets nothing, as no stream is relayed."""
-
-    async def begin(
-        self, status: int, headers: HTTPHeaders, data: bytes
-    ) -> None:
-        raise AssertionError
-
-    async def write(self, data: bytes) -> None:
-        raise AssertionError
-
-    async def finish(self) -> None:
-        raise AssertionError
-
-    async def send(
-        self, status: int, headers: HTTPHeaders, body: bytes
-    ) -> None:
-        raise AssertionError
-
-
 class _Behaviour(NamedTuple):
     """How a target responds to requests for reports, and to callers' ones.
 
@@ -149,7 +130,7 @@
     """Return the status of a caller's request."""
     name = 'caller'
     receiver = ResponseReceiver(
-        name, _NoWriter(), StreamProgress(0), lambda: None
+        name, NoWriter(), StreamProgress(0), lambda: None
     )
     headers = {'X-Request-Id': name}
     request = Request(
