Log what a closing port and a stopping VM leave unanswered

A request on a connection that the VM had closed itself was logged as caller_gone, and "stopped" named no request. Change: port_closed counts the connections that hold bytes of a request or of a response, closed_unread names a request that was found on one of them, and open_at_end names each call that is open as a leaving VM ends, with whether it waits for a target and whether its response has begun. No logic changes.

--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -35,6 +35,8 @@
         self.waiting_for_turns: collections.Counter[str] = (
             collections.Counter()
         )
+        # IDs of calls that wait for a target, or for a VM that reaches one.
+        self.waiting_ids: set[str] = set()
         self._changed = asyncio.Event()
         context.targets.on_change.append(self._notify)
 
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -357,8 +357,13 @@
     async def _acquire(self) -> Assignment | Peer:
         """Return a target, or a VM, once the call is to be sent to it."""
         waiting = self._dispatcher.waiting_for_turns
-        with TurnPlace(waiting, self._service) as place:
-            return await self._wait_for_way(place)
+        waiting_ids = self._dispatcher.waiting_ids
+        waiting_ids.add(self._call.request_id)
+        try:
+            with TurnPlace(waiting, self._service) as place:
+                return await self._wait_for_way(place)
+        finally:
+            waiting_ids.discard(self._call.request_id)
 
     def preview(self) -> Assignment | Peer | None:
         """Return how the call would be sent now, nothing if it would wait.
--- a/src/lentilrun/gateway/forwardport.py
+++ b/src/lentilrun/gateway/forwardport.py
@@ -114,6 +114,10 @@
     def record_end(self, call: Call, refusal: Refusal | None) -> None:
         """Record nothing: the VM that admitted the call does."""
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a call waits, so that no target has it."""
+        return request_id in self._dispatcher.waiting_ids
+
     def limit_body(self) -> int:
         """Return the largest body that is admitted, in bytes."""
         return self._admission.limit_body()
--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -13,6 +13,8 @@
 from tornado.netutil import add_accept_handler
 from tornado.netutil import bind_sockets
 
+from ..web.sockets import count_unread_bytes
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -80,6 +82,18 @@
         self._read_buffer_size += count
         return count
 
+    def is_quiet(self) -> bool:
+        """Return whether a close loses nothing of a request or a response.
+
+        A head that was read leaves no trace in the buffer until the task
+        that parses it has run; no read is pending then.
+        """
+        if self.closed():
+            return True
+        if self.writing() or self._read_buffer_size or not self.reading():
+            return False
+        return not count_unread_bytes(self.socket)
+
     def drop_buffer(self) -> None:
         """Release what was not read, as the connection is closed.
 
@@ -201,4 +215,10 @@
             stream.count_buffer()
 
 
-__all__ = ['GuardedServer', 'GuardedStream']
+def is_quiet(stream: IOStream) -> bool:
+    """Return whether a connection may be closed without a loss."""
+    assert isinstance(stream, GuardedStream)
+    return stream.is_quiet()
+
+
+__all__ = ['GuardedServer', 'GuardedStream', 'is_quiet']
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -188,6 +188,10 @@
         """Return the workspace of a request, empty if it has none."""
         return self._node.admission.identify(headers)
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a call waits, so that no target has it."""
+        return request_id in self._node.dispatcher.waiting_ids
+
     def record_unread(self, refusal: Refusal) -> None:
         """Count a request that was refused before its body was read."""
         self._node.metrics.add(Count.REFUSALS, refusal.reason)
@@ -683,6 +687,8 @@
         ports = (self.caller_port, self.forward_port)
         while any(p.in_flight for p in ports) and self.clock.now() < until:
             await asyncio.sleep(_LEAVING_POLL_S)
+        for port in ports:
+            port.log_open()
         await self.upgrades.leave()
         self.gossip.is_leaving = True
         self.peers.announce_leaving()
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -29,6 +29,7 @@
 from .call import Reason
 from .call import Refusal
 from .connectionwriter import ConnectionWriter
+from .listener import is_quiet
 
 if TYPE_CHECKING:
     from tornado.iostream import IOStream
@@ -93,6 +94,10 @@
         """Return the workspace of a request, empty if it has none."""
         return ''
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a call waits, so that no target has it."""
+        return False
+
     def record_unread(self, refusal: Refusal) -> None:
         """Record a request that was refused before its body was read."""
 
@@ -216,17 +221,16 @@
         if self._connection.stream.closed():
             # Bytes that arrived before are still read after a close.
             release_body(incoming.body)
-            self._port.log_caller_gone(incoming)
+            self._port.log_unread_request(incoming)
             return
         self._port.mark_received(self._server_connection)
-        coroutine = self._port.respond(
-            incoming, self._make_writer(), self._cancellation
-        )
+        writer = self._make_writer()
+        coroutine = self._port.respond(incoming, writer, self._cancellation)
         task = self._task = asyncio.ensure_future(coroutine)
         self._cancellation.cancel = task.cancel
         # After the request has been read, only this reports a close.
         self._connection.set_close_callback(self.on_connection_close)
-        self._port.in_flight.add(task)
+        self._port.in_flight[task] = OpenRequest(incoming, writer)
         body = incoming.body
 
         def mark_done(task: asyncio.Task[None]) -> None:
@@ -236,7 +240,7 @@
         task.add_done_callback(mark_done)
 
     def _mark_done(self, task: asyncio.Task[None]) -> None:
-        self._port.in_flight.discard(task)
+        self._port.in_flight.pop(task, None)
         self._port.mark_idle(self._server_connection)
 
     def on_connection_close(self) -> None:
@@ -247,6 +251,17 @@
         self._cancellation.request()
 
 
+class OpenRequest(NamedTuple):
+    """A request that was received whole, and the writer of its response."""
+
+    incoming: IncomingRequest
+    writer: ConnectionWriter
+
+    def identify(self) -> str:
+        """Return the request's ID, empty if it has none."""
+        return dialect.read_request_id(self.incoming.headers)
+
+
 class PortLimits(NamedTuple):
     """What the connections and requests of a port are counted in."""
 
@@ -256,7 +271,7 @@
 
 
 class CallerPort(HTTPServerConnectionDelegate):
-    """Answers callers; ``in_flight`` are the tasks of open requests."""
+    """Answers callers; ``in_flight`` has the open requests by task."""
 
     def __init__(
         self,
@@ -277,7 +292,7 @@
         self.clock = clock
         self.is_leaving = False
         self.is_closed = False
-        self.in_flight: set[asyncio.Task[None]] = set()
+        self.in_flight: dict[asyncio.Task[None], OpenRequest] = {}
         self._idle: set[HTTP1ServerConnection] = set()
 
     def start_request(
@@ -371,14 +386,36 @@
     def close(self) -> None:
         """Close idle connections and reject further requests."""
         self.is_closed = True
-        for server_connection in list(self._idle):
-            server_connection.stream.close()
+        streams = [c.stream for c in self._idle]
+        self._log.write(
+            'port_closed',
+            connections=len(self._table),
+            idle=len(streams),
+            unread=sum(not is_quiet(s) for s in streams),
+            receiving=len(self.receivers),
+        )
+        for stream in streams:
+            stream.close()
         self._idle.clear()
 
-    def log_caller_gone(self, incoming: IncomingRequest) -> None:
+    def log_unread_request(self, incoming: IncomingRequest) -> None:
         """Log a request whose connection was closed before it was run."""
         request_id = dialect.read_request_id(incoming.headers)
-        self._log.write('caller_gone', id=request_id)
+        event = 'closed_unread' if self.is_closed else 'caller_gone'
+        self._log.write(event, id=request_id)
+
+    def log_open(self) -> None:
+        """Log each request that is still open."""
+        now = self.clock.now()
+        for request in self.in_flight.values():
+            request_id = request.identify()
+            self._log.write(
+                'open_at_end',
+                id=request_id,
+                seconds=round(now - request.incoming.arrived_at, 3),
+                waits=self._handler.is_waiting(request_id),
+                begun=request.writer.has_begun,
+            )
 
     async def respond(
         self,
@@ -472,5 +509,6 @@
     'CallerPort',
     'CallHandler',
     'DEFAULT_BODY_BYTES',
+    'OpenRequest',
     'PortLimits',
 ]
--- a/src/lentilrun/web/sockets.py
+++ b/src/lentilrun/web/sockets.py
@@ -102,8 +102,17 @@
     A server that has read the whole request acknowledges all of it with the
     segment that ends its side, so that none are left then.
     """
+    return _read_queue_size(tcp_socket, termios.TIOCOUTQ)
+
+
+def count_unread_bytes(tcp_socket: socket.socket) -> int:
+    """Return how many bytes arrived that were not read from a socket."""
+    return _read_queue_size(tcp_socket, termios.FIONREAD)
+
+
+def _read_queue_size(tcp_socket: socket.socket, queue: int) -> int:
     count = array.array('i', [0])
-    fcntl.ioctl(tcp_socket.fileno(), termios.TIOCOUTQ, count)
+    fcntl.ioctl(tcp_socket.fileno(), queue, count)
     return count[0]
 
 
@@ -159,6 +168,7 @@
 
 __all__ = [
     'abort',
+    'count_unread_bytes',
     'DEFAULT_ACK_TIMEOUT_S',
     'has_input',
     'make_socket',
