--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -157,6 +157,15 @@
         )
         self.store.put('servers', name, value)
 
+    def list_runs(self, path: str) -> list[str]:
+        """Return the IDs of the requests for a path that replicas ran."""
+        return [
+            run.request_id
+            for state in self.replicas.values()
+            for run in state.runs
+            if run.uri == path
+        ]
+
     async def stop_replica(self, name: str) -> None:
         """Stop a replica without removing its row."""
         server = self._servers.pop(name)
