Close a connection only if no request has arrived on it

Cause: the decision to close took "no request" from the state of the parser. A request counts from its parsed head on; until then it may lie in the system's buffer, in the stream's, or in a task that has not run yet. After a stall of the event loop all that arrived meanwhile is there, and the timer that closes the port runs before it is parsed. Change: a connection is closed if nothing is unread, unparsed or unwritten. Requests that have arrived are read and refused as not run; connections in the system's queue are accepted before the port closes; bodies and heads that stall get 1 s. The same question is asked before a connection is closed to make room for another. The steps of leaving have a module of their own. Why it works: what the system still holds is asked at the moment of the close, in the same step, so that no state can be older than the decision.

--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -82,17 +82,21 @@
         self._read_buffer_size += count
         return count
 
-    def is_quiet(self) -> bool:
-        """Return whether a close loses nothing of a request or a response.
+    def has_arrivals(self) -> bool:
+        """Return whether bytes have arrived that no task has handled.
 
         A head that was read leaves no trace in the buffer until the task
         that parses it has run; no read is pending then.
         """
-        if self.closed():
-            return True
-        if self.writing() or self._read_buffer_size or not self.reading():
-            return False
-        return not count_unread_bytes(self.socket)
+        return not self.reading() or count_unread_bytes(self.socket) > 0
+
+    def is_active(self) -> bool:
+        """Return whether a response is sent, or bytes are to be handled."""
+        return not self.closed() and (self.writing() or self.has_arrivals())
+
+    def is_quiet(self) -> bool:
+        """Return whether a close loses nothing of a request or a response."""
+        return not self.is_active() and not self._read_buffer_size
 
     def drop_buffer(self) -> None:
         """Release what was not read, as the connection is closed.
@@ -167,18 +171,49 @@
         super().on_close(server_conn)
         assert isinstance(server_conn, HTTP1ServerConnection)
         stream = server_conn.stream
-        assert isinstance(stream, GuardedStream)
-        stream.drop_buffer()
+        _as_guarded(stream).drop_buffer()
         self._memory.connection_bytes -= _CONNECTION_BYTES
         self._table.remove(stream)
         self._port.on_close(server_conn)
         self.resume()
 
+    def stop(self) -> None:
+        """Accept the connections that were made by now, and no more.
+
+        The system resets those that are left in its queue.
+        """
+        for listener in self._sockets.values():
+            self._accept_waiting(listener)
+        super().stop()
+
+    def _accept_waiting(self, listener: socket.socket) -> None:
+        while not self.is_paused:
+            try:
+                connection, address = listener.accept()
+            except ConnectionAbortedError:
+                continue
+            except BlockingIOError:
+                return
+            self._handle_connection(connection, address)
+
+    def _pick_closable(self) -> IOStream | None:
+        """Return the connection to close first, if any may be closed.
+
+        Bytes may have arrived while the event loop did not run. They count
+        as progress.
+        """
+        now = self._clock.now()
+        while (stream := self._table.pick_closable(now)) is not None:
+            if not _as_guarded(stream).has_arrivals():
+                return stream
+            self._table.mark_progress(stream, now)
+        return None
+
     def _has_closable(self) -> bool:
-        return self._table.pick_closable(self._clock.now()) is not None
+        return self._pick_closable() is not None
 
     def _close_one(self) -> bool:
-        stream = self._table.pick_closable(self._clock.now())
+        stream = self._pick_closable()
         if stream is None:
             return False
         self._table.remove(stream)
@@ -211,14 +246,22 @@
     def count_buffers(self) -> None:
         """Count what the connections hold now, as some was consumed."""
         for stream in self._table:
-            assert isinstance(stream, GuardedStream)
-            stream.count_buffer()
+            _as_guarded(stream).count_buffer()
+
+
+def is_active(stream: IOStream) -> bool:
+    """Return whether a response is sent, or bytes are to be handled."""
+    return _as_guarded(stream).is_active()
 
 
 def is_quiet(stream: IOStream) -> bool:
-    """Return whether a connection may be closed without a loss."""
+    """Return whether a close loses nothing of a request or a response."""
+    return _as_guarded(stream).is_quiet()
+
+
+def _as_guarded(stream: IOStream) -> GuardedStream:
     assert isinstance(stream, GuardedStream)
-    return stream.is_quiet()
+    return stream
 
 
-__all__ = ['GuardedServer', 'GuardedStream', 'is_quiet']
+__all__ = ['GuardedServer', 'GuardedStream', 'is_active', 'is_quiet']
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -63,6 +63,8 @@
 from .server import CallerPort
 from .server import CallHandler
 from .server import PortLimits
+from .shutdown import ServedPort
+from .shutdown import Shutdown
 from .storedsegments import StoredSegments
 from .supervision import Runnable
 from .supervision import supervise
@@ -103,13 +105,6 @@
 _CALLER_IDLE_TIMEOUT_S = 120.0
 _LISTEN_BACKLOG = 1024
 _SERVICE_BACKLOG = 128
-# A leaving VM reports that it is not ready for this time before it closes
-# its port, so that new callers go elsewhere.
-_LEAVING_NOTICE_S = 2.5
-# A leaving VM waits for calls until this time before the end of its
-# ``shutdown_grace``.
-_SHUTDOWN_MARGIN_S = 1.0
-_LEAVING_POLL_S = 0.1
 # Statuses of a refusal whose request has not run at a target.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -667,28 +662,16 @@
         Other VMs are informed at the end. The log holds the calls that
         are still open then.
         """
-        started_at = self.clock.now()
+        ends_at = self.clock.now() + self.settings.bounds.shutdown_grace
         self.log.write('leaving', open=len(self.caller_port.in_flight))
-        self.caller_port.is_leaving = True
-        # Other VMs forward their calls elsewhere at once.
-        self.forward_port.is_leaving = True
-        self.forward_server.stop()
-        self.forward_port.close()
         self.upgrades.is_finishing = True
         self.rollout_driver.is_leaving = True
-        await asyncio.sleep(_LEAVING_NOTICE_S)
-        self.caller_server.stop()
-        self.caller_port.close()
-        until = (
-            started_at
-            + self.settings.bounds.shutdown_grace
-            - _SHUTDOWN_MARGIN_S
-        )
-        ports = (self.caller_port, self.forward_port)
-        while any(p.in_flight for p in ports) and self.clock.now() < until:
-            await asyncio.sleep(_LEAVING_POLL_S)
-        for port in ports:
-            port.log_open()
+        shutdown = Shutdown(
+            self.clock,
+            ServedPort(self.caller_port, self.caller_server),
+            ServedPort(self.forward_port, self.forward_server),
+        )
+        await shutdown.run(ends_at)
         await self.upgrades.leave()
         self.gossip.is_leaving = True
         self.peers.announce_leaving()
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -29,6 +29,7 @@
 from .call import Reason
 from .call import Refusal
 from .connectionwriter import ConnectionWriter
+from .listener import is_active
 from .listener import is_quiet
 
 if TYPE_CHECKING:
@@ -375,16 +376,17 @@
                 receiver.close()
 
     def mark_idle(self, server_connection: HTTP1ServerConnection) -> None:
-        """Mark a connection without a request, unless the port is closed."""
+        """Mark a connection on which no request has been found."""
         if server_connection.stream.closed():
             return
         self._table.mark_progress(server_connection.stream, self.clock.now())
-        if self.is_closed:
-            return
         self._idle.add(server_connection)
 
     def close(self) -> None:
-        """Close idle connections and reject further requests."""
+        """Close quiet connections and refuse further requests.
+
+        Those that have arrived are refused once they were read.
+        """
         self.is_closed = True
         streams = [c.stream for c in self._idle]
         self._log.write(
@@ -394,9 +396,29 @@
             unread=sum(not is_quiet(s) for s in streams),
             receiving=len(self.receivers),
         )
-        for stream in streams:
-            stream.close()
-        self._idle.clear()
+        self.close_quiet()
+
+    def close_quiet(self) -> None:
+        """Close the connections without a request or a response."""
+        for connection in list(self._idle):
+            if is_quiet(connection.stream):
+                self._idle.discard(connection)
+                connection.stream.close()
+
+    def has_open(self) -> bool:
+        """Return whether a request or a response is not complete."""
+        is_receiving = len(self.receivers) > len(self.refused)
+        return bool(self.in_flight or self._idle) or is_receiving
+
+    def end_unread(self) -> None:
+        """Refuse requests whose bodies are late, and end late heads."""
+        refusal = Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
+        for receiver in list(self.receivers.values()):
+            receiver.end(refusal)
+        for connection in list(self._idle):
+            if not is_active(connection.stream):
+                self._idle.discard(connection)
+                connection.stream.close()
 
     def log_unread_request(self, incoming: IncomingRequest) -> None:
         """Log a request whose connection was closed before it was run."""
--- /dev/null
+++ b/src/lentilrun/gateway/shutdown.py
@@ -0,0 +1,82 @@
+"""Ends the requests of a VM that leaves."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ..coordination.clock import Clock
+    from .listener import GuardedServer
+    from .server import CallerPort
+
+# A leaving VM reports that it is not ready for this time before it closes
+# its port, so that new callers go elsewhere.
+NOTICE_S = 2.5
+# Requests that have begun to arrive are refused this long after the port was
+# closed, if they are not complete.
+_RECEIVE_TIMEOUT_S = 1.0
+# A leaving VM waits for calls until this time before the end of its
+# ``shutdown_grace``.
+_MARGIN_S = 1.0
+_POLL_S = 0.1
+
+
+class ServedPort(NamedTuple):
+    """A port that takes calls, with its server."""
+
+    port: CallerPort
+    server: GuardedServer
+
+    def close(self) -> None:
+        """Take no more connections, and no more requests."""
+        self.server.stop()
+        self.port.close()
+
+
+class Shutdown:
+    """Answers all requests that arrive before the ports are closed.
+
+    Times are by the clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        callers: ServedPort,
+        forwarding: ServedPort,
+    ) -> None:
+        self._clock = clock
+        self._callers = callers
+        self._forwarding = forwarding
+        self._ports = (callers.port, forwarding.port)
+
+    async def run(self, ends_at: float) -> None:
+        """Answer requests until there are none, or nearly until a time.
+
+        Other VMs send their calls elsewhere at once.
+        """
+        for port in self._ports:
+            port.is_leaving = True
+        self._forwarding.close()
+        await asyncio.sleep(NOTICE_S)
+        self._callers.close()
+        await self._finish(self._clock.now() + _RECEIVE_TIMEOUT_S)
+        for port in self._ports:
+            port.end_unread()
+        await self._finish(ends_at - _MARGIN_S)
+        for port in self._ports:
+            port.log_open()
+
+    async def _finish(self, until: float) -> None:
+        """Wait for the end of all requests, at most until a time."""
+        while self._clock.now() < until:
+            for port in self._ports:
+                port.close_quiet()
+            if not any(p.has_open() for p in self._ports):
+                return
+            await asyncio.sleep(_POLL_S)
+
+
+__all__ = ['NOTICE_S', 'ServedPort', 'Shutdown']
--- a/tests/gateway/test_closing_ports.py
+++ b/tests/gateway/test_closing_ports.py
@@ -9,8 +9,8 @@
 
 import deployments
 from deployments import Deployment
-from lentilrun.gateway import node as node_module
 from lentilrun.gateway.node import Node
+from lentilrun.gateway.shutdown import NOTICE_S
 import pytest
 
 _MAX_RESPONSE_BYTES = 65536
@@ -118,9 +118,9 @@
         await caller.connect()
     leaving = asyncio.ensure_future(node.leave())
     loop = asyncio.get_running_loop()
-    closes_at = loop.time() + node_module._LEAVING_NOTICE_S
+    closes_at = loop.time() + NOTICE_S
     if len(case.parts) > 1:
-        await asyncio.sleep(node_module._LEAVING_NOTICE_S - case.stall - 0.3)
+        await asyncio.sleep(NOTICE_S - case.stall - 0.3)
         for caller in callers:
             caller.send_part(case.parts[0])
     stall_at = closes_at + _BEFORE_CLOSE_S - case.stall
