Answer all calls before a leaving VM stops

Cause: the end of the process was the only end that a call could have; no step told open calls that their time was up. Change: 2 s before the end of shutdown_grace calls are sent to no target any more, and those that wait are refused as not run (502 if an earlier attempt may have run). 1 s before it, calls whose response has not begun get 502, which promises nothing. Responses that have begun go on for 0.4 s more. Why it works: each call ends by its own path, with the status that its attempts allow, before the process does.

--- a/src/lentilrun/gateway/connectionwriter.py
+++ b/src/lentilrun/gateway/connectionwriter.py
@@ -107,6 +107,10 @@
         headers['Content-Length'] = str(len(body))
         self._start_response(status, headers, None if self._is_head else body)
 
+    def is_closed(self) -> bool:
+        """Return whether the caller has disconnected."""
+        return self._connection.stream.closed()
+
     def abort(self) -> None:
         """Close the connection, so that the response is seen as incomplete.
 
--- a/src/lentilrun/gateway/dispatch.py
+++ b/src/lentilrun/gateway/dispatch.py
@@ -37,9 +37,15 @@
         )
         # IDs of calls that wait for a target, or for a VM that reaches one.
         self.waiting_ids: set[str] = set()
+        self.is_stopping = False
         self._changed = asyncio.Event()
         context.targets.on_change.append(self._notify)
 
+    def stop(self) -> None:
+        """Refuse the calls that wait, and those that would."""
+        self.is_stopping = True
+        self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -398,6 +398,8 @@
         """
         if self._waiting_time_left() <= MIN_ATTEMPT_TIME_S:
             raise self._make_refusal(Reason.DEADLINE)
+        if self._dispatcher.is_stopping and not self._has_begun():
+            raise self._make_refusal(Reason.LEAVING)
         if self._is_quarantined():
             raise self._make_refusal(
                 Reason.QUARANTINED, _QUARANTINE_RETRY_AFTER_S
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -668,6 +668,7 @@
         self.rollout_driver.is_leaving = True
         shutdown = Shutdown(
             self.clock,
+            self.dispatcher,
             ServedPort(self.caller_port, self.caller_server),
             ServedPort(self.forward_port, self.forward_server),
         )
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -293,6 +293,8 @@
         self.clock = clock
         self.is_leaving = False
         self.is_closed = False
+        # Calls are ended, as the process stops.
+        self.is_ending = False
         self.in_flight: dict[asyncio.Task[None], OpenRequest] = {}
         self._idle: set[HTTP1ServerConnection] = set()
 
@@ -420,6 +422,13 @@
                 self._idle.discard(connection)
                 connection.stream.close()
 
+    def end_calls(self) -> None:
+        """Refuse the calls whose responses have not begun."""
+        self.is_ending = True
+        for task, request in list(self.in_flight.items()):
+            if not request.writer.has_begun:
+                task.cancel()
+
     def log_unread_request(self, incoming: IncomingRequest) -> None:
         """Log a request whose connection was closed before it was run."""
         request_id = dialect.read_request_id(incoming.headers)
@@ -491,12 +500,21 @@
         except StreamClosedError:
             self._log.write('caller_gone', id=call.request_id)
         except asyncio.CancelledError:
+            if self.is_ending and not writer.is_closed():
+                return self._end_call()
             self._log.write('caller_gone', id=call.request_id)
             raise
         except Exception as error:
             return self._record_error(call, error)
         return None
 
+    def _end_call(self) -> Refusal:
+        """Go on after ``end_calls``; a target may still run the call."""
+        task = asyncio.current_task()
+        assert task is not None
+        task.uncancel()
+        return Refusal(_BAD_GATEWAY, Reason.LEAVING)
+
     def _record_error(self, call: Call, error: Exception) -> Refusal:
         self._log.write('request_error', id=call.request_id, error=repr(error))
         return Refusal(_BAD_GATEWAY, Reason.INTERNAL)
--- a/src/lentilrun/gateway/shutdown.py
+++ b/src/lentilrun/gateway/shutdown.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from ..coordination.clock import Clock
+    from .dispatch import Dispatcher
     from .listener import GuardedServer
     from .server import CallerPort
 
@@ -17,9 +18,11 @@
 # Requests that have begun to arrive are refused this long after the port was
 # closed, if they are not complete.
 _RECEIVE_TIMEOUT_S = 1.0
-# A leaving VM waits for calls until this time before the end of its
-# ``shutdown_grace``.
-_MARGIN_S = 1.0
+# Before the end of ``shutdown_grace``: calls are not sent to targets any more,
+# calls without a response are refused, and the last responses are delivered.
+_LAST_SEND_S = 2.0
+_LAST_RESPONSE_S = 1.0
+_LAST_DELIVERY_S = 0.6
 _POLL_S = 0.1
 
 
@@ -44,10 +47,12 @@
     def __init__(
         self,
         clock: Clock,
+        dispatcher: Dispatcher,
         callers: ServedPort,
         forwarding: ServedPort,
     ) -> None:
         self._clock = clock
+        self._dispatcher = dispatcher
         self._callers = callers
         self._forwarding = forwarding
         self._ports = (callers.port, forwarding.port)
@@ -65,9 +70,13 @@
         await self._finish(self._clock.now() + _RECEIVE_TIMEOUT_S)
         for port in self._ports:
             port.end_unread()
-        await self._finish(ends_at - _MARGIN_S)
+        await self._finish(ends_at - _LAST_SEND_S)
+        self._dispatcher.stop()
+        await self._finish(ends_at - _LAST_RESPONSE_S)
         for port in self._ports:
             port.log_open()
+            port.end_calls()
+        await self._finish(ends_at - _LAST_DELIVERY_S)
 
     async def _finish(self, until: float) -> None:
         """Wait for the end of all requests, at most until a time."""
--- a/tests/gateway/test_ends_of_grace.py
+++ b/tests/gateway/test_ends_of_grace.py
@@ -126,4 +126,3 @@
             assert case.statuses <= set(by_id.values())
 
     asyncio.run(body())
-
