Hold SIGHUP until it can be handled, and as the daemon stops

Operators saw: a VM that gets SIGHUP within 0.6 s of its start ends with exit code -1; so does one that gets it as its event loop ends after SIGTERM. The handler was installed after the ports were open and went with the event loop; the default action ends the process. Not the cause of the users' report: a process that ends so has opened its port after the signal or has answered all. What is left: a signal before the interpreter runs the program's first line.

--- a/src/lentilrun/gateway/run.py
+++ b/src/lentilrun/gateway/run.py
@@ -12,6 +12,7 @@
 from ..platform import node as node_settings
 from .allocation import tune_allocator
 from .node import Node
+from .reloadsignal import ReloadSignal
 
 if TYPE_CHECKING:
     from ..platform.node import NodeSettings
@@ -44,11 +45,9 @@
     async with Node(settings) as node:
         if metrics_port:
             node.serve_metrics(Address(settings.host, metrics_port))
-        loop.add_signal_handler(
-            signal.SIGHUP, lambda: _reread_settings(node, path)
-        )
-        await stop_requested.wait()
-        await node.leave()
+        with ReloadSignal(loop, lambda: _reread_settings(node, path)):
+            await stop_requested.wait()
+            await node.leave()
 
 
 def main() -> int:
