--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -20,9 +20,7 @@
 from ..decisions.rollouts import ExposureLimits
 from ..decisions.topology import Member
 from ..decisions.weightsage import compute_unknown_age
-from ..metrics.registry import Count
 from ..metrics.registry import Metrics
-from ..metrics.registry import Timing
 from ..platform import documents
 from ..platform.rows import RowStore
 from ..web.client import Client
@@ -32,7 +30,7 @@
 from .announcementrows import AnnouncementRows
 from .build import state_build
 from .builds import Builds
-from .call import Refusal
+from .callerhandler import CallerCallHandler
 from .context import DispatchContext
 from .crashes import CrashTracker
 from .crashrows import CrashRows
@@ -41,6 +39,7 @@
 from .explanations import RoutingExplainer
 from .follower import Follower
 from .forwardport import ForwardedCallHandler
+from .gauges import add_gauges
 from .gossip import Gossip
 from .guard import Guard
 from .helpers import Helpers
@@ -61,7 +60,6 @@
 from .rollouts import Rollouts
 from .rowrelay import RowRelay
 from .server import CallerPort
-from .server import CallHandler
 from .server import PortLimits
 from .shutdown import ServedPort
 from .shutdown import Shutdown
@@ -77,15 +75,11 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from tornado.httputil import HTTPHeaders
     from tornado.httputil import HTTPServerConnectionDelegate
 
     from ..coordination.clock import Clock
     from ..platform.node import NodeSettings
-    from .call import Call
-    from .call import Cancellation
-    from .call import IncomingRequest
-    from .call import ResponseWriter
+    from .server import CallHandler
 
 _TARGET_CONNECT_S = 0.4
 _STORE_CONNECT_S = 0.5
@@ -105,8 +99,6 @@
 _CALLER_IDLE_TIMEOUT_S = 120.0
 _LISTEN_BACKLOG = 1024
 _SERVICE_BACKLOG = 128
-# Statuses of a refusal whose request has not run at a target.
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 def _make_memory_limits(memory_bytes: int) -> MemoryLimits:
@@ -152,60 +144,6 @@
     )
 
 
-class _NodeCallHandler(CallHandler):
-    """Admits and dispatches calls; records them in the metrics."""
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-
-    def admit(self, incoming: IncomingRequest) -> Call:
-        """Return an admitted call; raises ``Refusal``."""
-        try:
-            return self._node.admission.admit(incoming)
-        except Refusal as refusal:
-            self._node.metrics.add(Count.REFUSALS, refusal.reason)
-            raise
-
-    async def run(
-        self,
-        call: Call,
-        writer: ResponseWriter,
-        cancellation: Cancellation | None = None,
-    ) -> None:
-        """Run a call; raises ``Refusal`` if no target answered it."""
-        await self._node.dispatcher.run(call, writer, cancellation)
-
-    def limit_body(self) -> int:
-        """Return the largest body that is admitted, in bytes."""
-        return self._node.admission.limit_body()
-
-    def identify(self, headers: HTTPHeaders) -> str:
-        """Return the workspace of a request, empty if it has none."""
-        return self._node.admission.identify(headers)
-
-    def is_waiting(self, request_id: str) -> bool:
-        """Return whether a call waits, so that no target has it."""
-        return request_id in self._node.dispatcher.waiting_ids
-
-    def record_unread(self, refusal: Refusal) -> None:
-        """Count a request that was refused before its body was read."""
-        self._node.metrics.add(Count.REFUSALS, refusal.reason)
-
-    def record_end(self, call: Call, refusal: Refusal | None) -> None:
-        """Record a finished call; refund its charge if it has not run."""
-        metrics = self._node.metrics
-        metrics.add(Count.REQUESTS, call.route.name)
-        duration = self._node.clock.now() - call.incoming.arrived_at
-        metrics.record_time(Timing.REQUEST, duration)
-        if refusal is None:
-            return
-        metrics.add(Count.REFUSALS, refusal.reason)
-        if refusal.status not in _NOT_RUN_STATUSES:
-            return
-        if call.workspace is not None and call.workspace.rate:
-            self._node.quotas.refund(call.workspace, call.charged_tokens)
-
-
 class Node:
     """Owns the components of a daemon; serves until ``leave``."""
 
@@ -388,7 +326,7 @@
             _limit_descriptors(self.settings.descriptors)
         )
         self.caller_port, self.caller_server = self._make_port(
-            _NodeCallHandler(self), plan.callers, limited_log
+            CallerCallHandler(self), plan.callers, limited_log
         )
         self.explainer = RoutingExplainer(
             context, self.admission, self.dispatcher, self.caller_port
@@ -430,7 +368,7 @@
             self.servers,
             limited_log,
         )
-        self._add_gauges()
+        add_gauges(self)
 
     def _make_port(
         self, handler: CallHandler, connections: int, log: LimitedLog
@@ -451,85 +389,6 @@
         )
         return port, server
 
-    def _add_gauges(self) -> None:
-        add_gauge = self.metrics.add_gauge
-        add_gauge(
-            'open_requests', lambda: float(len(self.caller_port.in_flight))
-        )
-        add_gauge(
-            'peers_heard', lambda: float(len(self.peers.list_responsive()))
-        )
-        add_gauge('targets', lambda: float(len(self.targets.states)))
-        add_gauge(
-            'evacuated_data_centres',
-            lambda: float(len(self.view.evacuations.by_data_centre)),
-        )
-        self._add_memory_gauges()
-        add_gauge('targets_cold', lambda: float(self.targets.count_cold()))
-        add_gauge('targets_unreachable', self._count_unreachable)
-        self.metrics.add_labelled_gauge(
-            'targets_busiest', self.targets.compare_busiest
-        )
-        add_gauge('store_calls', lambda: float(self.store.call_count))
-        add_gauge('configuration', self._configuration_version)
-        add_gauge('store_age_seconds', self._store_age)
-        add_gauge(
-            'targets_age_seconds', lambda: self.target_rows.progress().age
-        )
-        add_gauge('log_lines_left_out', lambda: float(self.log.omitted_lines))
-        self._add_build_gauges()
-
-    def _add_memory_gauges(self) -> None:
-        add_gauge = self.metrics.add_gauge
-        memory = self.memory
-        add_gauge('memory_budget_bytes', lambda: float(memory.plan.total))
-        add_gauge('memory_held_bytes', lambda: float(memory.used))
-        add_gauge(
-            'memory_connections_bytes', lambda: float(memory.connection_bytes)
-        )
-        add_gauge('bodies_refused', lambda: float(memory.refused_bodies))
-        add_gauge('bodies_ended', lambda: float(memory.ended_bodies))
-        add_gauge('long_heads_closed', lambda: float(memory.closed_heads))
-        add_gauge(
-            'connections',
-            lambda: float(sum(s.count_connections() for s in self.servers)),
-        )
-        add_gauge(
-            'connections_closed',
-            lambda: float(sum(s.closed_connections for s in self.servers)),
-        )
-        add_gauge(
-            'ports_not_accepting',
-            lambda: float(sum(s.is_paused for s in self.servers)),
-        )
-
-    def _add_build_gauges(self) -> None:
-        unreadable = self.peers.unreadable
-        metrics = self.metrics
-        metrics.add_labelled_gauge('build', lambda: {self.build.build: 1.0})
-        metrics.add_labelled_gauge('formats', lambda: self.build.formats)
-        metrics.add_labelled_gauge('builds', self.builds.count_by_build)
-        metrics.add_gauge(
-            'peer_messages_unreadable', lambda: float(unreadable.count)
-        )
-        metrics.add_gauge(
-            'peers_unreadable', lambda: float(unreadable.count_senders())
-        )
-
-    def _configuration_version(self) -> float:
-        configuration = self.view.configuration
-        return (
-            float(configuration.version) if configuration is not None else 0.0
-        )
-
-    def _count_unreachable(self) -> float:
-        now = self.clock.now()
-        states = self.targets.states.values()
-        return float(sum(s.is_unreachable(now) for s in states))
-
-    def _store_age(self) -> float:
-        return self.operator_rows.progress().age
-
     def serve_metrics(self, address: Address) -> None:
         """Serve the metrics at an address; raises ``OSError``."""
         self.metrics_server.serve(address, _SERVICE_BACKLOG)
