--- a/src/lentilrun/decisions/connections.py
+++ b/src/lentilrun/decisions/connections.py
@@ -126,18 +126,23 @@
         keys[key] = now
 
     def pick_closable(self, now: float) -> Key | None:
-        """Return the connection to close first.
+        """Return the connection to close first, if any may be closed."""
+        return next(self.list_closable(now), None)
 
-        It is of the address with most connections that has any to close.
+    def list_closable(self, now: float) -> Iterator[Key]:
+        """Yield the connections that may be closed, in this order.
+
+        The first are of the address with most connections that has any to
+        close. The table must not change meanwhile.
         """
         by_count = sorted(
             self._closable, key=lambda a: self._counts[a], reverse=True
         )
         for address in by_count:
-            key, since = next(iter(self._closable[address].items()))
-            if now - since >= _MIN_QUIET_S:
-                return key
-        return None
+            for key, since in self._closable[address].items():
+                if now - since < _MIN_QUIET_S:
+                    break
+                yield key
 
 
 __all__ = ['ConnectionPlan', 'ConnectionTable', 'plan_connections']
--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -192,7 +192,8 @@
                 connection, address = listener.accept()
             except ConnectionAbortedError:
                 continue
-            except BlockingIOError:
+            except OSError:
+                # None is left, or the system can't open one.
                 return
             self._handle_connection(connection, address)
 
@@ -203,11 +204,16 @@
         as progress.
         """
         now = self._clock.now()
-        while (stream := self._table.pick_closable(now)) is not None:
+        found = None
+        active = []
+        for stream in self._table.list_closable(now):
             if not _as_guarded(stream).has_arrivals():
-                return stream
+                found = stream
+                break
+            active.append(stream)
+        for stream in active:
             self._table.mark_progress(stream, now)
-        return None
+        return found
 
     def _has_closable(self) -> bool:
         return self._pick_closable() is not None
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import inspect
 import sys
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -423,10 +424,14 @@
                 connection.stream.close()
 
     def end_calls(self) -> None:
-        """Refuse the calls whose responses have not begun."""
+        """Refuse the calls whose responses have not begun.
+
+        A task that has not begun would send no response if it were
+        cancelled; it refuses its request, as the port is closed.
+        """
         self.is_ending = True
         for task, request in list(self.in_flight.items()):
-            if not request.writer.has_begun:
+            if not request.writer.has_begun and _has_begun(task):
                 task.cancel()
 
     def log_unread_request(self, incoming: IncomingRequest) -> None:
@@ -545,6 +550,13 @@
             self._log.write('caller_gone', id=request_id)
 
 
+def _has_begun(task: asyncio.Task[None]) -> bool:
+    coroutine = task.get_coro()
+    assert inspect.iscoroutine(coroutine)
+    state = inspect.getcoroutinestate(coroutine)
+    return state != inspect.CORO_CREATED
+
+
 __all__ = [
     'CallerPort',
     'CallHandler',
--- a/src/lentilrun/gateway/shutdown.py
+++ b/src/lentilrun/gateway/shutdown.py
@@ -67,6 +67,9 @@
         self._forwarding.close()
         await asyncio.sleep(NOTICE_S)
         self._callers.close()
+        # The tasks of the connections that were accepted last begin, as the
+        # port knows only of those.
+        await asyncio.sleep(0)
         await self._finish(self._clock.now() + _RECEIVE_TIMEOUT_S)
         for port in self._ports:
             port.end_unread()
