--- a/src/lentilrun/gateway/guard.py
+++ b/src/lentilrun/gateway/guard.py
@@ -30,12 +30,15 @@
         ports: tuple[CallerPort, ...],
         servers: tuple[GuardedServer, ...],
         log: LimitedLog,
+        idle_timeout: float,
     ) -> None:
+        """Close connections without a request after ``idle_timeout`` s."""
         self._memory = memory
         self._clock = clock
         self._ports = ports
         self._servers = servers
         self._log = log
+        self._idle_timeout = idle_timeout
         self._logged_heads = 0
 
     async def run(self) -> None:
@@ -58,6 +61,7 @@
             hold.time_out()
         for port in self._ports:
             port.close_refused(now)
+            port.close_idle(now - self._idle_timeout)
         for server in self._servers:
             server.count_buffers()
             server.resume()
--- a/src/lentilrun/gateway/node.py
+++ b/src/lentilrun/gateway/node.py
@@ -429,6 +429,7 @@
             (self.caller_port, self.forward_port),
             self.servers,
             limited_log,
+            _CALLER_IDLE_TIMEOUT_S,
         )
         self._add_gauges()
 
@@ -446,7 +447,9 @@
             self.clock,
             port.end_connection,
             self.memory,
-            idle_connection_timeout=_CALLER_IDLE_TIMEOUT_S,
+            # The guard is to close them first: this timer also closes a
+            # connection on which a request has just arrived.
+            idle_connection_timeout=2.0 * _CALLER_IDLE_TIMEOUT_S,
             max_header_size=_MAX_HEADER_BYTES,
         )
         return port, server
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import inspect
+import math
 import sys
 from typing import NamedTuple
 from typing import TYPE_CHECKING
@@ -297,7 +298,8 @@
         # Calls are ended, as the process stops.
         self.is_ending = False
         self.in_flight: dict[asyncio.Task[None], OpenRequest] = {}
-        self._idle: set[HTTP1ServerConnection] = set()
+        # Since when no request was found on a connection, the earliest first.
+        self._idle: dict[HTTP1ServerConnection, float] = {}
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -310,11 +312,11 @@
     def on_close(self, server_conn: object) -> None:
         """Remove a connection that was closed."""
         assert isinstance(server_conn, HTTP1ServerConnection)
-        self._idle.discard(server_conn)
+        self._idle.pop(server_conn, None)
 
     def mark_busy(self, server_connection: HTTP1ServerConnection) -> None:
         """Mark a connection that has a request in flight."""
-        self._idle.discard(server_connection)
+        self._idle.pop(server_connection, None)
 
     def mark_progress(self, server_connection: HTTP1ServerConnection) -> None:
         """Mark a connection over which a part of a request has arrived."""
@@ -382,8 +384,10 @@
         """Mark a connection on which no request has been found."""
         if server_connection.stream.closed():
             return
-        self._table.mark_progress(server_connection.stream, self.clock.now())
-        self._idle.add(server_connection)
+        now = self.clock.now()
+        self._table.mark_progress(server_connection.stream, now)
+        self._idle.pop(server_connection, None)
+        self._idle[server_connection] = now
 
     def close(self) -> None:
         """Close quiet connections and refuse further requests.
@@ -405,7 +409,19 @@
         """Close the connections without a request or a response."""
         for connection in list(self._idle):
             if is_quiet(connection.stream):
-                self._idle.discard(connection)
+                del self._idle[connection]
+                connection.stream.close()
+
+    def close_idle(self, before: float) -> None:
+        """Close connections on which no request was found since a time.
+
+        One on which bytes have arrived is kept until they were handled.
+        """
+        for connection, since in list(self._idle.items()):
+            if since >= before:
+                return
+            if not is_active(connection.stream):
+                del self._idle[connection]
                 connection.stream.close()
 
     def has_open(self) -> bool:
@@ -418,10 +434,7 @@
         refusal = Refusal(_UNAVAILABLE, Reason.LEAVING, _LEAVING_RETRY_S)
         for receiver in list(self.receivers.values()):
             receiver.end(refusal)
-        for connection in list(self._idle):
-            if not is_active(connection.stream):
-                self._idle.discard(connection)
-                connection.stream.close()
+        self.close_idle(math.inf)
 
     def end_calls(self) -> None:
         """Refuse the calls whose responses have not begun.
--- a/tests/gateway/test_stalled_loop.py
+++ b/tests/gateway/test_stalled_loop.py
@@ -22,7 +22,7 @@
 async def _run(seconds: float, log: LimitedLog, clock: SystemClock) -> None:
     """Run a guard, and keep the event loop for some time meanwhile."""
     memory = ProcessMemory(plan_memory(_MEMORY_BYTES))
-    guard = asyncio.create_task(Guard(memory, clock, (), (), log).run())
+    guard = asyncio.create_task(Guard(memory, clock, (), (), log, 120.0).run())
     await asyncio.sleep(0)
     time.sleep(seconds)
     await asyncio.sleep(_CHECK_S)
