Stop an attempt only if its own target is out of reach

Other calls ran twice. Cause: once no target had sent a byte for 0.6 s, up to three targets that don't leave were connected to. If all of them failed, each attempt that may be repeated was stopped, whichever target it was at. Change: such a check includes up to three targets of the attempts. Attempts at targets that leave, or whose rows are removed, are not stopped: these may take no connection and still respond. Why it works: what is stopped depends on the target that owes the response. A lost path to a leaving target is still found by the acknowledgement timeout and the probes of its connection.

--- a/src/lentilrun/gateway/attempt.py
+++ b/src/lentilrun/gateway/attempt.py
@@ -167,7 +167,7 @@
         )
         withdrawal = self._make_withdrawal()
         path = self._context.reachability.watch(
-            receiver.stop if self._may_stop else None
+            self._assignment.state, receiver.stop if self._may_stop else None
         )
         with self._load, move, withdrawal, self._patience, path:
             outcome = await self._exchange(request)
--- a/src/lentilrun/gateway/reachability.py
+++ b/src/lentilrun/gateway/reachability.py
@@ -45,12 +45,14 @@
     def __init__(
         self,
         reachability: Reachability,
+        state: TargetState,
         started_at: float,
         stop: Callable[[], None] | None,
     ) -> None:
         """Without ``stop``, the attempt goes on until it ends by itself."""
         self._reachability = reachability
         self._stop = stop
+        self.state = state
         self.started_at = started_at
         self.has_stopped = False
 
@@ -109,9 +111,11 @@
         states = self._targets.list_included(service, allowed)
         return not states or not all(s.is_unreachable(now) for s in states)
 
-    def watch(self, stop: Callable[[], None] | None) -> AttemptWatch:
-        """Return the watch of an attempt that begins now."""
-        return AttemptWatch(self, self._clock.now(), stop)
+    def watch(
+        self, state: TargetState, stop: Callable[[], None] | None
+    ) -> AttemptWatch:
+        """Return the watch of an attempt at a target that begins now."""
+        return AttemptWatch(self, state, self._clock.now(), stop)
 
     def add(self, attempt: AttemptWatch) -> None:
         """Count an attempt as one that waits for its target."""
@@ -167,7 +171,9 @@
     def _pick_targets(self) -> list[TargetState]:
         """Return targets to connect to, reachable ones first.
 
-        A path to evacuated targets is of no use.
+        A path to evacuated targets is of no use. The targets of attempts
+        are added if these are to be judged: rows may be there before their
+        targets take connections, while others respond.
         """
         now = self._clock.now()
         states = [
@@ -178,7 +184,13 @@
         ]
         random.shuffle(states)
         states.sort(key=lambda s: s.is_unreachable(now))
-        return states[:_CHECKED_TARGETS]
+        picked = states[:_CHECKED_TARGETS]
+        if not picked or not self._is_silent():
+            return picked
+        awaited = {id(a.state): a.state for a in self._attempts}
+        others = [s for s in awaited.values() if s not in picked]
+        random.shuffle(others)
+        return picked + others[:_CHECKED_TARGETS]
 
     async def _check(self) -> None:
         """Connect to some targets; any connection shows a path to them."""
@@ -219,7 +231,13 @@
         # Connections that hang are lost, also if the network recovers.
         self._client.close_all_idle()
         for attempt in list(self._attempts):
-            attempt.stop()
+            if self._takes_connections(attempt.state):
+                attempt.stop()
+
+    def _takes_connections(self, state: TargetState) -> bool:
+        """Return whether a target is to; others may still respond."""
+        known = self._targets.states.get(state.target.incarnation)
+        return known is state and not state.is_leaving()
 
     def _notify(self) -> None:
         for callback in self.on_change:
