--- a/src/lentilrun/gateway/shutdown.py
+++ b/src/lentilrun/gateway/shutdown.py
@@ -83,12 +83,15 @@
 
     async def _finish(self, until: float) -> None:
         """Wait for the end of all requests, at most until a time."""
-        while self._clock.now() < until:
+        while True:
             for port in self._ports:
                 port.close_quiet()
             if not any(p.has_open() for p in self._ports):
                 return
+            # Before any end: what arrived during a stall is handled.
             await asyncio.sleep(_POLL_S)
+            if self._clock.now() >= until:
+                return
 
 
 __all__ = ['NOTICE_S', 'ServedPort', 'Shutdown']
