Keep a connection whose server responds and reads the rest later

Cause: TCP_USER_TIMEOUT also ends a connection whose peer acknowledges probes but has no room, so that a sound target looked like one out of reach. Change: if the head of a response arrives while a part of the request is not acknowledged, that timeout is switched off for the exchange. Why it works: the target is known to run then, and the system ends a connection only if its probes aren't acknowledged; the deadline still ends the exchange. All other exchanges, whose requests are read whole first, keep the timeout, and each exchange on a kept connection sets it again.

--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -44,8 +44,6 @@
 if TYPE_CHECKING:
     from types import TracebackType
 
-    from tornado.iostream import IOStream
-
     from ..config.ini import Address
     from .body import Body
     from .memory import MemoryLimits
@@ -196,7 +194,7 @@
     def _add_idle(
         self,
         address: Address,
-        stream: IOStream,
+        stream: RequestStream,
         kept: KeptConnection,
         identity: str = '',
     ) -> None:
@@ -310,7 +308,7 @@
 
     async def _send_and_receive(
         self,
-        stream: IOStream,
+        stream: RequestStream,
         address: Address,
         request: Request,
         handler: ResponseHandler,
--- a/src/lentilrun/web/idleconnections.py
+++ b/src/lentilrun/web/idleconnections.py
@@ -6,10 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from tornado.iostream import IOStream
-
     from .client import Request
     from .responsereading import ResponseDelegate
+    from .sockets import RequestStream
 
 
 class IdleConnection(NamedTuple):
@@ -19,7 +18,7 @@
     if it ``may_have_copy``.
     """
 
-    stream: IOStream
+    stream: RequestStream
     expires_at: float
     identity: str
     may_have_copy: bool = False
--- a/src/lentilrun/web/sockets.py
+++ b/src/lentilrun/web/sockets.py
@@ -80,6 +80,10 @@
             self._turn_bytes = 0
         return data
 
+    def holds_request(self) -> bool:
+        """Return whether the server's kernel lacks a part of the request."""
+        return self.writing() or _count_unacknowledged_bytes(self.socket) > 0
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket; return 0 at the end of the server's side.
 
@@ -88,8 +92,7 @@
         count = super().read_from_fd(buf)
         if count == 0:
             self.is_request_cut = (
-                self.writing()
-                or _count_unacknowledged_bytes(self.socket) > 0
+                self.holds_request()
                 or self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
                 != 0
             )
@@ -142,6 +145,16 @@
     )
 
 
+def allow_full_buffer(stream: IOStream) -> None:
+    """Let a server that is alive take no bytes for any time.
+
+    Its kernel then acknowledges probes, but no bytes, which the timeout of
+    ``set_ack_timeout`` takes for silence. Without that, only the number of
+    probes counts that are not acknowledged.
+    """
+    stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
+
+
 def abort(stream: IOStream) -> None:
     """Close a stream; bytes that were not delivered yet are discarded.
 
@@ -168,6 +181,7 @@
 
 __all__ = [
     'abort',
+    'allow_full_buffer',
     'count_unread_bytes',
     'DEFAULT_ACK_TIMEOUT_S',
     'has_input',
