Let a leaving VM's notice take half of a short grace at most

Cause: with a shutdown_grace of less than 4.5 s the fixed notice of 2.5 s left no time for the steps behind it; with a silent store the last step ended 0.1 s before the process is killed. Change: the notice takes half of the time at most, and the last delivery ends 0.7 s before the end, as the release of the lease may take 0.5 s. Measured: 11 tests of the end of the grace pass; with 8 s nothing else changes.

--- a/src/lentilrun/gateway/shutdown.py
+++ b/src/lentilrun/gateway/shutdown.py
@@ -13,8 +13,10 @@
     from .server import CallerPort
 
 # A leaving VM reports that it is not ready for this time before it closes
-# its port, so that new callers go elsewhere.
+# its port, so that new callers go elsewhere; at most for this share of the
+# time that it has.
 NOTICE_S = 2.5
+_MAX_NOTICE_SHARE = 0.5
 # Requests that have begun to arrive are refused this long after the port was
 # closed, if they are not complete.
 _RECEIVE_TIMEOUT_S = 1.0
@@ -22,7 +24,7 @@
 # calls without a response are refused, and the last responses are delivered.
 _LAST_SEND_S = 2.0
 _LAST_RESPONSE_S = 1.0
-_LAST_DELIVERY_S = 0.6
+_LAST_DELIVERY_S = 0.7
 _POLL_S = 0.1
 
 
@@ -65,7 +67,8 @@
         for port in self._ports:
             port.is_leaving = True
         self._forwarding.close()
-        await asyncio.sleep(NOTICE_S)
+        time_left = ends_at - self._clock.now()
+        await asyncio.sleep(min(NOTICE_S, _MAX_NOTICE_SHARE * time_left))
         self._callers.close()
         # The tasks of the connections that were accepted last begin, as the
         # port knows only of those.
