Wait for a target until the deadline for a stream that was moved

The VM had ended the attempt to move the stream away from a target that was to load weights. Cause: a moved stream waited as a call that has not begun: it was given up after 0.6 of its time without a free target, and at once if no retry was left. Attempts that no target got were counted as retries too. Change: a stream that this VM itself took from a target waits for a target, and for a retry, until its deadline. A retry whose attempt reached no target is used for the next one. Why it works: the caller of such a stream can't be refused any more, so that to give up early only breaks it off. Other calls wait as before, and no more requests reach targets than retries are counted.

--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -21,6 +21,7 @@
 from .attempt import Attempt
 from .attempt import AttemptResult
 from .attemptoutcome import AttemptOutcome
+from .attemptoutcome import ENDED_BY_ROUTER
 from .attemptwatch import AttemptWatch
 from .call import Reason
 from .call import Refusal
@@ -89,6 +90,9 @@
         self._tried_helpers = 0
         # Whether the next attempt was already counted as a retry.
         self._has_reserved_retry = False
+        # Whether the caller waits for the rest of a stream that this VM has
+        # taken from a target.
+        self._owes_rest = False
         self._service = self._pick_service()
         self._budget = dispatcher.retry_budget(self._service)
         self._selector = TargetSelector(
@@ -133,19 +137,28 @@
         while True:
             way = await self._acquire()
             if self._sent_attempts and not self._spend_retry():
-                raise self._make_refusal(Reason.RETRIES_SPENT)
+                if not self._owes_rest:
+                    raise self._make_refusal(Reason.RETRIES_SPENT)
+                await self._wait_for_change()
+                continue
             result = await self._attempt(way)
             self._is_abandoned = result.is_abandoned
             if result.outcome is AttemptOutcome.DELIVERED:
                 return
             if result.outcome is AttemptOutcome.NOT_SENT:
                 self._cancellation.permit()
+                # No target got what was counted as a retry.
+                self._has_reserved_retry = self._sent_attempts > 0
                 continue
             self._sent_attempts += 1
             if result.outcome is AttemptOutcome.NOT_RUN:
                 self._cancellation.permit()
                 continue
             self._possible_runs += 1
+            self._owes_rest = (
+                result.outcome in ENDED_BY_ROUTER
+                and self._progress.has_started
+            )
             if result.outcome is AttemptOutcome.MOVED:
                 self._avoid |= self._selector.list_outdated()
             elif not self._may_repeat():
@@ -385,9 +398,12 @@
             way = self._find_way(place, until)
             if way is not None:
                 return way
-            await self._dispatcher.wait_for_change(
-                random.uniform(*_QUEUE_POLL_RANGE_S)
-            )
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        await self._dispatcher.wait_for_change(
+            random.uniform(*_QUEUE_POLL_RANGE_S)
+        )
 
     def _find_way(
         self, place: TurnPlace, until: float
@@ -420,7 +436,13 @@
         return None
 
     def _check_wait(self, place: TurnPlace, until: float) -> None:
-        """Refuse the call if no target will take it until a time."""
+        """Refuse the call if no target will take it until a time.
+
+        The rest of a stream that this VM owes is waited for until the
+        deadline: to give up earlier would only break the stream off.
+        """
+        if self._owes_rest:
+            return
         now = self._context.clock.now()
         if now >= until:
             raise self._make_refusal(Reason.NO_TARGET)
