Leave the queue of a closing port if the system accepts none

Callers saw: nothing yet. Shown by a test: if the system has no descriptor or no memory for a last connection as the port of a leaving VM closes, the process ends with that error, and no open call gets an answer. Cause: only BlockingIOError and ConnectionAbortedError were expected of accept as the port closes. Evidence: 4 of 4 cases of tests/gateway/test_failing_accepts.py fail on the commit before. Change: any other error of the system ends the accepting, as an empty queue does. Why it works: the step is a service to connections without a request; the calls that are open don't depend on it. Measured: 4 of 4 cases pass, and 9 of 9 of test_closing_ports.py.

--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -192,7 +192,9 @@
                 connection, address = listener.accept()
             except ConnectionAbortedError:
                 continue
-            except BlockingIOError:
+            except OSError:
+                # There is none, or the system has no room for one. The
+                # requests of other connections are to be answered.
                 return
             self._handle_connection(connection, address)
 
