--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -193,7 +193,8 @@
             except ConnectionAbortedError:
                 continue
             except OSError:
-                # None is left, or the system can't open one.
+                # There is none, or the system has no room for one. The
+                # requests of other connections are to be answered.
                 return
             self._handle_connection(connection, address)
 
