Answer what has arrived before the daemon's own interface stops

Callers saw: beside a SIGTERM, connections close without an answer to a request that has arrived, new connections are reset, and calls get a 429. A SIGHUP ends the process with all its calls. A process stays for ever if one caller doesn't read its response. Cause: a request counted as open once its handler ran, so that all of it had been read. Two looks at that number, 0.2 s apart, decided; then the daemon left the fleet, up to 2 s, and closed all connections, whatever had come meanwhile. Its share of the tokens was given up before, hence the 429. The operators' port had no such wait. SIGHUP had no handler. There was no limit to the wait, and an error response had lost its "Connection: close". Change: both ports are served by web/drainingserver.py. As it stops, it accepts what the system has queued, and closes a connection only if nothing is unread, unparsed or unwritten; late heads and bodies get 1 s, bodies then a 503 (vm_leaving). It may take the longest deadline of a route and 3 s, for operators 10 s; what is cut then is logged. The fleet is left after that. SIGHUP is held from the first line on, and ignored with a log line. What tells whether a connection is quiet is moved from gateway/listener.py to web/quietness.py, and gateway/reloadsignal.py to the package, for both daemons. Why it works: no request can come between the last look at a connection and its close, as both are one step, and none is left when the fleet is left. Calls without a caller that must not be cancelled are still waited for.

--- a/src/lentilrun/daemon/node.py
+++ b/src/lentilrun/daemon/node.py
@@ -269,11 +269,31 @@
             if target.events is not None:
                 self.tasks.start(f'events/{name}', reader.run)
 
+    def find_longest_deadline(self) -> float:
+        """Return how long a call may last, in seconds.
+
+        Calls may have begun before the configuration was changed.
+        """
+        routes = self.state.configuration.routes
+        longest = max((r.timeout for r in routes), default=0.0)
+        last = self.in_flight.find_last_deadline()
+        return max(longest, last - self.clock.now())
+
     async def drain(self) -> None:
         """Mark this VM as leaving; wait for load balancers to notice."""
         self.state.leaving = True
         await asyncio.sleep(_DRAIN_S)
 
+    async def finish_calls(self, ends_at: float) -> None:
+        """Wait for the calls in flight, at most until a time."""
+        try:
+            async with asyncio.timeout(max(0.0, ends_at - self.clock.now())):
+                await self.in_flight.wait_idle()
+        except TimeoutError:
+            logging.warning(
+                '%d calls are open at the end', len(self.in_flight)
+            )
+
     async def leave_fleet(self) -> None:
         """Give up bucket units, leave the membership and write the usage.
 
--- a/src/lentilrun/daemon/run.py
+++ b/src/lentilrun/daemon/run.py
@@ -1,4 +1,4 @@
-"""Entry point of ``lentilrund``."""
+"""Runs the daemon until a signal ends it."""
 
 from __future__ import annotations
 
@@ -6,17 +6,19 @@
 import signal
 import ssl
 import sys
+from typing import NamedTuple
 from typing import TYPE_CHECKING
 
 from absl import logging
 import cyclopts
-from tornado.httpserver import HTTPServer
 import zmq
 
 from ..config.findings import InvalidFileError
 from ..config import settings as settings_file
 from ..entry import handlers
 from ..operator import handlers as operator_handlers
+from ..reloadsignal import ReloadSignal
+from ..web.drainingserver import DrainingServer
 from .node import Node
 
 if TYPE_CHECKING:
@@ -27,7 +29,11 @@
 EXIT_IN_USE = 3
 _MAX_HEADER_BYTES = 64 * 1024
 _UNLIMITED_BYTES = 2**60
-_IDLE_GRACE_S = 0.2
+# Beyond the longest deadline of a call: requests that are arriving as the port
+# closes, and the delivery of the last responses.
+_FINISH_MARGIN_S = 3.0
+# An ``apply`` waits 6 s for confirmations, after the change itself.
+_OPERATOR_FINISH_S = 10.0
 _MAX_OPERATOR_BODY_BYTES = 32 * 1024 * 1024
 
 app = cyclopts.App(name='lentilrund', help='Run the router on this VM.')
@@ -41,9 +47,14 @@
     return context
 
 
-def _listen(node: Node) -> list[HTTPServer]:
+class _Servers(NamedTuple):
+    callers: DrainingServer
+    operators: DrainingServer
+
+
+def _listen(node: Node) -> _Servers:
     settings = node.settings
-    caller_server = HTTPServer(
+    callers = DrainingServer(
         handlers.make_application(
             handlers.HandlerDependencies(
                 node.state,
@@ -54,6 +65,7 @@
                 lambda: node.hints.is_done,
             )
         ),
+        handlers.encode_leaving(),
         ssl_options=_make_tls(settings.certificate),
         max_header_size=_MAX_HEADER_BYTES,
         # The handlers enforce the limit, so that the error response can say
@@ -62,27 +74,32 @@
         idle_connection_timeout=600.0,
         body_timeout=60.0,
     )
-    operator_server = HTTPServer(
+    operators = DrainingServer(
         operator_handlers.make_application(node),
+        operator_handlers.encode_leaving(),
         max_body_size=_MAX_OPERATOR_BODY_BYTES,
     )
     address = settings.listen.callers
-    caller_server.listen(address.port, address.host, backlog=1024)
+    callers.listen(address.port, address.host, backlog=1024)
     address = settings.listen.operators
-    operator_server.listen(address.port, address.host)
-    return [caller_server, operator_server]
+    operators.listen(address.port, address.host)
+    return _Servers(callers, operators)
 
 
-async def _wait_until_idle(node: Node) -> None:
-    """Wait until no call is in flight, before and after ``_IDLE_GRACE_S``.
+async def _finish(node: Node, servers: _Servers) -> None:
+    """Answer what has arrived, first to callers, then to operators."""
+    seconds = node.find_longest_deadline() + _FINISH_MARGIN_S
+    ends_at = node.clock.now() + seconds
+    stopped = await servers.callers.finish(seconds)
+    logging.info("the callers' port is closed: %s", stopped)
+    # Calls that must not be cancelled go on if their callers disconnect.
+    await node.finish_calls(ends_at)
+    stopped = await servers.operators.finish(_OPERATOR_FINISH_S)
+    logging.info("the operators' port is closed: %s", stopped)
 
-    Requests may still arrive on connections that are open.
-    """
-    while True:
-        await node.in_flight.wait_idle()
-        await asyncio.sleep(_IDLE_GRACE_S)
-        if node.in_flight.is_idle():
-            return
+
+def _ignore_reload() -> None:
+    logging.warning('SIGHUP is ignored: settings are read at the start')
 
 
 async def _serve(settings: Settings) -> None:
@@ -90,18 +107,17 @@
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    async with Node(settings) as node:
-        caller_server, operator_server = _listen(node)
-        logging.info('%s serves at %s', settings.name, settings.listen.callers)
-        await stop_requested.wait()
-        logging.info('%s is stopping', settings.name)
-        await node.drain()
-        caller_server.stop()
-        await _wait_until_idle(node)
-        await node.leave_fleet()
-        await caller_server.close_all_connections()
-        operator_server.stop()
-        logging.info('%s stopped', settings.name)
+    with ReloadSignal(loop, _ignore_reload):
+        async with Node(settings) as node:
+            servers = _listen(node)
+            address = settings.listen.callers
+            logging.info('%s serves at %s', settings.name, address)
+            await stop_requested.wait()
+            logging.info('%s is stopping', settings.name)
+            await node.drain()
+            await _finish(node, servers)
+            await node.leave_fleet()
+            logging.info('%s stopped', settings.name)
 
 
 @app.default
--- a/src/lentilrun/entry/handlers.py
+++ b/src/lentilrun/entry/handlers.py
@@ -73,6 +73,12 @@
     return msgspec.json.encode({'error': body._asdict()})
 
 
+def encode_leaving() -> bytes:
+    """Return the error for a request that arrives too late, as JSON."""
+    text = 'this VM is stopping'
+    return encode_error(CallError(Code.VM_LEAVING, text, _UNAVAILABLE), '')
+
+
 class HandlerDependencies(NamedTuple):
     """The components that handlers use.
 
@@ -115,12 +121,15 @@
 
     async def prepare(self) -> None:
         """Reject a request whose ``Content-Length`` is too large."""
-        if self.state.leaving:
-            self.set_header('Connection', 'close')
+        self._announce_leaving()
         size = parse_number(self.request.headers.get('Content-Length')) or 0
         if size > self.max_body_bytes:
             await self._reject_body(size)
 
+    def _announce_leaving(self) -> None:
+        if self.state.leaving:
+            self.set_header('Connection', 'close')
+
     async def data_received(self, chunk: bytes) -> None:
         """Collect the body up to the limit; discard it beyond."""
         if self._finished:
@@ -188,6 +197,7 @@
             RequestHandler.write(self, event)
             return self.finish()
         self.clear()
+        self._announce_leaving()
         self.set_status(error.status)
         self.set_header('Content-Type', 'application/json')
         self.set_header(REQUEST_ID_HEADER, self.identifier)
@@ -341,6 +351,7 @@
 
 __all__ = [
     'encode_error',
+    'encode_leaving',
     'ErrorBody',
     'HandlerDependencies',
     'make_application',
--- a/src/lentilrun/entry/inflight.py
+++ b/src/lentilrun/entry/inflight.py
@@ -115,9 +115,10 @@
             cancelled += 1
         return cancelled
 
-    def is_idle(self) -> bool:
-        """Return whether no request is open."""
-        return not self._open_requests
+    def find_last_deadline(self) -> float:
+        """Return the latest deadline of a call, 0 if there is none."""
+        calls = (tracked.call for tracked in self._calls.values())
+        return max((call.deadline for call in calls), default=0.0)
 
     async def wait_idle(self) -> None:
         """Wait until no request is open."""
--- a/src/lentilrun/errors.py
+++ b/src/lentilrun/errors.py
@@ -25,6 +25,7 @@
     RATE_EXCEEDED = 'rate_exceeded'
     OVERLOADED = 'overloaded'
     VM_STALE = 'vm_stale'
+    VM_LEAVING = 'vm_leaving'
     NOT_CONFIGURED = 'not_configured'
     NO_TARGET = 'no_target'
     QUARANTINED = 'quarantined'
--- a/src/lentilrun/gateway/listener.py
+++ b/src/lentilrun/gateway/listener.py
@@ -13,7 +13,8 @@
 from tornado.netutil import add_accept_handler
 from tornado.netutil import bind_sockets
 
-from ..web.sockets import count_unread_bytes
+from ..web.quietness import accept_waiting
+from ..web.quietness import has_arrivals
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,22 +83,6 @@
         self._read_buffer_size += count
         return count
 
-    def has_arrivals(self) -> bool:
-        """Return whether bytes have arrived that no task has handled.
-
-        A head that was read leaves no trace in the buffer until the task
-        that parses it has run; no read is pending then.
-        """
-        return not self.reading() or count_unread_bytes(self.socket) > 0
-
-    def is_active(self) -> bool:
-        """Return whether a response is sent, or bytes are to be handled."""
-        return not self.closed() and (self.writing() or self.has_arrivals())
-
-    def is_quiet(self) -> bool:
-        """Return whether a close loses nothing of a request or a response."""
-        return not self.is_active() and not self._read_buffer_size
-
     def drop_buffer(self) -> None:
         """Release what was not read, as the connection is closed.
 
@@ -182,20 +167,13 @@
 
         The system resets those that are left in its queue.
         """
-        for listener in self._sockets.values():
-            self._accept_waiting(listener)
+        accept_waiting(
+            self._sockets.values(),
+            self._handle_connection,
+            lambda: self.is_paused,
+        )
         super().stop()
 
-    def _accept_waiting(self, listener: socket.socket) -> None:
-        while not self.is_paused:
-            try:
-                connection, address = listener.accept()
-            except ConnectionAbortedError:
-                continue
-            except BlockingIOError:
-                return
-            self._handle_connection(connection, address)
-
     def _pick_closable(self) -> IOStream | None:
         """Return the connection to close first, if any may be closed.
 
@@ -204,7 +182,7 @@
         """
         now = self._clock.now()
         while (stream := self._table.pick_closable(now)) is not None:
-            if not _as_guarded(stream).has_arrivals():
+            if not has_arrivals(stream):
                 return stream
             self._table.mark_progress(stream, now)
         return None
@@ -249,19 +227,9 @@
             _as_guarded(stream).count_buffer()
 
 
-def is_active(stream: IOStream) -> bool:
-    """Return whether a response is sent, or bytes are to be handled."""
-    return _as_guarded(stream).is_active()
-
-
-def is_quiet(stream: IOStream) -> bool:
-    """Return whether a close loses nothing of a request or a response."""
-    return _as_guarded(stream).is_quiet()
-
-
 def _as_guarded(stream: IOStream) -> GuardedStream:
     assert isinstance(stream, GuardedStream)
     return stream
 
 
-__all__ = ['GuardedServer', 'GuardedStream', 'is_active', 'is_quiet']
+__all__ = ['GuardedServer', 'GuardedStream']
--- a/src/lentilrun/gateway/run.py
+++ b/src/lentilrun/gateway/run.py
@@ -10,9 +10,9 @@
 
 from ..config.ini import Address
 from ..platform import node as node_settings
+from ..reloadsignal import ReloadSignal
 from .allocation import tune_allocator
 from .node import Node
-from .reloadsignal import ReloadSignal
 
 if TYPE_CHECKING:
     from ..platform.node import NodeSettings
--- a/src/lentilrun/gateway/server.py
+++ b/src/lentilrun/gateway/server.py
@@ -22,6 +22,8 @@
 from ..decisions.memory import list_owners
 from ..platform import dialect
 from ..web.body import release_body
+from ..web.quietness import is_active
+from ..web.quietness import is_quiet
 from .bodies import BodyCollector
 from .bodies import BodyRules
 from .call import Cancellation
@@ -29,8 +31,6 @@
 from .call import Reason
 from .call import Refusal
 from .connectionwriter import ConnectionWriter
-from .listener import is_active
-from .listener import is_quiet
 
 if TYPE_CHECKING:
     from tornado.iostream import IOStream
--- a/src/lentilrun/operator/handlers.py
+++ b/src/lentilrun/operator/handlers.py
@@ -51,6 +51,12 @@
     return msgspec.json.encode(_to_builtin(value))
 
 
+def encode_leaving() -> bytes:
+    """Return the error for a request that arrives too late, as JSON."""
+    text = 'this VM is stopping; nothing was applied'
+    return encode({'error': {'code': Code.VM_LEAVING, 'message': text}})
+
+
 class _Handler(RequestHandler):
     def initialize(self, node: Node) -> None:
         self.node = node
@@ -183,6 +189,7 @@
 
 __all__ = [
     'encode',
+    'encode_leaving',
     'EXPECTED_GENERATION_HEADER',
     'FILE_HEADER',
     'make_application',
--- a/src/lentilrund.py
+++ b/src/lentilrund.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from lentilrun.gateway.reloadsignal import hold_reload_signal
+from lentilrun.reloadsignal import hold_reload_signal
 
 if __name__ == '__main__':
     # Before the other modules are imported, which takes a while.
--- a/tests/e2e/harness.py
+++ b/tests/e2e/harness.py
@@ -146,7 +146,7 @@
     def start_vm(self, vm: VmAddresses) -> None:
         """Start or restart a daemon."""
         path = self._write_settings(vm)
-        code = 'from lentilrun.daemon.run import main; main()'
+        code = 'from lentilrun.daemon.program import main; main()'
         log = (self.folder / f'{vm.name}.log').open('ab')
         self.processes[vm.name] = subprocess.Popen(
             [sys.executable, '-c', code, str(path)],
