--- a/tests/gateway/test_unbegun_work.py
+++ b/tests/gateway/test_unbegun_work.py
@@ -190,9 +190,9 @@
     def __init__(self) -> None:
         pass
 
-    def has_arrivals(self) -> bool:
-        """Return whether bytes have arrived."""
-        return True
+    def reading(self) -> bool:
+        """Return whether a read is pending: what arrived is not handled."""
+        return False
 
 
 def test_cost_of_looking_for_a_connection_to_close() -> None:
