Soak daemon processes under planned work alone

The soak stops its VMs among unplanned faults, which excuse most requests that get no answer. Callers keep their connections; some are silent until the port of a leaving VM closes.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import enum
 import itertools
 import random
+import socket
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
@@ -30,8 +31,12 @@
     from .deployment import VmProcess
 
 DEADLINE_S = 2.5
-# Longer than the deadline that a request states.
-_CLIENT_TIMEOUT_S = 4.0
+# Added to the deadline that a request states.
+_CLIENT_PATIENCE_S = 1.5
+# Time in which a reset after the end of a connection arrives.
+_RESET_S = 0.01
+# The state of a connection that its peer alone has closed (Linux).
+_TCP_CLOSE_WAIT = 8
 _CONNECT_TIMEOUT_S = 1.0
 _REQUEST_INTERVAL_S = 0.05
 _RETRY_INTERVAL_S = 0.1
@@ -54,7 +59,9 @@
 
     ``is_complete`` is set if the response was received to its end. A stream
     begins with ``first_event``; what was received of one that its caller
-    abandoned is kept too.
+    abandoned is kept too. The last byte of the request was sent at
+    ``written_at`` (0: never, or not recorded); ``was_read`` is set if the VM
+    had read all of it when it closed the connection.
     """
 
     request_id: str
@@ -69,6 +76,8 @@
     body: bytes = b''
     is_complete: bool = False
     first_event: int = 1
+    written_at: float = 0.0
+    was_read: bool = False
 
 
 class Head(NamedTuple):
@@ -85,6 +94,20 @@
     is_complete: bool
 
 
+async def check_read(raw: socket.socket) -> bool:
+    """Return whether a peer that closed a connection had read everything.
+
+    The kernel answers bytes that were not read, or that arrive afterwards,
+    with a reset, which ends the state CLOSE_WAIT.
+    """
+    await asyncio.sleep(_RESET_S)
+    try:
+        state = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+    except OSError:
+        return False
+    return state[0] == _TCP_CLOSE_WAIT
+
+
 class Caller:
     """Owns one connection to a VM and reconnects after it was closed."""
 
@@ -93,8 +116,10 @@
         vm: VmProcess,
         ids: itertools.count[int],
         records: list[RequestRecord],
+        deadline_s: float = DEADLINE_S,
     ) -> None:
         self._vm = vm
+        self._deadline_s = deadline_s
         self._ids = ids
         self._records = records
         self._connection: (
@@ -110,9 +135,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._close()
+        self.close()
 
-    def _close(self) -> None:
+    def close(self) -> None:
+        """Close the connection; the next request opens another."""
         if self._connection is not None:
             self._connection[1].close()
         self._connection = None
@@ -122,13 +148,16 @@
         request_id = f'request-{next(self._ids)}'
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
+        written_at = 0.0
         response = None
+        request = encode_request(
+            request_id, path, key, _list_fields(path), self._deadline_s
+        )
         try:
-            async with asyncio.timeout(_CLIENT_TIMEOUT_S):
+            async with asyncio.timeout(self._deadline_s + _CLIENT_PATIENCE_S):
                 reader, writer = await self._connect()
-                writer.write(
-                    encode_request(request_id, path, key, _list_fields(path))
-                )
+                writer.write(request)
+                written_at = loop.time()
                 response = await _read_response(reader)
             outcome = RequestOutcome.ANSWERED
         except TimeoutError:
@@ -145,6 +174,7 @@
             sent_at,
             loop.time(),
             outcome,
+            written_at=written_at,
         )
         if response is not None:
             record = record._replace(
@@ -153,14 +183,19 @@
                 body=response.body,
                 is_complete=response.is_complete,
             )
+        if written_at and not record.is_complete:
+            raw = writer.get_extra_info('socket')
+            record = record._replace(was_read=await check_read(raw))
         if not _is_reusable(response):
-            self._close()
+            self.close()
         self._records.append(record)
         return record
 
     async def _connect(
         self,
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        if self._connection is not None and self._connection[0].at_eof():
+            self.close()
         if self._connection is None:
             async with asyncio.timeout(_CONNECT_TIMEOUT_S):
                 self._connection = await asyncio.open_connection(
@@ -176,14 +211,18 @@
 
 
 def encode_request(
-    request_id: str, path: str, key: str, fields: Sequence[str]
+    request_id: str,
+    path: str,
+    key: str,
+    fields: Sequence[str],
+    deadline_s: float = DEADLINE_S,
 ) -> bytes:
     """Return a request with further header fields; its ID is its body."""
     lines = [
         f'POST {path} HTTP/1.1',
         f'Host: {HOST}',
         f'X-Request-Id: {request_id}',
-        f'X-Deadline-Ms: {int(DEADLINE_S * 1e3)}',
+        f'X-Deadline-Ms: {int(deadline_s * 1e3)}',
         f'Api-Key: {key}',
         f'Content-Length: {len(request_id)}',
         *fields,
@@ -285,6 +324,7 @@
 __all__ = [
     'Caller',
     'CallerPool',
+    'check_read',
     'DEADLINE_S',
     'encode_request',
     'Head',
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import time
+import types
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
 from .storeview import StoreView
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from types import TracebackType
 
 _SOURCE_FOLDER = pathlib.Path(__file__).parents[1] / 'src'
@@ -50,6 +52,8 @@
 STREAM_EVENTS = 6
 _EVENT_PAUSE_S = 0.05
 _STOP_TIMEOUT_S = 10.0
+# What the template of the settings states.
+_GRACE_S = 6
 # Time a process needs to install its signal handlers.
 _SIGNAL_SETUP_S = 3.0
 
@@ -64,9 +68,14 @@
     """Owns a daemon's process, its settings and its proxy to the store."""
 
     def __init__(
-        self, name: str, folder: pathlib.Path, store: tuple[str, int]
+        self,
+        name: str,
+        folder: pathlib.Path,
+        store: tuple[str, int],
+        grace_s: int = _GRACE_S,
     ) -> None:
         self.name = name
+        self._grace_s = grace_s
         self.build = builds.NEW
         # The builds that were started, by times of the event loop.
         self._builds: dict[float, str] = {}
@@ -93,7 +102,7 @@
                 entry=self.entry_port,
                 readiness=self.readiness_port,
                 store=self.store_proxy.port,
-            )
+            ).replace(f'grace-s = {_GRACE_S}', f'grace-s = {self._grace_s}')
         )
         await self.start()
         return self
@@ -187,14 +196,19 @@
         level: FaultLevel = FaultLevel.NONE,
         has_own_proxies: bool = False,
         first_build: str = builds.NEW,
+        grace_s: int = _GRACE_S,
+        further: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         """Keep the settings and logs of ``vms`` daemons in a folder.
 
         Of the replicas, ``processes`` are processes of their own, whose
         streams have the faults of ``level``, drawn from ``seed``. Each VM
         ``has_own_proxies`` before the other replicas, if set.
-        All begin with ``first_build``.
+        All begin with ``first_build`` and have ``grace_s`` seconds to stop.
+        There are ``further`` replicas, by name with their services.
         """
+        self._grace_s = grace_s
+        self._services = {**_REPLICA_SERVICES, **further}
         self._first_build = first_build
         self._folder = folder
         self._vm_count = vms
@@ -221,7 +235,7 @@
         port = self._serve(rowstore.make_application(self.store))
         self.configure()
         self.announce_weights()
-        for name in _REPLICA_SERVICES:
+        for name in self._services:
             await self._add_replica(name)
         await self._add_processes()
         for number in range(self._vm_count):
@@ -229,7 +243,9 @@
             if proxies:
                 view: Any = StoreView(self.store, proxies)
                 port = self._serve(rowstore.make_application(view))
-            vm = VmProcess(f'vm{number}', self._folder, (LOOPBACK, port))
+            vm = VmProcess(
+                f'vm{number}', self._folder, (LOOPBACK, port), self._grace_s
+            )
             vm.build = self._first_build
             vm.target_proxies += proxies.values()
             self.vms.append(await self._stack.enter_async_context(vm))
@@ -261,7 +277,7 @@
         return port
 
     async def _add_replica(self, name: str) -> None:
-        is_engine = _REPLICA_SERVICES[name] == 'llm'
+        is_engine = self._services[name] == 'llm'
         versions = {MODEL: self.weights_version} if is_engine else {}
         state = replica.ReplicaState(name, versions)
         state.plan.echoes_request_id = True
@@ -324,7 +340,7 @@
     def register(self, name: str, state: str = 'ready') -> None:
         """Write a replica's row."""
         value = make_target_row(
-            _REPLICA_SERVICES[name],
+            self._services[name],
             f'{LOOPBACK}:{self.replica_proxies[name].port}',
             self.replicas[name].versions,
             state,
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import functools
 import pathlib
 import random
@@ -26,6 +27,7 @@
 from .invariants import check_runs
 from .invariants import check_timeouts
 from .invariants import Violation
+from .planned import run_planned
 from .processfaults import ProcessFaultInjector
 from .recovery import check_recovery
 from .streamcallers import StreamCallerPool
@@ -50,7 +52,8 @@
     first violation unless the run ``goes_on``. With ``cuts``, VMs lose their
     ways to all replicas that are no processes. An ``upgrade`` begins with
     the older build; violations of ``excused`` by its VMs don't count. What
-    must hold without faults is checked if the deployment ``recovers``.
+    must hold without faults is checked if the deployment ``recovers``. If
+    ``planned``, planned work takes the place of all faults.
     """
 
     seconds: float
@@ -62,6 +65,7 @@
     upgrade: bool = False
     excused: frozenset[str] = frozenset()
     recovers: bool = True
+    planned: bool = False
 
 
 class SeedResult(NamedTuple):
@@ -144,6 +148,8 @@
     seed: int, folder: pathlib.Path, options: SeedOptions
 ) -> SeedResult:
     """Run one seed: faults for some seconds, then checks of recovery."""
+    if options.planned:
+        return await _run_planned_seed(seed, folder, options)
     rng = random.Random(seed)
     # Draws of its own, so that the other faults of a seed stay the same.
     process_rng = random.Random(f'{seed} processes')
@@ -195,6 +201,21 @@
         )
 
 
+async def _run_planned_seed(
+    seed: int, folder: pathlib.Path, options: SeedOptions
+) -> SeedResult:
+    records, events, violations = await run_planned(
+        seed, folder, options.vms, options.seconds
+    )
+    kinds = collections.Counter(e.kind for e in events)
+    ends = collections.Counter(f'{r.outcome} {r.status}' for r in records)
+    print(f'seed {seed}: {dict(kinds)}; {dict(ends)}', flush=True)
+    served = sum(r.status == 200 and r.is_complete for r in records)
+    return SeedResult(
+        seed, len(records), served, violations, events, folder, []
+    )
+
+
 def print_forms(folder: pathlib.Path, request_id: str) -> None:
     """Print how replicas that are processes answered a request."""
     path = folder / 'forms'
@@ -243,6 +264,10 @@
         async with semaphore:
             result = await run_seed(seed, folder, options)
         print_result(result)
+        if options.planned:
+            print(
+                f'  {dict(collections.Counter(e.kind for e in result.events))}'
+            )
         return bool(result.violations)
 
     violated = sum(await asyncio.gather(*(run_one(s) for s in seeds)))
@@ -264,6 +289,7 @@
     cuts: bool = False,
     upgrade: bool = False,
     older: pathlib.Path | None = None,
+    planned: bool = False,
 ) -> int:
     """Run seeds; exit with 1 if an invariant was violated.
 
@@ -292,6 +318,8 @@
         Begin with the build in production and replace the VMs meanwhile.
     older
         Sources of a build that an upgrade begins with instead.
+    planned
+        Do planned work only: restarts, SIGHUP and configurations.
     """
     if first is None:
         first = secrets.randbelow(_MAX_SEED)
@@ -301,7 +329,15 @@
     copy_programs(base)
     excused = builds.copy_older(base, older) if upgrade else frozenset()
     options = SeedOptions(
-        seconds, vms, processes, level, goes_on, cuts, upgrade, excused
+        seconds,
+        vms,
+        processes,
+        level,
+        goes_on,
+        cuts,
+        upgrade,
+        excused,
+        planned=planned,
     )
     violated = asyncio.run(_run_all(base, seeds, jobs, options))
     return 1 if violated else 0
