Keep no connection whose server lacks a part of the request

Cause: a connection counted as usable once the rest of a body was in the client's kernel. The next request waited behind that rest, and its timeout for unacknowledged bytes closed the connection of a server that is alive.

Change: it isn't kept while bytes of the request are unacknowledged. The kernel still delivers the rest, as the close discards nothing.

--- a/src/lentilrun/web/responsereading.py
+++ b/src/lentilrun/web/responsereading.py
@@ -130,9 +130,10 @@
 
     def finish(self) -> None:
         self.finished = True
-        if self._stream.writing():
-            # The server responded before it read the whole request; it would
-            # read the rest of the body as the next request.
+        if self._stream.holds_request():
+            # The server responded before it read the whole request. It would
+            # read the rest of the body as the next request, or that request
+            # would wait behind the rest until the server reads it.
             self.keep_alive = False
             self._stream.close()
 
