Stop attempts at leaving targets if their network is silent

Cause: attempts at targets that leave, or have no row, were never stopped, as such targets may take no connections and still answer.

Change: as no target is in reach, the targets of such attempts are connected to. A closed port refuses at once, and the attempt goes on; if nothing answers, it is stopped as all others are.

--- a/src/lentilrun/gateway/reachability.py
+++ b/src/lentilrun/gateway/reachability.py
@@ -68,6 +68,10 @@
     ) -> None:
         self._reachability.remove(self)
 
+    def may_stop(self) -> bool:
+        """Return whether it goes on, and another VM may repeat it."""
+        return self._stop is not None and not self.has_stopped
+
     def stop(self) -> None:
         """Stop the attempt if another VM may repeat it."""
         if self._stop is not None and not self.has_stopped:
@@ -206,6 +210,8 @@
             self._record_path()
         else:
             self._record_no_path(states)
+            if self._is_silent():
+                await self._stop_attempts()
 
     def _record_path(self) -> None:
         if self._cut_off_since is None:
@@ -226,13 +232,31 @@
                 heard=round(self._clock.now() - self._last_heard, 3),
             )
             self._notify()
-        if not self._is_silent():
-            return
+
+    async def _stop_attempts(self) -> None:
+        """Stop the attempts at targets that are out of reach.
+
+        A target that leaves may take no connections. If it still answers, it
+        is connected to in vain, but the connection is refused at once.
+        """
         # Connections that hang are lost, also if the network recovers.
         self._client.close_all_idle()
+        uncertain: dict[int, list[AttemptWatch]] = {}
         for attempt in list(self._attempts):
             if self._takes_connections(attempt.state):
                 attempt.stop()
+            elif attempt.may_stop():
+                uncertain.setdefault(id(attempt.state), []).append(attempt)
+        await asyncio.gather(*map(self._stop_if_lost, uncertain.values()))
+
+    async def _stop_if_lost(self, attempts: list[AttemptWatch]) -> None:
+        """Stop attempts at one target if nothing answers at its address."""
+        address = attempts[0].state.target.address
+        if await self._client.is_in_reach(address) or not self._is_silent():
+            return
+        for attempt in attempts:
+            if attempt in self._attempts:
+                attempt.stop()
 
     def _takes_connections(self, state: TargetState) -> bool:
         """Return whether a target is expected to take connections."""
--- a/src/lentilrun/web/client.py
+++ b/src/lentilrun/web/client.py
@@ -246,6 +246,14 @@
             return _is_refusal(error.__cause__)
         return False
 
+    async def is_in_reach(self, address: Address) -> bool:
+        """Return whether a server takes or refuses connections; keep one."""
+        try:
+            await self._add_unused(address)
+        except NotSentError as error:
+            return _is_refusal(error.__cause__)
+        return True
+
     async def _add_unused(self, address: Address) -> None:
         """Open a connection and keep it; raises ``NotSentError``."""
         stream = await self._connect(address, self._connect_timeout)
