--- a/src/lentilrun/gateway/execution.py
+++ b/src/lentilrun/gateway/execution.py
@@ -147,8 +147,11 @@
                 return
             if result.outcome is AttemptOutcome.NOT_SENT:
                 self._cancellation.permit()
-                # No target got what was counted as a retry.
-                self._has_reserved_retry = self._sent_attempts > 0
+                # No target got what was counted as a retry. A helper may have
+                # sent it before it refused the call.
+                self._has_reserved_retry = self._sent_attempts > 0 and (
+                    isinstance(way, Assignment)
+                )
                 continue
             self._sent_attempts += 1
             if result.outcome is AttemptOutcome.NOT_RUN:
