--- a/src/lentilrun/web/responsereading.py
+++ b/src/lentilrun/web/responsereading.py
@@ -14,7 +14,6 @@
 
 from .exchangeerrors import InterruptedExchangeError
 from .responses import is_framed
-from .sockets import allow_full_buffer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -112,9 +111,6 @@
             if self._is_reused and not self.is_copyable:
                 self._reject()
                 return None
-        if self._stream.holds_request():
-            # The server responds, and may read the rest later.
-            allow_full_buffer(self._stream)
         return self._handler.receive_head(start_line.code, headers)
 
     def _reject(self) -> None:
--- a/src/lentilrun/web/sockets.py
+++ b/src/lentilrun/web/sockets.py
@@ -145,16 +145,6 @@
     )
 
 
-def allow_full_buffer(stream: IOStream) -> None:
-    """Let a server that is alive take no bytes for any time.
-
-    Its kernel then acknowledges probes, but no bytes, which the timeout of
-    ``set_ack_timeout`` takes for silence. Without that, only the number of
-    probes counts that are not acknowledged.
-    """
-    stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 0)
-
-
 def abort(stream: IOStream) -> None:
     """Close a stream; bytes that were not delivered yet are discarded.
 
@@ -181,7 +171,6 @@
 
 __all__ = [
     'abort',
-    'allow_full_buffer',
     'count_unread_bytes',
     'DEFAULT_ACK_TIMEOUT_S',
     'has_input',
