Ask no closed connection what its server has not read

Callers saw: nothing different where it was run; VMs logged a traceback for each response that ends with its connection, and the exchange ended by it. Cause: since the end of a response asks the socket for bytes that the server lacks; a stream that was closed has no socket. Change: a closed connection holds no request, as it carries no other.

--- a/src/lentilrun/web/sockets.py
+++ b/src/lentilrun/web/sockets.py
@@ -81,7 +81,12 @@
         return data
 
     def holds_request(self) -> bool:
-        """Return whether the server's kernel lacks a part of the request."""
+        """Return whether the server's kernel lacks a part of the request.
+
+        A closed connection, which carries no other request, holds none.
+        """
+        if self.closed():
+            return False
         return self.writing() or _count_unacknowledged_bytes(self.socket) > 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
--- a/tests/web/test_late_reads.py
+++ b/tests/web/test_late_reads.py
@@ -74,3 +74,30 @@
                     await asyncio.sleep(pause)
 
     asyncio.run(body())
+
+
+async def _close_after_body(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Respond without a length, so that the connection's end ends it."""
+    await reader.readuntil(b'\r\n\r\n')
+    writer.write(b'HTTP/1.1 200 OK\r\n\r\nok')
+    writer.close()
+
+
+def test_response_that_ends_with_its_connection(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """A closed connection was asked what its server had not read."""
+
+    async def body() -> None:
+        server = await asyncio.start_server(_close_after_body, '127.0.0.1', 0)
+        async with server:
+            with Client(responds_once=True) as client:
+                address = Address(*server.sockets[0].getsockname())
+                request = Request('GET', '/', HTTPHeaders(), b'', _TIMEOUT_S)
+                response = await client.fetch(address, request)
+                assert response.status == 200
+        assert 'Uncaught exception' not in caplog.text
+
+    asyncio.run(body())
