Share the configuration of long timeouts between tests

Cause: two new test files wrote the same configuration, line by line. Change: Deployment.lengthen_timeouts serves both; no assertion changes.

--- a/tests/gateway/deployments.py
+++ b/tests/gateway/deployments.py
@@ -98,6 +98,14 @@
         value = msgspec.json.encode(configuration)
         self.store.put('op', 'config', value)
 
+    def lengthen_timeouts(self, timeout_ms: int) -> None:
+        """Write a configuration whose routes all have a timeout, in ms."""
+        configuration = make_configuration(2)
+        for route in configuration['routes']:
+            route['timeout-ms'] = timeout_ms
+            route['target-latency-ms'] = timeout_ms
+        self.configure(configuration)
+
     async def put_in_force(self, configuration: dict[str, Any]) -> None:
         """Write a configuration and wait until all VMs have it."""
         self.configure(configuration)
--- a/tests/gateway/test_lone_leaving_targets.py
+++ b/tests/gateway/test_lone_leaving_targets.py
@@ -7,7 +7,6 @@
 
 import deployments
 from deployments import Deployment
-from deployments import make_configuration
 from deployments import wait_until
 import pytest
 
@@ -49,14 +48,6 @@
 }
 
 
-def _lengthen_timeouts(deployment: Deployment) -> None:
-    configuration = make_configuration(2)
-    for route in configuration['routes']:
-        route['timeout-ms'] = _TIMEOUT_MS
-        route['target-latency-ms'] = _TIMEOUT_MS
-    deployment.configure(configuration)
-
-
 async def _replace(deployment: Deployment, service: str, case: _Case) -> None:
     """Register new targets beside the old one, which may leave."""
     for number in range(case.new_targets):
@@ -83,7 +74,7 @@
         is_stream = case.path == '/talk/x'
         service = 'llm' if is_stream else 'app'
         async with Deployment() as deployment:
-            _lengthen_timeouts(deployment)
+            deployment.lengthen_timeouts(_TIMEOUT_MS)
             old = deployment.add_replica('old', service)
             old.plan.event_count = _EVENTS
             old.plan.event_interval_s = _PAUSE_S
--- a/tests/gateway/test_unframed_drains.py
+++ b/tests/gateway/test_unframed_drains.py
@@ -7,7 +7,6 @@
 
 import deployments
 from deployments import Deployment
-from deployments import make_configuration
 from deployments import wait_until
 import pytest
 
@@ -33,14 +32,6 @@
 }
 
 
-def _lengthen_timeouts(deployment: Deployment) -> None:
-    configuration = make_configuration(2)
-    for route in configuration['routes']:
-        route['timeout-ms'] = _TIMEOUT_MS
-        route['target-latency-ms'] = _TIMEOUT_MS
-    deployment.configure(configuration)
-
-
 @pytest.mark.parametrize('name', _CASES)
 def test_response_of_a_target_that_takes_no_more_connections(
     name: str,
@@ -52,7 +43,7 @@
         is_stream = case.path in _STREAMS
         service = 'llm' if is_stream else 'app'
         async with Deployment() as deployment:
-            _lengthen_timeouts(deployment)
+            deployment.lengthen_timeouts(_TIMEOUT_MS)
             target = deployment.add_replica('a1', service)
             target.plan.is_framed = False
             target.plan.event_count = _EVENTS
